The whole path, thin: route, search, booking, plan and confirm over real processes

Cause: nothing stood yet to measure or to break. Conclusion: the interfaces between the packages stand; each decision is a plain class.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that `make bench` runs."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that `make demo` runs."""
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/__init__.py
@@ -0,0 +1,1 @@
+"""The limpethollow daemon: carries events into the decisions and their actions out."""
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -0,0 +1,76 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+_CATALOGUE: dict[int, "Event"] = {}
+_LOGGER = logging.getLogger("limpethollow")
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: Stable number, never used for another event.
+        level: Level of the logging module.
+        text: What happened.
+    """
+
+    number: int
+    level: int
+    text: str
+
+    def log(self, *, exc_info: bool = False, **fields: Any) -> None:
+        """Write one line with this event's number and the given fields.
+
+        Args:
+            exc_info: Whether to add the traceback of the error being handled.
+            **fields: What the line tells besides.
+        """
+        if _LOGGER.isEnabledFor(self.level):
+            extra = {"event": self.number, **fields}
+            _LOGGER.log(self.level, self.text, exc_info=exc_info, extra=extra)
+
+
+def _event(number: int, level: int, text: str) -> Event:
+    if number in _CATALOGUE:
+        raise ValueError(f"Event {number} is defined twice; take a free number.")
+    event = Event(number, level, text)
+    _CATALOGUE[number] = event
+    return event
+
+
+def catalogue() -> tuple[Event, ...]:
+    """Return all events by number."""
+    return tuple(_CATALOGUE[number] for number in sorted(_CATALOGUE))
+
+
+# 100: the process
+STARTED = _event(100, logging.INFO, "instance started")
+STOPPING = _event(101, logging.INFO, "graceful shutdown began")
+STOPPED = _event(102, logging.INFO, "instance stopped")
+BOUND_REACHED = _event(103, logging.WARNING, "shutdown bound reached with requests still open")
+DEFECT = _event(104, logging.ERROR, "unexpected error; this is a defect")
+
+# 200: configuration and platform
+RECORDS_APPLIED = _event(200, logging.INFO, "configuration records came into force")
+PLATFORM_FAILED = _event(201, logging.WARNING, "a call to the platform failed")
+PLATFORM_BACK = _event(202, logging.INFO, "the platform answers again")
+PLAN_MADE = _event(203, logging.INFO, "plan made")
+PLAN_CONFIRMED = _event(204, logging.INFO, "plan confirmed")
+PLAN_CONFLICT = _event(205, logging.WARNING, "plan refused because its base is stale")
+
+# 300: instances
+PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
+PEER_LOST = _event(301, logging.WARNING, "link to peer lost")
+PEER_REFUSED = _event(302, logging.WARNING, "peer refused because of its key or its frames")
+MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
+
+# 400: searchers
+SEARCHER_CALL_FAILED = _event(400, logging.DEBUG, "a call to a searcher failed")
+
+# 500: requests
+REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
+BOOKING_UNKNOWN = _event(501, logging.WARNING, "the outcome of a booking is not known")
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -0,0 +1,125 @@
+"""The group actors of this instance, started when first needed."""
+
+import itertools
+import threading
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from limpethollow_node.connection.searchers import SearcherClient
+from limpethollow_node.process.actors import (
+    AbandonMessage,
+    GroupActor,
+    ReleaseMessage,
+    RetireMessage,
+    SearchMessage,
+    SlotMessage,
+)
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.timers import Timers
+from limpethollow_policy.request.events import Failure, Search, SlotRequest
+from limpethollow_policy.version.groups import Group, cut_groups
+from limpethollow_wire.exceptions import Unavailable
+from limpethollow_wire.services import ServiceRecord
+
+_RETRY_AFTER = 0.1
+
+
+class LocalGroup:
+    """One group served by this instance, and the version of its service that it serves."""
+
+    def __init__(
+        self, record: ServiceRecord, group: Group, timers: Timers, metrics: Metrics, prefix: str
+    ) -> None:
+        assert record.spec is not None
+        self.version = record.version
+        self._clients = {searcher.id: SearcherClient(searcher) for searcher in group.searchers}
+        self._ref = GroupActor.start(record.spec, group, self._clients, timers, metrics, prefix)
+
+    def search(self, search: Search) -> Future[Any]:
+        """Start a search; the future gets a `GroupAnswer`, `ServableVersions` or a typed error."""
+        future: Future[Any] = Future()
+        self._tell(SearchMessage(search, future), future)
+        return future
+
+    def abandon(self, search_id: str) -> None:
+        """Drop a search whose caller left."""
+        self._tell(AbandonMessage(search_id), None)
+
+    def take_slot(self, request: SlotRequest) -> Future[str]:
+        """Ask for a slot; the future gets the searcher's id or a typed error."""
+        future: Future[str] = Future()
+        self._tell(SlotMessage(request, future), future)
+        return future
+
+    def release_slot(
+        self, request_id: str, failure: Failure | None = None, retry_after: float | None = None
+    ) -> None:
+        """Give a slot back and say how its dispatch ended."""
+        self._tell(ReleaseMessage(request_id, failure, retry_after), None)
+
+    def client(self, searcher_id: str) -> SearcherClient:
+        """Return the client of one searcher."""
+        return self._clients[searcher_id]
+
+    def retire(self) -> None:
+        """End the actor once nothing is open, so that a new version cuts off no request."""
+        self._tell(RetireMessage(), None)
+
+    def _tell(self, message: Any, future: Future[Any] | None) -> None:
+        try:
+            self._ref.tell(message)
+        except pykka.ActorDeadError:
+            if future is not None:
+                error = Unavailable("The group has just been replaced.", retry_after=_RETRY_AFTER)
+                future.set_exception(error)
+
+
+class LocalGroups:
+    """All groups served by this instance.
+
+    Args:
+        timers: Where actors set their wake-ups.
+        metrics: Where counters are kept.
+        incarnation: This run of the instance, part of all call ids.
+    """
+
+    def __init__(self, timers: Timers, metrics: Metrics, incarnation: str) -> None:
+        self._timers = timers
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._groups: dict[tuple[str, int], LocalGroup] = {}
+
+    def __enter__(self) -> "LocalGroups":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        with self._lock:
+            groups, self._groups = self._groups, {}
+        for group in groups.values():
+            group.retire()
+
+    def get(self, record: ServiceRecord, index: int) -> LocalGroup:
+        """Return a group of a service, started at this version if it was not running."""
+        assert record.spec is not None
+        with self._lock:
+            group = self._groups.get((record.name, index))
+            if group is None or group.version < record.version:
+                if group is not None:
+                    group.retire()
+                prefix = f"{self._incarnation}-{next(self._numbers)}"
+                cut = cut_groups(record.spec)[index]
+                group = LocalGroup(record, cut, self._timers, self._metrics, prefix)
+                self._groups[record.name, index] = group
+            return group
+
+    def records_applied(self, records: tuple[ServiceRecord, ...]) -> None:
+        """End the groups of services that changed; they start anew with the next request."""
+        with self._lock:
+            for record in records:
+                for key in [key for key in self._groups if key[0] == record.name]:
+                    if self._groups[key].version < record.version:
+                        self._groups.pop(key).retire()
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -0,0 +1,197 @@
+"""One instance: all its parts, started and stopped in order."""
+
+import secrets
+import time
+from contextlib import ExitStack
+from random import Random
+
+from limpethollow_node.connection.listeners import Listener
+from limpethollow_node.connection.peers import PeerListener
+from limpethollow_node.process import events
+from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.groups import LocalGroups
+from limpethollow_node.process.lifecycles import InstanceState, Lifecycle
+from limpethollow_node.process.links import PeerLinks
+from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.platforms import PlatformClient
+from limpethollow_node.process.timers import Timers
+from limpethollow_node.request import callers, operators
+from limpethollow_node.request.bookings import BookingExecutor
+from limpethollow_node.request.callers import CallerContext
+from limpethollow_node.request.operators import OperatorContext
+from limpethollow_node.request.peers import PeerContext, answer_peer
+from limpethollow_node.request.searches import Coordinator
+from limpethollow_node.version.planners import Planner
+from limpethollow_wire.exceptions import LimpethollowError
+from limpethollow_wire.instances import InstanceStatus
+from limpethollow_wire.peers import Acknowledgement, Hello
+from limpethollow_wire.settings import NodeSettings
+
+_OPERATOR_THREADS = 4
+_PEER_TIMEOUT = 0.5
+_DRAIN_POLL = 0.02
+
+
+class Node:
+    """One run of an instance.
+
+    Usage:
+        with Node(settings) as node:
+            node.run()
+
+    Args:
+        settings: The checked settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._id = settings.instance.id
+        self._incarnation = secrets.token_hex(4)
+        self._rng = Random()
+        self._lifecycle = Lifecycle()
+        self._stack = ExitStack()
+        self._metrics = Metrics()
+        self._build()
+
+    def __enter__(self) -> "Node":
+        for part in self._parts:
+            self._stack.enter_context(part)
+        self._lifecycle.enter(InstanceState.SERVING)
+        events.STARTED.log(incarnation=self._incarnation, caller=self._callers.address)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._lifecycle.enter(InstanceState.CLOSING)
+        self._stack.close()
+        events.STOPPED.log()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """The addresses that were bound, by listener."""
+        return {
+            "caller": self._callers.address,
+            "operator": self._operators.address,
+            "peer": self._peers.address,
+        }
+
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """The state of the run."""
+        return self._lifecycle
+
+    def run(self) -> None:
+        """Serve until asked to leave, then leave gracefully."""
+        self._lifecycle.wait_for_leave()
+        self._leave()
+
+    def status(self) -> InstanceStatus:
+        """Return what this instance says of itself."""
+        return InstanceStatus(
+            id=self._id,
+            incarnation=self._incarnation,
+            state=self._lifecycle.state,
+            failure_domain=self._settings.instance.failure_domain,
+            versions=self._configs.digest,
+            peers=self._members.states(),
+        )
+
+    def _build(self) -> None:
+        settings, metrics = self._settings, self._metrics
+        keys, where = settings.keys, settings.listeners
+        platform = PlatformClient(settings.platform, metrics)
+        timers = Timers()
+        self._members = MemberKeeper(self._id, platform, self._rng)
+        self._configs = ConfigKeeper(platform, self._rng)
+        self._links = PeerLinks(self._members, keys.peer, self._hello)
+        groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
+        self._configs.listen(groups.records_applied)
+        coordinator = Coordinator(
+            self._id, self._configs, self._members, self._links, groups, metrics
+        )
+        self._bookings = BookingExecutor(
+            self._id, self._incarnation, self._configs, self._links, groups, metrics
+        )
+        planner = Planner(self._id, platform, self._configs, self._members, self._links)
+        peers = PeerContext(self._configs, self._members, coordinator, self._bookings, self.status)
+        caller_context = CallerContext(
+            self._id, self._incarnation, self._configs, self._members, coordinator, self._bookings
+        )
+        operator_context = OperatorContext(
+            keys.operator, self._configs, self._members, planner, metrics, self.status
+        )
+        self._peers = PeerListener(
+            where.host,
+            where.peer_port,
+            keys.peer,
+            self._hello,
+            self._links.greeted,
+            lambda peer, kind, body: answer_peer(peers, kind, body),
+            metrics,
+        )
+        self._callers = Listener(
+            where.host,
+            where.caller_port,
+            where.threads,
+            callers.ROUTES,
+            caller_context,
+            self._lifecycle,
+            metrics,
+        )
+        self._operators = Listener(
+            where.host,
+            where.operator_port,
+            _OPERATOR_THREADS,
+            operators.ROUTES,
+            operator_context,
+            self._lifecycle,
+            metrics,
+        )
+        self._parts = (
+            platform,
+            timers,
+            groups,
+            self._links,
+            self._members,
+            self._configs,
+            self._peers,
+            self._operators,
+            self._callers,
+        )
+
+    def _hello(self) -> Hello:
+        return Hello(
+            self._id,
+            self._incarnation,
+            self._settings.instance.failure_domain,
+            self._lifecycle.state,
+        )
+
+    def _leave(self) -> None:
+        """Stay useful until callers' addresses have expired, then wait for what is open."""
+        events.STOPPING.log()
+        bound = time.monotonic() + self._settings.shutdown.bound
+        self._lifecycle.enter(InstanceState.LEAVING)
+        self._bookings.leave()
+        self._tell_peers()
+        if self._lifecycle.pause(min(self._linger(), self._settings.shutdown.bound)):
+            return
+        while self._callers.open_requests and time.monotonic() < bound:
+            if self._lifecycle.pause(_DRAIN_POLL):
+                return
+        if self._callers.open_requests:
+            events.BOUND_REACHED.log(open=self._callers.open_requests)
+
+    def _linger(self) -> float:
+        ttls = [r.spec.route_ttl for r in self._configs.records if r.spec is not None]
+        return max([self._settings.shutdown.linger, *ttls])
+
+    def _tell_peers(self) -> None:
+        self._members.heard(self._id, self._incarnation, True)
+        for peer in self._members.peers():
+            try:
+                self._links.request(
+                    peer.id, "instance.hello", self._hello(), Acknowledgement, _PEER_TIMEOUT
+                )
+            except LimpethollowError:
+                continue
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -0,0 +1,84 @@
+"""The callers' HTTP API."""
+
+from dataclasses import dataclass
+
+from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
+from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.request.bookings import BookingExecutor
+from limpethollow_node.request.searches import Coordinator
+from limpethollow_policy.process.owners import group_key, owner_order
+from limpethollow_wire.bookings import BookingRequest, OutcomeQuestion
+from limpethollow_wire.exceptions import Unauthorized
+from limpethollow_wire.instances import Route, RouteInstance
+from limpethollow_wire.keys import bearer_key, key_digest, keys_equal
+from limpethollow_wire.searches import SearchRequest
+from limpethollow_wire.services import ServiceSpec
+
+ROUTES = Routes()
+
+
+@dataclass(slots=True)
+class CallerContext:
+    """What the callers' handlers use."""
+
+    own_id: str
+    incarnation: str
+    configs: ConfigKeeper
+    members: MemberKeeper
+    coordinator: Coordinator
+    bookings: BookingExecutor
+
+
+@ROUTES.add("GET", "/v1/services/{service}/route")
+def route(context: CallerContext, request: HttpRequest) -> HttpReply:
+    """Say which instances a caller should use for a service."""
+    spec, _ = _admit(context, request)
+    live = context.members.routable()
+    instances = tuple(
+        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id))
+        for i in owner_order(group_key(spec.name, 0), live)
+    )
+    return HttpReply(Route(spec.name, spec.route_ttl, instances))
+
+
+@ROUTES.add("POST", "/v1/services/{service}/search")
+def search(context: CallerContext, request: HttpRequest) -> HttpReply:
+    """Answer a search."""
+    spec, firm = _admit(context, request)
+    message = request.message(SearchRequest)
+    return HttpReply(context.coordinator.search(spec.name, firm, message))
+
+
+@ROUTES.add("POST", "/v1/services/{service}/bookings")
+def book(context: CallerContext, request: HttpRequest) -> HttpReply:
+    """Run a booking."""
+    spec, firm = _admit(context, request)
+    message = request.message(BookingRequest)
+    return HttpReply(context.bookings.book(spec.name, firm, message))
+
+
+@ROUTES.add("GET", "/v1/services/{service}/bookings/{token}")
+def look_up(context: CallerContext, request: HttpRequest) -> HttpReply:
+    """Say what became of a booking."""
+    spec, firm = _admit(context, request)
+    question = OutcomeQuestion(spec.name, firm, request.names["token"])
+    return HttpReply(context.bookings.look_up(question))
+
+
+def _admit(context: CallerContext, request: HttpRequest) -> tuple[ServiceSpec, str]:
+    """Return the service and the firm whose key the caller holds."""
+    record = context.configs.require(request.names["service"])
+    spec = record.spec
+    assert spec is not None
+    digest = key_digest(bearer_key(request.authorization))
+    firms = [c.firm for c in spec.callers if keys_equal(c.key_sha256, digest)]
+    if not firms:
+        raise Unauthorized(f"The key is not one of service '{spec.name}'.")
+    return spec, firms[0]
+
+
+def _incarnation(context: CallerContext, instance_id: str) -> str:
+    if instance_id == context.own_id:
+        return context.incarnation
+    return context.members.incarnation(instance_id)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -0,0 +1,97 @@
+"""What an instance answers to its peers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.request.bookings import BookingExecutor
+from limpethollow_node.request.searches import Coordinator
+from limpethollow_wire.bookings import ForwardedBooking, OutcomeQuestion
+from limpethollow_wire.codecs import convert
+from limpethollow_wire.exceptions import BadRequest
+from limpethollow_wire.instances import InstanceStatus
+from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Records
+from limpethollow_wire.searches import GroupSearch, GroupVersions
+
+PeerHandler = Callable[["PeerContext", Any], Any]
+
+_HANDLERS: dict[str, tuple[type, PeerHandler]] = {}
+
+
+@dataclass(slots=True)
+class PeerContext:
+    """What the peers' handlers use."""
+
+    configs: ConfigKeeper
+    members: MemberKeeper
+    coordinator: Coordinator
+    bookings: BookingExecutor
+    status: Callable[[], InstanceStatus]
+
+
+def peer_request(kind: str, body: type) -> Callable[[PeerHandler], PeerHandler]:
+    """Register the handler of one kind of request from peers."""
+
+    def register(handler: PeerHandler) -> PeerHandler:
+        _HANDLERS[kind] = (body, handler)
+        return handler
+
+    return register
+
+
+def answer_peer(context: PeerContext, kind: str, body: Any) -> Any:
+    """Answer one request.
+
+    Raises:
+        BadRequest: No such kind is known here, or the body is not of its type.
+    """
+    if kind not in _HANDLERS:
+        raise BadRequest(
+            f"Peers may not ask for '{kind[:50]}' here.",
+            remedy="Run the same release on all instances.",
+        )
+    expected, handler = _HANDLERS[kind]
+    return handler(context, convert(body, expected))
+
+
+@peer_request("group.search", GroupSearch)
+def _search(context: PeerContext, body: GroupSearch) -> Any:
+    return context.coordinator.search_group(body)
+
+
+@peer_request("group.versions", GroupVersions)
+def _versions(context: PeerContext, body: GroupVersions) -> Any:
+    return context.coordinator.group_versions(body)
+
+
+@peer_request("booking.run", ForwardedBooking)
+def _book(context: PeerContext, body: ForwardedBooking) -> Any:
+    return context.bookings.run_forwarded(body)
+
+
+@peer_request("booking.look_up", OutcomeQuestion)
+def _look_up(context: PeerContext, body: OutcomeQuestion) -> Any:
+    return context.bookings.look_up_here(body)
+
+
+@peer_request("config.push", Records)
+def _push(context: PeerContext, body: Records) -> Any:
+    return Acknowledgement(len(context.configs.merge(body.records)))
+
+
+@peer_request("config.pull", Digest)
+def _pull(context: PeerContext, body: Digest) -> Any:
+    return Records(context.configs.newer_than(body.versions))
+
+
+@peer_request("instance.hello", Hello)
+def _hello(context: PeerContext, body: Hello) -> Any:
+    context.members.heard(body.instance, body.incarnation, body.state == "leaving")
+    return Acknowledgement()
+
+
+@peer_request("instance.status", type(None))
+def _status(context: PeerContext, body: None) -> Any:
+    return context.status()
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the configuration."""
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that live for one connection to a searcher."""
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that live as long as the process."""
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that live for one version of the configuration."""
--- /dev/null
+++ b/packages/limpethollow-wire/src/limpethollow_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codecs, settings and errors that all limpethollow processes share."""
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,136 @@
+"""Stand-in for the platform: object API with versions, conditional writes and watches.
+
+The list of instances lags by `list_lag` seconds. `POST /control` makes it `down`, slow (`delay`
+seconds a call), or lose the replies of the next `lose_replies` writes after they took effect.
+"""
+
+import sys
+import threading
+import time
+from collections import Counter
+from typing import Any
+
+from tests.standins.https import DropConnection, Reply, StandInServer
+
+
+class PlatformStandIn(StandInServer):
+    """Keeps everything in memory."""
+
+    def __init__(self, port: int = 0) -> None:
+        super().__init__(port)
+        self.changed = threading.Condition()
+        self.revision = 0
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.instances: list[dict[str, Any]] = []
+        self.shown: list[dict[str, Any]] = []
+        self.list_revision = 0
+        self.list_lag = 0.0
+        self.down = False
+        self.delay = 0.0
+        self.lose_replies = 0
+        self.calls: Counter[str] = Counter()
+        self.handlers = {
+            ("GET", "objects"): self.read,
+            ("PUT", "objects"): self.write,
+            ("GET", "watch"): self.watch,
+            ("GET", "instances"): self.list_instances,
+            ("POST", "control"): self.control,
+            ("POST", "control/instances"): self.set_instances,
+            ("GET", "control/stats"): self.stats,
+        }
+
+    def read(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        kind, _, name = names["rest"].partition("/")
+        self.meet("read" if name else "list")
+        with self.changed:
+            if name:
+                stored = self.objects.get((kind, name))
+                return (200, stored) if stored else (404, {"code": "no_such_object"})
+            found = [o for (k, _), o in self.objects.items() if k == kind]
+            return 200, {"revision": self.revision, "objects": found}
+
+    def write(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        kind, _, name = names["rest"].partition("/")
+        self.meet("write")
+        with self.changed:
+            stored = self.objects.get((kind, name))
+            version = stored["version"] if stored else 0
+            if body.get("if_version") is not None and body["if_version"] != version:
+                return 409, {"code": "conflict", "version": version}
+            self.revision += 1
+            stored = {
+                "kind": kind,
+                "name": name,
+                "version": self.revision,
+                "value": body["value"],
+            }
+            self.objects[kind, name] = stored
+            self.changed.notify_all()
+            if self.lose_replies > 0:
+                self.lose_replies -= 1
+                raise DropConnection
+        return 200, stored
+
+    def watch(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        self.meet("watch")
+        after = int(names["after"])
+        kind = names["rest"]
+
+        def newer() -> list[dict[str, Any]]:
+            return [o for (k, _), o in self.objects.items() if k == kind and o["version"] > after]
+
+        with self.changed:
+            self.changed.wait_for(lambda: newer() or self.down, float(names["timeout"]))
+            if self.down:
+                raise DropConnection
+            return 200, {"revision": self.revision, "objects": newer()}
+
+    def list_instances(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        self.meet("instances")
+        after = int(names["after"])
+        with self.changed:
+            self.changed.wait_for(
+                lambda: self.list_revision > after or self.down, float(names["timeout"])
+            )
+            if self.down:
+                raise DropConnection
+            return 200, {"revision": self.list_revision, "instances": self.shown}
+
+    def meet(self, call: str) -> None:
+        """Count a call and act out the faults that are set."""
+        with self.lock:
+            self.calls[call] += 1
+        if self.down:
+            raise DropConnection
+        if self.delay:
+            time.sleep(self.delay)
+
+    def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        with self.changed:
+            for field, value in body.items():
+                setattr(self, field, value)
+            self.changed.notify_all()
+        return 200, {}
+
+    def set_instances(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        """Replace the list; callers see it `list_lag` seconds later."""
+        instances = body["instances"]
+        if self.list_lag:
+            threading.Timer(self.list_lag, self.show, [instances]).start()
+        else:
+            self.show(instances)
+        return 200, {}
+
+    def show(self, instances: list[dict[str, Any]]) -> None:
+        with self.changed:
+            self.shown = instances
+            self.list_revision += 1
+            self.changed.notify_all()
+
+    def stats(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        with self.lock:
+            return 200, {"calls": dict(self.calls), "total": sum(self.calls.values())}
+
+
+if __name__ == "__main__":
+    PlatformStandIn(int(sys.argv[1]) if len(sys.argv) > 1 else 0).run()
--- /dev/null
+++ b/tests/standins/proxy.py
@@ -0,0 +1,129 @@
+"""A TCP proxy that injects faults between two processes.
+
+Its control listener takes `POST /control` with one of: `{"cut": true}` closes all open connections;
+`{"freeze": true}` makes the open ones silent for good while new ones work; `{"delay": seconds}`
+holds every chunk back; `{"truncate": bytes}` cuts the next reply after so many bytes;
+`{"refuse": true}` closes new connections at once; `{"silent": true}` makes new ones silent too.
+"""
+
+import argparse
+import socket
+import threading
+import time
+from typing import Any
+
+from tests.standins.https import Reply, StandInServer
+
+_CHUNK = 64 * 1024
+
+
+class _Pair:
+    """One connection through the proxy."""
+
+    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+        self.near = near
+        self.far = far
+        self.frozen = threading.Event()
+
+    def close(self) -> None:
+        for end in (self.near, self.far):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            end.close()
+
+
+class ProxyStandIn(StandInServer):
+    """Forwards connections to one target.
+
+    Args:
+        target: `host:port`.
+    """
+
+    def __init__(self, target: str) -> None:
+        super().__init__()
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.delay = 0.0
+        self.truncate = 0
+        self.refuse = False
+        self.silent = False
+        self.pairs: set[_Pair] = set()
+        self.opened = 0
+        self.entry = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.handlers = {("POST", "control"): self.control, ("GET", "control/stats"): self.stats}
+
+    def run(self) -> None:
+        threading.Thread(target=self.accept, daemon=True).start()
+        entry = f"127.0.0.1:{self.entry.getsockname()[1]}"
+        print(f'{{"ready": {{"entry": "{entry}", "http": "{self.address}"}}}}', flush=True)
+        self.serve_forever()
+
+    def accept(self) -> None:
+        while True:
+            near, _ = self.entry.accept()
+            self.opened += 1
+            if self.refuse:
+                near.close()
+                continue
+            threading.Thread(target=self.connect, args=[near], daemon=True).start()
+
+    def connect(self, near: socket.socket) -> None:
+        try:
+            far = socket.create_connection(self.target, timeout=5)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        pair = _Pair(near, far)
+        for end in (near, far):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.silent:
+            pair.frozen.set()
+        with self.lock:
+            self.pairs.add(pair)
+        threading.Thread(target=self.pump, args=[pair, near, far, False], daemon=True).start()
+        self.pump(pair, far, near, True)
+
+    def pump(self, pair: _Pair, source: socket.socket, sink: socket.socket, reply: bool) -> None:
+        try:
+            while data := source.recv(_CHUNK):
+                if self.delay:
+                    time.sleep(self.delay)
+                if pair.frozen.is_set():
+                    continue
+                if reply and self.truncate:
+                    data, self.truncate = data[: self.truncate], 0
+                    sink.sendall(data)
+                    break
+                sink.sendall(data)
+        except OSError:
+            pass
+        if pair.frozen.is_set():
+            return
+        with self.lock:
+            self.pairs.discard(pair)
+        pair.close()
+
+    def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        with self.lock:
+            pairs = tuple(self.pairs)
+        if body.pop("cut", False):
+            for pair in pairs:
+                pair.close()
+        if body.pop("freeze", False):
+            for pair in pairs:
+                pair.frozen.set()
+        for field, value in body.items():
+            setattr(self, field, value)
+        return 200, {"pairs": len(pairs)}
+
+    def stats(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
+        return 200, {"opened": self.opened, "pairs": len(self.pairs)}
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("target")
+    ProxyStandIn(parser.parse_args().target).run()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What tests, benchmarks and the demo share to start processes."""
