Relays, comparisons and freshness in place of a watch at every instance

Cause: every instance held two platform watches, a confirm pushed to every peer in turn, plans were kept for ever, and an instance that was frozen or cut off served its old version on. Ruled out: a watch each (calls rise with the fleet), a lease for the relay role (nothing would be safer: two relays too many cost a watch each), believing messages that merely arrive (the socket of a frozen process still holds old ones). Change: two relays a failure domain by rendezvous hold the watch and feed the others; digests between a few fixed partners close gaps; only round trips begun here count as proof of being current, and without one for 5 s new work is refused. Plans live in eight slots a service, and a stored service names its earlier writes, so a lost reply is recognised under a later write too. Platform calls have a deadline over the whole reply and a budget by kind.

--- a/packages/limpethollow-node/src/limpethollow_node/process/configs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/configs.py
@@ -1,22 +1,34 @@
 """Keeps the configuration in force at this instance current."""
 
 import threading
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
 from random import Random
 
 from limpethollow_node.process import events
-from limpethollow_node.process.platforms import PlatformClient, PlatformObject
+from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.platforms import ObjectList, PlatformClient, PlatformObject
 from limpethollow_policy.process.backoffs import Backoff
+from limpethollow_policy.process.freshness import Freshness, RefuseWork
 from limpethollow_policy.version.configurations import Configuration
 from limpethollow_wire.codecs import convert
-from limpethollow_wire.exceptions import LimpethollowError, Unavailable, UnknownService
+from limpethollow_wire.exceptions import (
+    BadRequest,
+    LimpethollowError,
+    Unavailable,
+    UnknownService,
+)
+from limpethollow_wire.peers import Digest, SyncState
 from limpethollow_wire.services import ServiceRecord, ServiceSpec
 
 SERVICE_KIND = "service"
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 5.0
-_RETRY_AFTER = 1.0
+_IDLE_POLL = 0.5
+_LOAD_POLL = 0.05
+_NO_WAIT = 0.0
 
 Listener = Callable[[tuple[ServiceRecord, ...]], None]
 
@@ -37,16 +49,23 @@
 
     Args:
         platform: The platform's client.
+        members: The other instances, and whether this one has to watch the platform.
+        metrics: Where refusals are counted.
         rng: Source for jitter.
     """
 
-    def __init__(self, platform: PlatformClient, rng: Random) -> None:
+    def __init__(
+        self, platform: PlatformClient, members: MemberKeeper, metrics: Metrics, rng: Random
+    ) -> None:
         self._platform = platform
+        self._members = members
+        self._metrics = metrics
         self._lock = threading.Lock()
         self._configuration = Configuration()
+        self._freshness = Freshness(time.monotonic())
+        self._revision = 0
         self._listeners: list[Listener] = []
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
-        self._loaded = threading.Event()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._follow, name="configs", daemon=True)
 
@@ -60,7 +79,19 @@
     @property
     def is_loaded(self) -> bool:
         """Whether the configuration was read once, so that its absence means something."""
-        return self._loaded.is_set()
+        return self._freshness.is_loaded
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether new work is refused because nobody says what is in force."""
+        with self._lock:
+            return self._refusal() is not None
+
+    @property
+    def wants_probe(self) -> bool:
+        """Whether no peer answered for so long that the platform should be asked."""
+        with self._lock:
+            return self._freshness.wants_probe(time.monotonic())
 
     @property
     def digest(self) -> dict[str, int]:
@@ -74,6 +105,12 @@
         with self._lock:
             return self._configuration.records
 
+    @property
+    def bucket_hashes(self) -> dict[int, int]:
+        """Hash of each bucket of records."""
+        with self._lock:
+            return self._configuration.bucket_hashes
+
     def listen(self, listener: Listener) -> None:
         """Have a callable told of records that came into force."""
         self._listeners.append(listener)
@@ -94,12 +131,37 @@
         if record is not None and record.spec is not None:
             return record
         if not self.is_loaded:
-            raise Unavailable(
-                "The instance does not know yet what is in force.", retry_after=_RETRY_AFTER
-            )
+            self.check_current()
         raise UnknownService(f"There is no service '{service}'.")
 
-    def merge(self, records: tuple[ServiceRecord, ...]) -> tuple[ServiceRecord, ...]:
+    def admit(self, service: str) -> ServiceRecord:
+        """Return the record of a service for new work.
+
+        Raises:
+            UnknownService: It is deleted, or there never was one.
+            Unavailable: This instance can't know what is in force.
+        """
+        self.check_current()
+        return self.require(service)
+
+    def check_current(self) -> None:
+        """Refuse new work where this instance can't know what is in force.
+
+        Raises:
+            Unavailable: Neither a peer nor the platform answered for a while.
+        """
+        with self._lock:
+            refusal = self._refusal()
+        if refusal is None:
+            return
+        self._metrics.count("work_refused", refusal.reason)
+        raise Unavailable(
+            "The instance can't know which configuration is in force.",
+            remedy="Use another instance, or come back after retry_after seconds.",
+            retry_after=refusal.retry_after,
+        )
+
+    def merge(self, records: Iterable[ServiceRecord]) -> tuple[ServiceRecord, ...]:
         """Take in records from anywhere; return those that came into force."""
         with self._lock:
             applied = self._configuration.merge(records)
@@ -109,28 +171,99 @@
                 listener(applied)
         return applied
 
-    def newer_than(self, digest: dict[str, int]) -> tuple[ServiceRecord, ...]:
-        """Return the records that the sender of a digest lacks."""
+    def state(self, relay: bool = False) -> SyncState:
+        """Return what this instance knows, for comparison with a peer."""
+        members = self._members.revision
+        with self._lock:
+            return SyncState(
+                instance=self._members.own_id,
+                fingerprint=self._configuration.fingerprint,
+                revision=self._revision,
+                members=members,
+                loaded=self._freshness.is_loaded,
+                relay=relay,
+            )
+
+    def digest_for(self, theirs: dict[int, int]) -> Digest:
+        """Return our versions in the buckets that differ from a peer's."""
+        with self._lock:
+            buckets = self._configuration.differing_buckets(theirs)
+            return Digest(self._configuration.versions_in(buckets), buckets)
+
+    def lacking(self, versions: dict[str, int]) -> tuple[str, ...]:
+        """Return the names whose version in a peer's digest is newer than ours."""
+        with self._lock:
+            return self._configuration.lacking(versions)
+
+    def newer_than(self, digest: Digest) -> tuple[str, ...]:
+        """Return the names for which the sender of a digest has an older version or none."""
+        with self._lock:
+            return self._configuration.newer_than(digest.versions, digest.buckets)
+
+    def named(self, names: Iterable[str]) -> tuple[ServiceRecord, ...]:
+        """Return the records of some services."""
+        with self._lock:
+            found = [self._configuration.get(name) for name in names]
+        return tuple(record for record in found if record is not None)
+
+    def confirmed(self, begun_at: float, complete_to: int) -> None:
+        """Note that a loaded peer or the platform answered a request.
+
+        Args:
+            begun_at: When the request was begun.
+            complete_to: Platform revision up to which the records are known whole.
+        """
         with self._lock:
-            return self._configuration.newer_than(digest)
+            self._freshness.confirmed(begun_at)
+            self._freshness.loaded()
+            self._revision = max(self._revision, complete_to)
 
-    def loaded_from_peer(self) -> None:
-        """Note that a peer gave its whole configuration."""
-        self._loaded.set()
+    def probe(self) -> None:
+        """Ask the platform for news without waiting; this also shows whether it answers."""
+        try:
+            if self.is_loaded:
+                self._read(lambda: self._platform.watch(SERVICE_KIND, self._revision, _NO_WAIT))
+            else:
+                self._read(lambda: self._platform.list(SERVICE_KIND))
+        except LimpethollowError:
+            return
+
+    def _refusal(self) -> RefuseWork | None:
+        return self._freshness.refusal(self._members.has_peers, time.monotonic())
 
     def _follow(self) -> None:
-        revision: int | None = None
         while not self._stopped.is_set():
+            if not self.is_loaded and not self._members.should_load():
+                self._stopped.wait(_LOAD_POLL)
+            elif self.is_loaded and not self._members.should_watch():
+                self._stopped.wait(_IDLE_POLL)
+            else:
+                self._follow_once()
+
+    def _follow_once(self) -> None:
+        try:
+            if self.is_loaded:
+                self._read(lambda: self._platform.watch(SERVICE_KIND, self._revision))
+            else:
+                self._read(lambda: self._platform.list(SERVICE_KIND))
+        except LimpethollowError:
+            self._stopped.wait(self._backoff.failed())
+            return
+        self._backoff.succeeded()
+
+    def _read(self, call: Callable[[], ObjectList]) -> None:
+        begun_at = time.monotonic()
+        answer = call()
+        self.merge(self._readable(answer.objects))
+        self.confirmed(begun_at, answer.revision)
+
+    def _readable(self, objects: Iterable[PlatformObject]) -> list[ServiceRecord]:
+        """Read the records; one that can't be read keeps its old version and no other back."""
+        records = []
+        for stored in objects:
             try:
-                if revision is None:
-                    answer = self._platform.list(SERVICE_KIND)
-                else:
-                    answer = self._platform.watch(SERVICE_KIND, revision)
-                self.merge(tuple(record_of(stored) for stored in answer.objects))
-            except LimpethollowError as error:
-                events.PLATFORM_FAILED.log(call="services", error=str(error))
-                self._stopped.wait(self._backoff.failed())
-                continue
-            revision = answer.revision
-            self._loaded.set()
-            self._backoff.succeeded()
+                records.append(record_of(stored))
+            except BadRequest as error:
+                self._metrics.count("records_unreadable", "platform")
+                events.RECORD_UNREADABLE.log(service=stored.name, error=str(error))
+        return records
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -61,6 +61,11 @@
 PLAN_MADE = _event(203, logging.INFO, "plan made")
 PLAN_CONFIRMED = _event(204, logging.INFO, "plan confirmed")
 PLAN_CONFLICT = _event(205, logging.WARNING, "plan refused because its base is stale")
+RECORD_UNREADABLE = _event(206, logging.ERROR, "a configuration object can't be read")
+PLATFORM_CALL_REFUSED = _event(207, logging.WARNING, "own call budget for the platform is spent")
+WORK_REFUSED = _event(208, logging.WARNING, "new work is refused; what is in force is not known")
+WORK_RESUMED = _event(209, logging.INFO, "what is in force is known again")
+SEED_FAILED = _event(210, logging.INFO, "a seed address did not answer")
 
 # 300: instances
 PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -66,11 +66,15 @@
         info = self._members.get(peer_id)
         if info is None:
             raise PeerUnreachable(f"No instance '{peer_id}' is listed.")
-        return PeerLink(info.peer_address, self._key, self._hello(), self.greeted)
+        return PeerLink(info.peer_address, self._key, self._hello(), self._dialled)
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
-        self._members.heard(hello.instance, hello.incarnation, hello.state == "leaving")
+        self._members.heard(hello)
+
+    def _dialled(self, hello: Hello) -> None:
+        """Take in the word of whoever answers at a peer's address: its current run."""
+        self._members.heard(hello, dialled=True)
 
     def _drop(self, peer_id: str) -> None:
         """Close a link that gave no reply: it may be silent for good while a new one works."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -15,8 +15,10 @@
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.platforms import PlatformClient
+from limpethollow_node.process.relays import PeerSync
 from limpethollow_node.process.timers import Timers
 from limpethollow_node.request import callers, operators
+from limpethollow_node.request import configs as _config_requests  # noqa: F401 - registers handlers
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.callers import CallerContext
 from limpethollow_node.request.operators import OperatorContext
@@ -90,19 +92,25 @@
         return InstanceStatus(
             id=self._id,
             incarnation=self._incarnation,
-            state=self._lifecycle.state,
+            state="refusing" if self._is_refusing else self._lifecycle.state,
             failure_domain=self._settings.instance.failure_domain,
             versions=self._configs.digest,
             peers=self._members.states(),
         )
 
+    @property
+    def _is_refusing(self) -> bool:
+        return self._lifecycle.state is InstanceState.SERVING and self._configs.is_refusing
+
     def _build(self) -> None:
         settings, metrics = self._settings, self._metrics
         keys, where = settings.keys, settings.listeners
         platform = PlatformClient(settings.platform, metrics)
         timers = Timers()
-        self._members = MemberKeeper(self._id, platform, self._rng)
-        self._configs = ConfigKeeper(platform, self._rng)
+        self._members = MemberKeeper(
+            self._id, settings.instance.failure_domain, platform, self._rng
+        )
+        self._configs = ConfigKeeper(platform, self._members, metrics, self._rng)
         self._links = PeerLinks(self._members, keys.peer, self._hello)
         groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
         self._configs.listen(groups.records_applied)
@@ -112,8 +120,20 @@
         self._bookings = BookingExecutor(
             self._id, self._incarnation, self._configs, self._links, groups, metrics
         )
-        planner = Planner(self._id, platform, self._configs, self._members, self._links)
-        peers = PeerContext(self._configs, self._members, coordinator, self._bookings, self.status)
+        sync = PeerSync(
+            self._configs,
+            self._members,
+            self._links,
+            metrics,
+            settings.peers.seeds,
+            keys.peer,
+            self._hello,
+            self._rng,
+        )
+        planner = Planner(platform, self._configs, self._members, sync, self._rng)
+        peers = PeerContext(
+            self._configs, self._members, coordinator, self._bookings, self.status, sync
+        )
         caller_context = CallerContext(
             self._id, self._incarnation, self._configs, self._members, coordinator, self._bookings
         )
@@ -157,14 +177,21 @@
             self._peers,
             self._operators,
             self._callers,
+            sync,
         )
 
     def _hello(self) -> Hello:
+        state = self._lifecycle.state
+        # Before a listener is started, its free port is not known yet.
+        addresses = {} if state is InstanceState.STARTING else self.addresses
         return Hello(
             self._id,
             self._incarnation,
             self._settings.instance.failure_domain,
-            self._lifecycle.state,
+            state,
+            addresses.get("caller", ""),
+            addresses.get("peer", ""),
+            addresses.get("operator", ""),
         )
 
     def _leave(self) -> None:
@@ -187,7 +214,7 @@
         return max([self._settings.shutdown.linger, *ttls])
 
     def _tell_peers(self) -> None:
-        self._members.heard(self._id, self._incarnation, True)
+        self._members.heard(self._hello())
         for peer in self._members.peers():
             try:
                 self._links.request(
--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -1,18 +1,28 @@
 """Client of the platform's object API."""
 
-from typing import Any
+import threading
+import time
+from typing import Any, TypeVar
 
 import msgspec
 import urllib3
 
+from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.callbudgets import DEFAULT_RATES, CallBudget, RetryBudget
 from limpethollow_wire.codecs import to_json
-from limpethollow_wire.exceptions import BadRequest, Conflict, NotFound, Unavailable
+from limpethollow_wire.exceptions import Conflict, NotFound, Unavailable
 from limpethollow_wire.instances import InstanceList
 from limpethollow_wire.settings import PlatformSettings
 
+T = TypeVar("T")
+
 _RETRY_AFTER = 1.0
+_RETRY_SHARE = 0.1
+_RETRY_LIMIT = 10.0
 _MAX_CONNECTIONS = 8
+_CHUNK_BYTES = 64 * 1024
+_MAX_ANSWER_BYTES = 256 * 1024 * 1024
 
 
 class PlatformObject(msgspec.Struct, frozen=True):
@@ -32,7 +42,7 @@
 
 
 class PlatformClient:
-    """Calls the object API, each call counted by kind.
+    """Calls the object API within deadlines and a budget, each call counted by kind.
 
     Args:
         settings: Address and bounds.
@@ -42,6 +52,10 @@
     def __init__(self, settings: PlatformSettings, metrics: Metrics) -> None:
         self._settings = settings
         self._metrics = metrics
+        self._lock = threading.Lock()
+        self._budget = CallBudget(DEFAULT_RATES)
+        self._retries = RetryBudget(_RETRY_SHARE, _RETRY_LIMIT)
+        self._is_failing = False
         host, _, port = settings.address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=_MAX_CONNECTIONS, retries=False
@@ -78,9 +92,15 @@
         """Read all objects of a kind."""
         return self._call("list", "GET", f"/objects/{kind}", ObjectList)
 
-    def watch(self, kind: str, after: int) -> ObjectList:
-        """Wait for objects newer than a revision; empty where none came in time."""
-        wait = self._settings.watch_timeout
+    def watch(self, kind: str, after: int, wait: float | None = None) -> ObjectList:
+        """Wait for objects newer than a revision; empty where none came in time.
+
+        Args:
+            kind: Kind of the objects.
+            after: The revision.
+            wait: Seconds to wait; as the settings say where left out.
+        """
+        wait = self._settings.watch_timeout if wait is None else wait
         path = f"/watch/{kind}?after={after}&timeout={wait}"
         return self._call("watch", "GET", path, ObjectList, patience=wait)
 
@@ -90,40 +110,95 @@
         path = f"/instances?after={after}&timeout={wait}"
         return self._call("instances", "GET", path, InstanceList, patience=wait)
 
+    def may_retry(self, call: str) -> bool:
+        """Take one retry from the budget; false where none is left."""
+        with self._lock:
+            allowed = self._retries.take()
+        self._metrics.count("platform_retries" if allowed else "platform_retries_refused", call)
+        return allowed
+
     def _call(
         self,
         call: str,
         method: str,
         path: str,
-        kind: type,
+        kind: type[T],
         body: bytes | None = None,
         patience: float = 0.0,
-    ) -> Any:
+    ) -> T:
+        self._take_budget(call)
         self._metrics.count("platform_calls", call)
-        timeout = urllib3.Timeout(
-            connect=self._settings.timeout, read=self._settings.timeout + patience
-        )
+        deadline = time.monotonic() + self._settings.timeout + patience
         try:
-            reply = self._pool.urlopen(method, path, body=body, timeout=timeout, retries=False)
-        except urllib3.exceptions.HTTPError as error:
-            self._metrics.count("platform_failures", call)
+            status, data = self._exchange(method, path, body, deadline)
+            answer = _read_reply(status, data, kind)
+        except (urllib3.exceptions.HTTPError, Unavailable) as error:
+            self._failed(call, error)
             raise Unavailable(
-                f"The platform can't be reached ({type(error).__name__}).",
+                f"The platform gave no usable answer ({type(error).__name__}).",
                 retry_after=_RETRY_AFTER,
             ) from None
-        return self._read_reply(call, reply, kind)
-
-    def _read_reply(self, call: str, reply: urllib3.BaseHTTPResponse, kind: type) -> Any:
-        if reply.status == 404:
-            raise NotFound("The platform has no such object.")
-        if reply.status == 409:
-            raise Conflict("The object was changed by somebody else.")
-        if reply.status != 200:
-            self._metrics.count("platform_failures", call)
-            raise Unavailable(
-                f"The platform answered with status {reply.status}.", retry_after=_RETRY_AFTER
-            )
+        self._succeeded()
+        return answer
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None, deadline: float
+    ) -> tuple[int, bytes]:
+        """Send a request and read the whole reply by the deadline.
+
+        A timeout of the socket alone starts anew with every byte: a platform that sends a reply
+        drop by drop would hold the caller for ever.
+        """
+        left = deadline - time.monotonic()
+        timeout = urllib3.Timeout(connect=self._settings.timeout, read=left)
+        reply = self._pool.urlopen(
+            method, path, body=body, timeout=timeout, retries=False, preload_content=False
+        )
         try:
-            return msgspec.json.decode(reply.data, type=kind)
-        except msgspec.MsgspecError as error:
-            raise BadRequest(f"The platform's answer can't be read: {error}.") from None
+            data = bytearray()
+            while chunk := reply.read1(_CHUNK_BYTES):
+                data += chunk
+                if time.monotonic() > deadline or len(data) > _MAX_ANSWER_BYTES:
+                    raise Unavailable("The answer is too slow or too large.")
+        except BaseException:
+            # The rest of the reply is still to come, so nobody may use this connection again.
+            reply.close()
+            raise
+        reply.release_conn()
+        return reply.status, bytes(data)
+
+    def _take_budget(self, call: str) -> None:
+        with self._lock:
+            wait = self._budget.take(call, time.monotonic())
+        if wait:
+            self._metrics.count("platform_calls_refused", call)
+            events.PLATFORM_CALL_REFUSED.log(call=call)
+            raise Unavailable("The budget of calls to the platform is spent.", retry_after=wait)
+
+    def _failed(self, call: str, error: Exception) -> None:
+        self._metrics.count("platform_failures", call)
+        with self._lock:
+            was_failing, self._is_failing = self._is_failing, True
+        if not was_failing:
+            events.PLATFORM_FAILED.log(call=call, error=repr(error))
+
+    def _succeeded(self) -> None:
+        with self._lock:
+            self._retries.succeeded()
+            was_failing, self._is_failing = self._is_failing, False
+        if was_failing:
+            events.PLATFORM_BACK.log()
+
+
+def _read_reply(status: int, data: bytes, kind: type[T]) -> T:
+    if status == 404:
+        raise NotFound("The platform has no such object.")
+    if status == 409:
+        raise Conflict("The object was changed by somebody else.")
+    if status != 200:
+        raise Unavailable(f"The platform answered with status {status}.")
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        # No answer rather than a wrong request: the write that it answers may have taken effect.
+        raise Unavailable(f"The platform's answer can't be read: {error}.") from None
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -61,14 +61,17 @@
 @ROUTES.add("GET", "/v1/services/{service}/bookings/{token}")
 def look_up(context: CallerContext, request: HttpRequest) -> HttpReply:
     """Say what became of a booking."""
-    spec, firm = _admit(context, request)
+    spec, firm = _admit(context, request, new_work=False)
     question = OutcomeQuestion(spec.name, firm, request.names["token"])
     return HttpReply(context.bookings.look_up(question))
 
 
-def _admit(context: CallerContext, request: HttpRequest) -> tuple[ServiceSpec, str]:
+def _admit(
+    context: CallerContext, request: HttpRequest, new_work: bool = True
+) -> tuple[ServiceSpec, str]:
     """Return the service and the firm whose key the caller holds."""
-    record = context.configs.require(request.names["service"])
+    find = context.configs.admit if new_work else context.configs.require
+    record = find(request.names["service"])
     spec = record.spec
     assert spec is not None
     digest = key_digest(bearer_key(request.authorization))
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -6,13 +6,14 @@
 
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.process.relays import PeerSync
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
 from limpethollow_wire.bookings import ForwardedBooking, OutcomeQuestion
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Records
+from limpethollow_wire.peers import Acknowledgement, Hello
 from limpethollow_wire.searches import GroupSearch, GroupVersions
 
 PeerHandler = Callable[["PeerContext", Any], Any]
@@ -29,6 +30,7 @@
     coordinator: Coordinator
     bookings: BookingExecutor
     status: Callable[[], InstanceStatus]
+    sync: PeerSync
 
 
 def peer_request(kind: str, body: type) -> Callable[[PeerHandler], PeerHandler]:
@@ -58,16 +60,19 @@
 
 @peer_request("group.search", GroupSearch)
 def _search(context: PeerContext, body: GroupSearch) -> Any:
+    context.configs.check_current()
     return context.coordinator.search_group(body)
 
 
 @peer_request("group.versions", GroupVersions)
 def _versions(context: PeerContext, body: GroupVersions) -> Any:
+    context.configs.check_current()
     return context.coordinator.group_versions(body)
 
 
 @peer_request("booking.run", ForwardedBooking)
 def _book(context: PeerContext, body: ForwardedBooking) -> Any:
+    context.configs.check_current()
     return context.bookings.run_forwarded(body)
 
 
@@ -76,19 +81,9 @@
     return context.bookings.look_up_here(body)
 
 
-@peer_request("config.push", Records)
-def _push(context: PeerContext, body: Records) -> Any:
-    return Acknowledgement(len(context.configs.merge(body.records)))
-
-
-@peer_request("config.pull", Digest)
-def _pull(context: PeerContext, body: Digest) -> Any:
-    return Records(context.configs.newer_than(body.versions))
-
-
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    context.members.heard(body.instance, body.incarnation, body.state == "leaving")
+    context.members.heard(body)
     return Acknowledgement()
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/version/planners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/version/planners.py
@@ -1,55 +1,63 @@
 """Makes plans and carries them out by one conditional write each."""
 
 import time
-import uuid
-from typing import Any
-
-import msgspec
+from random import Random
 
 from limpethollow_node.process import events
 from limpethollow_node.process.configs import SERVICE_KIND, ConfigKeeper, record_of
-from limpethollow_node.process.links import PeerLinks
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.platforms import PlatformClient, PlatformObject
-from limpethollow_policy.version.plans import make_plan
+from limpethollow_node.process.relays import PeerSync
+from limpethollow_policy.process.backoffs import Backoff
+from limpethollow_policy.version.plans import (
+    PLAN_SLOTS,
+    PlanName,
+    StoredService,
+    Verdict,
+    intended_name,
+    is_open,
+    judge,
+    make_plan,
+    value_after,
+)
 from limpethollow_wire.codecs import convert, to_plain
-from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
-from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Records
+from limpethollow_wire.exceptions import BadRequest, Conflict, NotFound, Unavailable
 from limpethollow_wire.plans import Confirmation, Intent, Plan
 from limpethollow_wire.services import ServiceRecord
 
 PLAN_KIND = "plan"
+MAX_WAIT_SECONDS = 60.0
 
-_WRITE_TRIES = 3
-_PEER_TIMEOUT = 0.5
-_POLL_SECONDS = 0.05
+_WRITE_TRIES = 4
+_FIRST_PAUSE = 0.05
+_LONGEST_PAUSE = 0.5
+_DIRECT_OFFERS = 16
 
 
 class Planner:
     """Answers intents with plans, and confirms with one conditional write.
 
     Args:
-        own_id: Id of this instance.
         platform: The platform's client.
         configs: The configuration in force here.
         members: The other instances.
-        links: Links to them.
+        sync: Brings a change to them.
+        rng: Source for names and jitter.
     """
 
     def __init__(
         self,
-        own_id: str,
         platform: PlatformClient,
         configs: ConfigKeeper,
         members: MemberKeeper,
-        links: PeerLinks,
+        sync: PeerSync,
+        rng: Random,
     ) -> None:
-        self._own_id = own_id
         self._platform = platform
         self._configs = configs
         self._members = members
-        self._links = links
+        self._sync = sync
+        self._rng = rng
 
     def plan(self, intent: Intent) -> Plan:
         """Make a plan and keep it in the platform; nothing changes.
@@ -58,9 +66,12 @@
             BadRequest: The intent can't be met as stated.
             Unavailable: The platform can't be reached.
         """
-        name = intent.service.name if intent.service else intent.delete
-        plan = make_plan(uuid.uuid4().hex, intent, self._stored(name))
-        self._platform.write(PLAN_KIND, plan.id, to_plain(plan))
+        service = intended_name(intent)
+        stored = self._stored(service)
+        current = record_of(stored) if stored else None
+        name, version = self._free_slot(service, current.version if current else 0)
+        plan = make_plan(str(name), intent, current)
+        self._keep(name, plan, version)
         events.PLAN_MADE.log(plan=plan.id, service=plan.service, action=plan.action)
         return plan
 
@@ -72,75 +83,139 @@
             wait: Seconds to wait at most.
 
         Raises:
+            BadRequest: The name or the wait is not valid.
             NotFound: There is no such plan.
             Conflict: The service was changed since the plan was made; nothing was changed.
             Unavailable: The platform can't be reached; confirming again is safe.
         """
-        plan = convert(self._platform.read(PLAN_KIND, plan_id).value, Plan)
-        if plan.action == "none":
-            record = ServiceRecord(plan.service, plan.base_version, plan.spec)
-        else:
-            record = record_of(self._write(plan))
-            self._configs.merge((record,))
-            events.PLAN_CONFIRMED.log(plan=plan.id, service=plan.service, version=record.version)
-        in_force, lacking = self._spread(record, time.monotonic() + wait)
-        return Confirmation(plan.id, plan.service, record.version, in_force, lacking)
-
-    def _stored(self, name: str) -> ServiceRecord | None:
+        if not 0 <= wait <= MAX_WAIT_SECONDS:
+            raise BadRequest(f"'wait' must be 0 to {MAX_WAIT_SECONDS:g} seconds.")
+        until = time.monotonic() + wait
+        name = PlanName.parse(plan_id)
+        record, own_version = self._carry_out(name)
+        self._configs.merge((record,))
+        events.PLAN_CONFIRMED.log(plan=plan_id, service=name.service, version=own_version)
+        in_force, lacking = self._spread(record, until)
+        superseded = record.version > own_version
+        return Confirmation(plan_id, name.service, own_version, in_force, lacking, superseded)
+
+    def _stored(self, service: str) -> PlatformObject | None:
         try:
-            return record_of(self._platform.read(SERVICE_KIND, name))
+            return self._platform.read(SERVICE_KIND, service)
         except NotFound:
             return None
 
-    def _write(self, plan: Plan) -> PlatformObject:
-        """Write the plan's configuration, once, whatever replies get lost.
+    def _free_slot(self, service: str, current_version: int) -> tuple[PlanName, int]:
+        """Find a slot whose plan can't be confirmed any more, starting anywhere.
 
-        A reply can be lost after the write took effect. The next try then meets a conflict with
-        our own write; the plan's id in it tells it from somebody else's.
+        Plans need no list and no clean-up that way. Where all slots hold open plans, one of them
+        is given up; its operator is told to plan again.
         """
-        value: dict[str, Any] = {
-            "spec": None if plan.spec is None else msgspec.to_builtins(plan.spec),
-            "write_id": plan.id,
-        }
+        first = self._rng.randrange(PLAN_SLOTS)
+        name, version = PlanName.new(service, first, self._rng), 0
+        for step in range(PLAN_SLOTS):
+            name = PlanName.new(service, (first + step) % PLAN_SLOTS, self._rng)
+            try:
+                kept = self._platform.read(PLAN_KIND, name.slot_name)
+            except NotFound:
+                return name, 0
+            version = kept.version
+            if not is_open(convert(kept.value, Plan), current_version):
+                break
+        return name, version
+
+    def _keep(self, name: PlanName, plan: Plan, version: int) -> None:
+        """Keep a plan; a lost reply is told from another operator's plan by the plan's name."""
+        backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._rng)
         for attempt in range(_WRITE_TRIES):
             try:
-                return self._platform.write(SERVICE_KIND, plan.service, value, plan.base_version)
+                self._platform.write(PLAN_KIND, name.slot_name, to_plain(plan), version)
+                return
             except Conflict:
-                return self._own_write(plan)
-            except Unavailable:
-                if attempt == _WRITE_TRIES - 1:
-                    raise
+                if self._platform.read(PLAN_KIND, name.slot_name).value.get("id") == plan.id:
+                    return
+                raise Unavailable(
+                    "Another operator planned in the same moment.", retry_after=_LONGEST_PAUSE
+                ) from None
+            except Unavailable as error:
+                self._pause_or_raise(attempt, backoff, error)
+
+    def _carry_out(self, name: PlanName) -> tuple[ServiceRecord, int]:
+        """Write a plan's configuration, once, whatever replies get lost.
+
+        A reply can be lost after the write took effect. The next try then finds the plan's name
+        as write id in the stored service, or among the earlier ones where somebody wrote on top,
+        and takes the write as done.
+
+        Returns:
+            The service's newest record, and the version that this plan's write got.
+        """
+        backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._rng)
+        for attempt in range(_WRITE_TRIES):
+            try:
+                return self._try_to_carry_out(name)
+            except Unavailable as error:
+                self._pause_or_raise(attempt, backoff, error)
         raise Unavailable("The platform can't be reached.")
 
-    def _own_write(self, plan: Plan) -> PlatformObject:
-        stored = self._platform.read(SERVICE_KIND, plan.service)
-        if stored.value.get("write_id") == plan.id:
-            return stored
+    def _try_to_carry_out(self, name: PlanName) -> tuple[ServiceRecord, int]:
+        stored = self._stored(name.service)
+        service = StoredService(stored.version, stored.value) if stored else StoredService(0, {})
+        written = service.version_of(str(name))
+        if written and stored:
+            return record_of(stored), written
+        plan = self._plan(name)
+        match judge(plan, service):
+            case Verdict.NOTHING:
+                return ServiceRecord(plan.service, plan.base_version, plan.spec), plan.base_version
+            case Verdict.STALE:
+                self._refuse(plan, service.version)
+        value = value_after(plan, service)
+        try:
+            written_now = self._platform.write(SERVICE_KIND, plan.service, value, plan.base_version)
+        except Conflict:
+            # Ours after a lost reply, or somebody else's in between: reading again tells.
+            raise Unavailable("The service was changed while the plan was confirmed.") from None
+        return record_of(written_now), written_now.version
+
+    def _plan(self, name: PlanName) -> Plan:
+        plan = convert(self._platform.read(PLAN_KIND, name.slot_name).value, Plan)
+        if plan.id != str(name):
+            raise NotFound(
+                f"The plan '{name}' is not kept any more.",
+                remedy="Plan again and confirm the new plan.",
+            )
+        return plan
+
+    def _refuse(self, plan: Plan, version: int) -> None:
         events.PLAN_CONFLICT.log(plan=plan.id, service=plan.service)
         raise Conflict(
-            f"Service '{plan.service}' is at version {stored.version}; the plan was made against "
+            f"Service '{plan.service}' is at version {version}; the plan was made against "
             f"version {plan.base_version}."
         )
 
+    def _pause_or_raise(self, attempt: int, backoff: Backoff, error: Unavailable) -> None:
+        """Wait before the next try, or give up with the error of the last one."""
+        if attempt == _WRITE_TRIES - 1 or not self._platform.may_retry("write"):
+            raise error
+        time.sleep(backoff.failed())
+
     def _spread(
         self, record: ServiceRecord, until: float
     ) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        in_force = {self._own_id}
+        """Bring a record to all, by relays first and to those still lacking it directly."""
+        backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._rng)
+        in_force = self._sync.spread(record)
         while True:
-            waiting = [p.id for p in self._members.peers() if p.id not in in_force]
-            in_force |= {peer for peer in waiting if self._push(peer, record)}
-            lacking = tuple(sorted(peer for peer in waiting if peer not in in_force))
+            lacking = self._lacking(in_force)
+            if lacking:
+                in_force |= self._sync.offer_each(lacking[:_DIRECT_OFFERS], record)
+                lacking = self._lacking(in_force)
             if not lacking or time.monotonic() >= until:
                 return tuple(sorted(in_force)), lacking
-            time.sleep(_POLL_SECONDS)
+            time.sleep(backoff.failed())
 
-    def _push(self, peer: str, record: ServiceRecord) -> bool:
-        try:
-            body = Records((record,))
-            self._links.request(peer, "config.push", body, Acknowledgement, _PEER_TIMEOUT)
-            status = self._links.request(
-                peer, "instance.status", None, InstanceStatus, _PEER_TIMEOUT
-            )
-        except LimpethollowError:
-            return False
-        return status.versions.get(record.name, 0) >= record.version
+    def _lacking(self, in_force: set[str]) -> tuple[str, ...]:
+        waiting = [i for i in self._members.peers() if i.id not in in_force]
+        states = self._members.states()
+        return tuple(sorted(i.id for i in waiting if states.get(i.id) != "leaving"))
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
@@ -1,4 +1,10 @@
-"""Plans: what an intent would change, and what that touches."""
+"""Plans: what an intent would change, what that touches, and whether it may be carried out."""
+
+import re
+from dataclasses import dataclass
+from enum import Enum, auto
+from random import Random
+from typing import Any
 
 import msgspec
 
@@ -8,6 +14,126 @@
 from limpethollow_wire.plans import FieldChange, Intent, Plan, PlanEffect
 from limpethollow_wire.services import ServiceRecord, ServiceSpec
 
+PLAN_SLOTS = 8
+KEPT_WRITES = 16
+
+_SERVICE_NAME = re.compile(r"[a-z0-9-]{1,64}")
+_NONCE_BITS = 96
+
+
+@dataclass(slots=True, frozen=True)
+class PlanName:
+    """Name of a plan, which also says where it is kept: one of a service's few slots.
+
+    Slots bound the number of plans without a list, a clock or a clean-up: a slot is free again
+    once its plan's base is stale, and a plan on a stale base can't be confirmed anyway.
+
+    Attributes:
+        service: Service concerned.
+        slot: Number of the slot.
+        nonce: Makes the name unique; it is the write id of the confirm.
+    """
+
+    service: str
+    slot: int
+    nonce: str
+
+    def __str__(self) -> str:
+        return f"{self.service}.{self.slot}.{self.nonce}"
+
+    @property
+    def slot_name(self) -> str:
+        """Name of the platform's object that keeps the plan."""
+        return f"{self.service}.{self.slot}"
+
+    @classmethod
+    def new(cls, service: str, slot: int, rng: Random) -> "PlanName":
+        """Return a name that was never used."""
+        return cls(service, slot, f"{rng.getrandbits(_NONCE_BITS):024x}")
+
+    @classmethod
+    def parse(cls, text: str) -> "PlanName":
+        """Read a name.
+
+        Raises:
+            BadRequest: It is no plan's name.
+        """
+        parts = text.split(".")
+        if len(parts) != 3 or not _SERVICE_NAME.fullmatch(parts[0]) or not parts[2].isalnum():
+            raise BadRequest("This is not the name of a plan.")
+        if not parts[1].isdigit() or int(parts[1]) >= PLAN_SLOTS:
+            raise BadRequest("This is not the name of a plan.")
+        return cls(parts[0], int(parts[1]), parts[2])
+
+
+@dataclass(slots=True, frozen=True)
+class StoredService:
+    """A service's object as the platform holds it.
+
+    Attributes:
+        version: Its version, 0 where there is none.
+        value: Its value: `spec`, `write_id`, and the `earlier` write ids with their versions.
+    """
+
+    version: int
+    value: dict[str, Any]
+
+    def version_of(self, write_id: str) -> int:
+        """Return the version that a write got, 0 where it is not known to have happened."""
+        if self.value.get("write_id") == write_id:
+            return self.version
+        return dict(self.value.get("earlier", ())).get(write_id, 0)
+
+
+class Verdict(Enum):
+    """What to do with a plan that is confirmed."""
+
+    WRITE = auto()
+    NOTHING = auto()
+    STALE = auto()
+
+
+def judge(plan: Plan, stored: StoredService) -> Verdict:
+    """Say what to do with a plan that was not carried out yet."""
+    if plan.base_version != stored.version:
+        return Verdict.STALE
+    return Verdict.NOTHING if plan.action == "none" else Verdict.WRITE
+
+
+def value_after(plan: Plan, stored: StoredService) -> dict[str, Any]:
+    """Return the value that carrying out a plan writes.
+
+    It names the writes before it, so that an operator whose reply was lost finds the own write
+    even after somebody else wrote on top.
+    """
+    earlier = list(stored.value.get("earlier", ()))
+    if stored.version:
+        earlier.append([stored.value.get("write_id", ""), stored.version])
+    return {
+        "spec": None if plan.spec is None else msgspec.to_builtins(plan.spec),
+        "write_id": plan.id,
+        "earlier": earlier[-KEPT_WRITES:],
+    }
+
+
+def is_open(plan: Plan, current_version: int) -> bool:
+    """Return whether a kept plan could still be confirmed."""
+    return plan.base_version >= current_version
+
+
+def intended_name(intent: Intent) -> str:
+    """Return the name of the service that an intent speaks of.
+
+    Raises:
+        BadRequest: The intent is empty, says two things, or names no valid service.
+    """
+    if (intent.service is None) == (not intent.delete):
+        raise BadRequest("An intent must have either 'service' or 'delete'.")
+    name = intent.service.name if intent.service else intent.delete
+    if not _SERVICE_NAME.fullmatch(name):
+        raise BadRequest("The service's name may have lower-case letters, digits and '-' only.")
+    return name
+
 
 def make_plan(plan_id: str, intent: Intent, current: ServiceRecord | None) -> Plan:
     """Work out what an intent would change.
@@ -20,13 +146,11 @@
     Raises:
         BadRequest: The intent is empty, says two things, or its service is not valid.
     """
-    if (intent.service is None) == (not intent.delete):
-        raise BadRequest("An intent must have either 'service' or 'delete'.")
+    name = intended_name(intent)
     wanted = intent.service
     if wanted is not None:
         wanted.check()
         make_queue(wanted.admission.policy, wanted.admission.max_queue, {})
-    name = wanted.name if wanted else intent.delete
     old = current.spec if current else None
     changes = _changes(old, wanted)
     return Plan(
--- a/packages/limpethollow-wire/src/limpethollow_wire/plans.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/plans.py
@@ -81,8 +81,9 @@
         plan: Name of the plan.
         service: Service concerned.
         version: Version now in the platform's store.
-        in_force: Instances that have it in force.
+        in_force: Instances that have it, or a newer version, in force.
         lacking: Live instances that have not said so yet.
+        superseded: Whether somebody confirmed a newer version since.
     """
 
     plan: str
@@ -90,3 +91,4 @@
     version: int
     in_force: tuple[str, ...]
     lacking: tuple[str, ...]
+    superseded: bool = False
--- a/packages/limpethollow-wire/src/limpethollow_wire/settings.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/settings.py
@@ -44,12 +44,23 @@
     Attributes:
         address: `host:port`.
         timeout: Seconds for one call.
-        watch_timeout: Seconds that one watch call may wait.
+        watch_timeout: Seconds that one watch call may wait; a watch gone silent is replaced
+            after this and `timeout` together.
     """
 
     address: str
     timeout: float = 2.0
-    watch_timeout: float = 20.0
+    watch_timeout: float = 4.0
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a fresh instance finds others while the platform, which lists them, is down.
+
+    Attributes:
+        seeds: `host:port` of some instances' peer listeners; dead ones do no harm.
+    """
+
+    seeds: tuple[str, ...] = ()
 
 
 class KeySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -85,6 +96,7 @@
     platform: PlatformSettings
     keys: KeySettings
     listeners: ListenerSettings = ListenerSettings()
+    peers: PeerSettings = PeerSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     log: LogSettings = LogSettings()
 
