Listeners: typed errors for every refusal, bounds on slow senders and large bodies

Cause: the HTTP library answers its own refusals in plain text, keeps parsing after a chunked or oversized body that the application did not read, and bounds only the gap between two bytes, so that senders who drip hold all threads. Ruled out: a lower socket timeout alone (each byte restarts it); the library's bounded queue (its refusals are untyped and sent by a private path). Change: a request class that refuses with typed JSON, a guard that shuts reading down after 5 s, draining of bodies over the bound, spare threads that refuse at once when all others are busy. Before: 30 of 60 slow senders were counted as malformed; a chunked body's rest was parsed as the next request.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -1,109 +1,48 @@
-"""HTTP listeners: routing, bounds on bodies, typed errors."""
+"""HTTP listeners: bounds on requests, typed errors, replies."""
 
-import re
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import Any, Protocol, TypeVar
-
-from cheroot import wsgi
+from typing import Any, Protocol
 
+from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
+from limpethollow_node.connection.servers import REQUEST_KEY, TypedServer
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_wire.codecs import from_json, to_json
+from limpethollow_node.process.timers import Timers
+from limpethollow_wire.codecs import to_json
 from limpethollow_wire.exceptions import (
+    BadFraming,
     BadRequest,
     InternalError,
     LimpethollowError,
-    NotFound,
+    Overloaded,
+    SlowSender,
     TooLarge,
 )
-from limpethollow_wire.limits import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from limpethollow_wire.limits import MAX_BODY_BYTES
 
-T = TypeVar("T")
 Environ = dict[str, Any]
 
-_SOCKET_TIMEOUT = 10
-_BACKLOG = 128
-
-
-@dataclass(slots=True)
-class HttpRequest:
-    """One request as handlers see it.
-
-    Attributes:
-        method: HTTP method.
-        path: Path without the query.
-        names: Parts of the path that the route names.
-        authorization: Authorization header, None where there is none.
-        body: The body, read in full.
-    """
-
-    method: str
-    path: str
-    authorization: str | None = None
-    body: bytes = b""
-    names: dict[str, str] = field(default_factory=dict)
-
-    def message(self, kind: type[T]) -> T:
-        """Decode the body as JSON into a typed message.
-
-        Raises:
-            BadRequest: The body is not such a message.
-        """
-        return from_json(self.body, kind)
-
-
-@dataclass(slots=True)
-class HttpReply:
-    """One reply.
-
-    Attributes:
-        body: A message, or text.
-        status: HTTP status.
-    """
-
-    body: Any
-    status: int = 200
-
-
-Handler = Callable[[Any, HttpRequest], HttpReply]
-
-
-class Routes:
-    """Registry of handlers by method and path pattern.
-
-    Usage:
-        ROUTES = Routes()
-
-        @ROUTES.add("GET", "/v1/services/{service}/route")
-        def route(context, request): ...
-    """
-
-    def __init__(self) -> None:
-        self._handlers: list[tuple[str, re.Pattern[str], Handler]] = []
-
-    def add(self, method: str, pattern: str) -> Callable[[Handler], Handler]:
-        """Register a handler; `{name}` in the pattern matches one path segment."""
-        expression = re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern))
-
-        def register(handler: Handler) -> Handler:
-            self._handlers.append((method, expression, handler))
-            return handler
-
-        return register
-
-    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]]:
-        """Return the handler of a path and the parts of the path it names.
-
-        Raises:
-            NotFound: No route matches.
-        """
-        for known_method, expression, handler in self._handlers:
-            match = expression.fullmatch(path)
-            if match and known_method == method:
-                return handler, match.groupdict()
-        raise NotFound(f"There is no {method} {path[:100]} here.", remedy="Check the path.")
+_SPARE_THREADS = 4
+_READ_SECONDS = 5.0
+_RETRY_AFTER = 0.1
+_MAX_DRAINED_BYTES = 4 * 1024 * 1024
+_DRAIN_CHUNK_BYTES = 64 * 1024
+_CLOSING_CODES = frozenset({"too_large", "slow_sender", "bad_framing"})
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Gate(Protocol):
@@ -117,6 +56,10 @@
 class Listener:
     """One HTTP listener with its routes.
 
+    A few threads more than `threads` read requests. What arrives while `threads` requests are being
+    handled is refused at once by a spare one, instead of waiting unseen in the server's queue
+    until its caller has given up.
+
     Args:
         host: IP number to bind.
         port: Port, 0 for a free one.
@@ -124,6 +67,7 @@
         routes: The handlers.
         context: Handed to every handler.
         gate: Whether connections should close.
+        timers: Where bounds on slow senders are set.
         metrics: Where refusals are counted.
     """
 
@@ -135,24 +79,25 @@
         routes: Routes,
         context: Any,
         gate: Gate,
+        timers: Timers,
         metrics: Metrics,
     ) -> None:
         self._routes = routes
         self._context = context
         self._gate = gate
         self._metrics = metrics
+        self._threads = threads
         self._open = 0
         self._lock = threading.Lock()
-        self._server = wsgi.Server(
+        self._server = TypedServer(
             (host, port),
             self._serve,
-            numthreads=threads,
-            max=threads,
-            request_queue_size=_BACKLOG,
-            timeout=_SOCKET_TIMEOUT,
+            threads + _SPARE_THREADS,
+            _READ_SECONDS,
+            timers.call_at,
+            self._count_refusal,
+            _log_server_message,
         )
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.error_log = _log_server_error
         self._thread = threading.Thread(target=self._server.serve, name="listener", daemon=True)
 
     def __enter__(self) -> "Listener":
@@ -175,75 +120,116 @@
         return self._open
 
     def _serve(self, environ: Environ, start_response: Callable[..., Any]) -> Iterable[bytes]:
-        with self._lock:
-            self._open += 1
-        try:
-            reply = self._reply(environ)
-        finally:
-            with self._lock:
-                self._open -= 1
+        reply = self._reply(environ)
         is_text = isinstance(reply.body, str)
         body = reply.body.encode() if is_text else to_json(reply.body)
         headers = [
             ("Content-Type", "text/plain" if is_text else "application/json"),
             ("Content-Length", str(len(body))),
+            *self._retry_headers(reply),
         ]
-        if isinstance(reply.body, dict) and reply.body.get("retry_after") is not None:
-            headers.append(("Retry-After", f"{reply.body['retry_after']:.3f}"))
-        if self._gate.closing or reply.status == 413:
+        if self._must_close(reply):
             headers.append(("Connection", "close"))
+            environ[REQUEST_KEY].close_connection = True
         start_response(f"{reply.status} {_REASONS.get(reply.status, 'Status')}", headers)
         return [body]
 
+    def _retry_headers(self, reply: HttpReply) -> list[tuple[str, str]]:
+        error = reply.body if isinstance(reply.body, dict) else {}
+        if error.get("retry_after") is None:
+            return []
+        return [("Retry-After", f"{error['retry_after']:.3f}")]
+
+    def _must_close(self, reply: HttpReply) -> bool:
+        """Return whether the connection can't be used again.
+
+        After a body that was not read in full, the rest of it would be taken for the next request.
+        """
+        error = reply.body if isinstance(reply.body, dict) else {}
+        return self._gate.closing or error.get("code") in _CLOSING_CODES
+
     def _reply(self, environ: Environ) -> HttpReply:
         try:
-            request = _read_request(environ)
+            request = self._read(environ)
             handler, request.names = self._routes.find(request.method, request.path)
-            return handler(self._context, request)
+            return self._handle(handler, request)
         except LimpethollowError as error:
-            self._metrics.count("requests_refused", error.code)
-            events.REQUEST_REFUSED.log(code=error.code, path=environ.get("PATH_INFO", ""))
+            self._count_refusal(error, environ.get("PATH_INFO", ""))
             return HttpReply(error.to_body(), error.status)
         except Exception as error:
-            self._metrics.count("requests_refused", "internal")
+            self._metrics.count("requests_refused", InternalError.code)
             events.DEFECT.log(where="listener", error=repr(error), exc_info=True)
             return HttpReply(InternalError("The instance has a defect.").to_body(), 500)
 
+    def _handle(self, handler: Any, request: HttpRequest) -> HttpReply:
+        with self._lock:
+            if self._open >= self._threads:
+                raise Overloaded("The instance has no thread free.", retry_after=_RETRY_AFTER)
+            self._open += 1
+        try:
+            return handler(self._context, request)
+        finally:
+            with self._lock:
+                self._open -= 1
 
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    408: "Request Timeout",
-    409: "Conflict",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
+    def _read(self, environ: Environ) -> HttpRequest:
+        length = _body_length(environ)
+        if length > MAX_BODY_BYTES:
+            self._drain(environ, length)
+            raise TooLarge(f"The body has {length} bytes; {MAX_BODY_BYTES} are allowed.")
+        body = self._read_body(environ, length) if length else b""
+        return HttpRequest(
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            authorization=environ.get("HTTP_AUTHORIZATION"),
+            body=body,
+        )
 
+    def _drain(self, environ: Environ, length: int) -> None:
+        """Read a body that is too large, and drop it.
 
-def _read_request(environ: Environ) -> HttpRequest:
+        A connection closed with bytes unread is reset, and the reset can overtake our reply: the
+        sender would see a broken connection instead of the reason.
+        """
+        if environ.get("HTTP_EXPECT") or length > _MAX_DRAINED_BYTES:
+            return
+        with self._server.guard(environ[REQUEST_KEY].conn.socket):
+            try:
+                while environ["wsgi.input"].read(_DRAIN_CHUNK_BYTES):
+                    continue
+            except OSError:
+                return
+
+    def _read_body(self, environ: Environ, length: int) -> bytes:
+        with self._server.guard(environ[REQUEST_KEY].conn.socket) as guard:
+            try:
+                body = environ["wsgi.input"].read(length)
+            except OSError:
+                raise SlowSender("The body did not arrive in time.") from None
+        if guard.expired:
+            raise SlowSender("The body did not arrive in time.")
+        if len(body) != length:
+            raise BadRequest("The body is shorter than its Content-Length.")
+        return body
+
+    def _count_refusal(self, error: LimpethollowError, path: str = "") -> None:
+        self._metrics.count("requests_refused", error.code)
+        events.REQUEST_REFUSED.log(code=error.code, path=path)
+
+
+def _body_length(environ: Environ) -> int:
+    """Return the body's length as its header states it.
+
+    Raises:
+        BadFraming: The header is not a number, or the body is chunked.
+    """
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        raise BadFraming("The body is chunked.", remedy="Send it with a Content-Length.")
     length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdigit():
-        raise BadRequest("The Content-Length header is not a number.")
-    if int(length) > MAX_BODY_BYTES:
-        raise TooLarge(f"The body has {length} bytes; {MAX_BODY_BYTES} are allowed.")
-    try:
-        body = environ["wsgi.input"].read(int(length)) if int(length) else b""
-    except OSError:
-        raise BadRequest("The body did not arrive in time.") from None
-    if len(body) != int(length):
-        raise BadRequest("The body is shorter than its Content-Length.")
-    return HttpRequest(
-        method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
-        authorization=environ.get("HTTP_AUTHORIZATION"),
-        body=body,
-    )
-
-
-def _log_server_error(message: str = "", level: int = 20, traceback: bool = False) -> None:
-    events.REQUEST_REFUSED.log(code="connection", message=message)
+    if not (length.isascii() and length.isdigit()):
+        raise BadFraming("The Content-Length header is not a number.")
+    return int(length)
+
+
+def _log_server_message(message: str = "", level: int = 20, traceback: bool = False) -> None:
+    events.SERVER_MESSAGE.log(text=message, exc_info=traceback)
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -73,4 +73,5 @@
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
+SERVER_MESSAGE = _event(502, logging.DEBUG, "the HTTP library had something to say")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "the outcome of a booking is not known")
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -136,6 +136,7 @@
             callers.ROUTES,
             caller_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._operators = Listener(
@@ -145,6 +146,7 @@
             operators.ROUTES,
             operator_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._parts = (
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
+from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
--- a/packages/limpethollow-node/src/limpethollow_node/request/operators.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/operators.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limpethollow_node.connection.listeners import Handler, HttpReply, HttpRequest, Routes
+from limpethollow_node.connection.routes import Handler, HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.metrics import Metrics
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -116,6 +116,20 @@
     remedy = "Send less in one request."
 
 
+@error_kind("bad_framing", 400)
+class BadFraming(BadRequest):
+    """The length of the body can't be told; the request was not run."""
+
+    remedy = "Send the body with a Content-Length in digits."
+
+
+@error_kind("slow_sender", 408)
+class SlowSender(BadRequest, TimeoutError):
+    """The request's bytes came too slowly; it was not run."""
+
+    remedy = "Send the whole request within a few seconds."
+
+
 @error_kind("unauthorized", 401)
 class Unauthorized(LimpethollowError, PermissionError):
     """The key is missing or wrong; the request was not run."""
@@ -137,6 +151,11 @@
     remedy = "Check the name and the path."
 
 
+@error_kind("method_not_allowed", 405)
+class MethodNotAllowed(BadRequest):
+    """The path can't be used with this method; the request was not run."""
+
+
 @error_kind("deadline_passed", 408)
 class DeadlinePassed(LimpethollowError, TimeoutError):
     """The deadline passed before the request could be run; it was not run."""
--- a/packages/limpethollow-wire/src/limpethollow_wire/settings.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/settings.py
@@ -35,7 +35,7 @@
     caller_port: int = 0
     operator_port: int = 0
     peer_port: int = 0
-    threads: int = 24
+    threads: int = 48
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
