--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -156,6 +156,7 @@
             callers.ROUTES,
             caller_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._operators = Listener(
@@ -165,6 +166,7 @@
             operators.ROUTES,
             operator_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._parts = (
