--- a/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
@@ -10,7 +10,7 @@
 
 from limpethollow_policy.connection.budgets import connections_per_searcher
 from limpethollow_policy.process.admissions import make_queue
-from limpethollow_wire.exceptions import BadRequest
+from limpethollow_wire.exceptions import BadRequest, NotFound
 from limpethollow_wire.plans import FieldChange, Intent, Plan, PlanEffect
 from limpethollow_wire.services import ServiceRecord, ServiceSpec
 
@@ -18,6 +18,7 @@
 KEPT_WRITES = 16
 
 _SERVICE_NAME = re.compile(r"[a-z0-9-]{1,64}")
+_PLAN_NAME = re.compile(r"([a-z0-9-]{1,64})\.([0-9]{1,2})\.([0-9a-f]{24})")
 _NONCE_BITS = 96
 
 
@@ -56,14 +57,12 @@
         """Read a name.
 
         Raises:
-            BadRequest: It is no plan's name.
+            NotFound: It is no plan's name.
         """
-        parts = text.split(".")
-        if len(parts) != 3 or not _SERVICE_NAME.fullmatch(parts[0]) or not parts[2].isalnum():
-            raise BadRequest("This is not the name of a plan.")
-        if not parts[1].isdigit() or int(parts[1]) >= PLAN_SLOTS:
-            raise BadRequest("This is not the name of a plan.")
-        return cls(parts[0], int(parts[1]), parts[2])
+        match = _PLAN_NAME.fullmatch(text)
+        if match is None or int(match[2]) >= PLAN_SLOTS:
+            raise NotFound("There is no plan of this name.", remedy="Plan again.")
+        return cls(match[1], int(match[2]), match[3])
 
 
 @dataclass(slots=True, frozen=True)
