--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -13,9 +13,9 @@
 from limpethollow_wire.exceptions import (
     BadFraming,
     BadRequest,
+    InstanceBusy,
     InternalError,
     LimpethollowError,
-    Overloaded,
     SlowSender,
     TooLarge,
 )
@@ -164,7 +164,7 @@
     def _handle(self, handler: Any, request: HttpRequest) -> HttpReply:
         with self._lock:
             if self._open >= self._threads:
-                raise Overloaded("The instance has no thread free.", retry_after=_RETRY_AFTER)
+                raise InstanceBusy("The instance has no thread free.", retry_after=_RETRY_AFTER)
             self._open += 1
         try:
             return handler(self._context, request)
--- a/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
@@ -12,11 +12,11 @@
 
 from limpethollow_wire.exceptions import (
     BadRequest,
+    InstanceBusy,
     InternalError,
     LimpethollowError,
     SlowSender,
     TooLarge,
-    Unavailable,
 )
 from limpethollow_wire.limits import MAX_HEADER_BYTES
 
@@ -29,7 +29,7 @@
     "413": TooLarge,
     "414": TooLarge,
     "500": InternalError,
-    "503": Unavailable,
+    "503": InstanceBusy,
 }
 
 CallLater = Callable[[float, Callable[[], None]], None]
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -170,6 +170,11 @@
     remedy = "Come back after retry_after seconds."
 
 
+@error_kind("instance_busy", 503)
+class InstanceBusy(Overloaded):
+    """This one instance has no room; the request was not run, and another instance may take it."""
+
+
 @error_kind("unavailable", 503)
 class Unavailable(LimpethollowError, ConnectionError):
     """Nothing that could serve the request can be reached; it was not run."""
--- a/packages/limpethollow-wire/src/limpethollow_wire/settings.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/settings.py
@@ -7,10 +7,14 @@
 import msgspec
 
 from limpethollow_wire.exceptions import SettingsError
+from limpethollow_wire.limits import MAX_NAME_LENGTH
 
 T = TypeVar("T")
 
 _MIN_KEY_LENGTH = 16
+_MAX_THREADS = 512
+_SHORT_KEY = f"is shorter than {_MIN_KEY_LENGTH} characters; set a longer random key"
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 class InstanceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -100,24 +104,38 @@
         return settings
 
     def _check(self, path: str | Path) -> None:
-        for key, value in (("keys.operator", self.keys.operator), ("keys.peer", self.keys.peer)):
-            if len(value) < _MIN_KEY_LENGTH:
-                raise SettingsError(
-                    f"{path}: '{key}' is shorter than {_MIN_KEY_LENGTH} characters.",
-                    remedy="Set a longer random key.",
-                )
-        if "." in self.instance.id or not self.instance.id:
-            raise SettingsError(
-                f"{path}: 'instance.id' is empty or has a dot.",
-                remedy="Use letters, digits and '-'; booking tokens are split at dots.",
-            )
-        for key, port in (
-            ("listeners.caller_port", self.listeners.caller_port),
-            ("listeners.operator_port", self.listeners.operator_port),
-            ("listeners.peer_port", self.listeners.peer_port),
-        ):
-            if not 0 <= port <= 65535:
-                raise SettingsError(f"{path}: '{key}' must be 0 to 65535.")
+        for holds, key, wanted in self._rules():
+            if not holds:
+                raise SettingsError(f"{path}: '{key}' {wanted}.")
+
+    def _rules(self) -> list[tuple[bool, str, str]]:
+        """Return what must hold, the key concerned, and what is wrong where it does not."""
+        keys, where = self.keys, self.listeners
+        ports = ("caller_port", "operator_port", "peer_port")
+        host, _, port = self.platform.address.rpartition(":")
+        id_is_plain = bool(self.instance.id) and "." not in self.instance.id
+        return [
+            (
+                id_is_plain,
+                "instance.id",
+                "is empty or has a dot, at which booking tokens are split",
+            ),
+            (len(self.instance.id) <= MAX_NAME_LENGTH, "instance.id", "has over 64 characters"),
+            (bool(self.instance.failure_domain), "instance.failure_domain", "is empty"),
+            (len(keys.operator) >= _MIN_KEY_LENGTH, "keys.operator", _SHORT_KEY),
+            (len(keys.peer) >= _MIN_KEY_LENGTH, "keys.peer", _SHORT_KEY),
+            *(
+                (0 <= getattr(where, name) <= 65535, f"listeners.{name}", "must be 0 to 65535")
+                for name in ports
+            ),
+            (1 <= where.threads <= _MAX_THREADS, "listeners.threads", "must be 1 to 512"),
+            (bool(host) and port.isdigit(), "platform.address", "must be host:port"),
+            (self.platform.timeout > 0, "platform.timeout", "must be above 0"),
+            (self.platform.watch_timeout > 0, "platform.watch_timeout", "must be above 0"),
+            (self.shutdown.linger >= 0, "shutdown.linger", "must be 0 or more"),
+            (self.shutdown.bound > 0, "shutdown.bound", "must be above 0"),
+            (self.log.level in _LEVELS, "log.level", f"must be one of {', '.join(_LEVELS)}"),
+        ]
 
 
 def load_toml(path: str | Path, kind: type[T]) -> T:
--- a/packages/limpethollow/src/limpethollow/sessions.py
+++ b/packages/limpethollow/src/limpethollow/sessions.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 from limpethollow.adapters import Adapter, HttpAdapter
-from limpethollow.exceptions import NoReply, NotConnected
+from limpethollow.exceptions import InstanceBusy, NoReply, NotConnected
 from limpethollow_wire.bookings import BookingOutcome, BookingRequest, BookingToken
 from limpethollow_wire.exceptions import LimpethollowError, Unavailable
 from limpethollow_wire.instances import Route
@@ -19,6 +19,10 @@
 _ROUTE_TIMEOUT = 2.0
 _DEFAULT_WAIT = 5.0
 _GRACE_SECONDS = 0.5
+# What proves that an instance did not run a request, so that the next one may be tried.
+_NOT_RUN = (NotConnected, InstanceBusy)
+# What a request that is safe to repeat may be sent again after.
+_REPEATABLE = (*_NOT_RUN, NoReply)
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,7 +116,7 @@
     ) -> BookingOutcome:
         """Book at most once.
 
-        The next address is tried only where no connection could be made, under the same token.
+        The next address is tried only where the request was not run, under the same token.
         Where no reply came, the outcome is unknown: keep the token and ask `look_up`.
 
         Usage:
@@ -135,16 +139,14 @@
         path = f"/v1/services/{service}/bookings"
         timeout = (deadline or _DEFAULT_WAIT) + _GRACE_SECONDS
         try:
-            return self._try_each(service, path, request, BookingOutcome, timeout, (NotConnected,))
+            return self._try_each(service, path, request, BookingOutcome, timeout, _NOT_RUN)
         except NoReply:
             return self.look_up(service, token)
 
     def look_up(self, service: str, token: str) -> BookingOutcome:
         """Ask what became of a booking."""
         path = f"/v1/services/{service}/bookings/{token}"
-        return self._try_each(
-            service, path, None, BookingOutcome, _DEFAULT_WAIT, (NotConnected, NoReply)
-        )
+        return self._try_each(service, path, None, BookingOutcome, _DEFAULT_WAIT, _REPEATABLE)
 
     def new_token(self, service: str) -> str:
         """Make a token for one booking; keep it to ask for the outcome later."""
@@ -183,7 +185,7 @@
                 return self._adapter.send(
                     address, "GET", path, self._key, Route, timeout=_ROUTE_TIMEOUT
                 )
-            except (NotConnected, NoReply) as failure:
+            except _REPEATABLE as failure:
                 error = failure
         raise error
 
