Admission policies in a registry, and switches for the simplest baseline

Cause: one FIFO queue lets a flooding firm fill the queue for all, and there was no way to run limpethollow's own simplest version beside it. The wait estimate took one call a search, so it was too low by the number of calls where a search needs several searchers. Not measured yet; fifo stays the default until it is.

--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -14,7 +14,8 @@
 from limpethollow_node.process.links import PeerLinks
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.owners import group_key, owner_order
+from limpethollow_policy.process.dispatches import find_dispatch
+from limpethollow_policy.process.owners import group_key
 from limpethollow_policy.request.events import Search
 from limpethollow_policy.request.merges import merge_answers
 from limpethollow_policy.version.groups import cut_groups
@@ -232,13 +233,14 @@
     ) -> T:
         """Ask the first owner that can be reached; a search is safe to send again."""
         key = group_key(scatter.record.name, index)
-        for owner in owner_order(key, self._members.routable()):
-            if owner.id == self._own_id:
+        order = find_dispatch(scatter.spec.dispatch)
+        for owner in order(key, self._own_id, self._members.routable()):
+            if owner == self._own_id:
                 return local(body)
             try:
                 self._metrics.count("forwards", kind)
                 timeout = scatter.left + _GRACE_SECONDS
-                return self._links.request(owner.id, kind, body, reply, timeout)
+                return self._links.request(owner, kind, body, reply, timeout)
             except (PeerUnreachable, PeerLost) as error:
                 self._metrics.count("forwards_failed", error.code)
                 require_time(scatter.left)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_fifo.py
@@ -0,0 +1,48 @@
+"""First come, first served."""
+
+from collections import deque
+from collections.abc import Iterator
+
+from limpethollow_policy.process.admissions_queues import (
+    AdmissionLimits,
+    AdmissionQueue,
+    admission_policy,
+)
+from limpethollow_policy.request.gathers import Gather
+
+
+@admission_policy("fifo")
+class FifoQueue(AdmissionQueue):
+    """First come, first served: the baseline; one flooding firm fills it for all."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        super().__init__(limits)
+        self._waiting: deque[Gather] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __iter__(self) -> Iterator[Gather]:
+        return iter(self._waiting)
+
+    def offer(self, gather: Gather) -> Gather | None:
+        """Let a search wait at the end."""
+        if len(self._waiting) >= self._limits.max_queue:
+            return gather
+        self._waiting.append(gather)
+        return None
+
+    def pop(self, now: float) -> Gather | None:
+        """Take out the search that came first."""
+        return self._waiting.popleft() if self._waiting else None
+
+    def remove(self, gather: Gather) -> None:
+        """Take out one search that left."""
+        if gather in self._waiting:
+            self._waiting.remove(gather)
+
+    def ahead_of(self, firm: str) -> float:
+        """Return all that wait."""
+        return len(self._waiting)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_waits.py
@@ -0,0 +1,39 @@
+"""How long a new search would wait, from how fast waiting ones were started."""
+
+_FIRST_INTERVAL = 0.005
+_SMOOTHING = 0.1
+
+
+class DrainRate:
+    """Seconds from one start of a waiting search to the next, while searches wait.
+
+    Measured at the queue's exit, it covers whatever limits the group, such as one slow searcher or
+    searches that take many calls each.
+    """
+
+    __slots__ = ("_interval", "_last", "_others_waited")
+
+    def __init__(self) -> None:
+        self._interval = _FIRST_INTERVAL
+        self._last = 0.0
+        self._others_waited = False
+
+    def started(self, now: float, still_waiting: int) -> None:
+        """Note that a search left the queue to run.
+
+        Args:
+            now: Monotonic second.
+            still_waiting: Searches left behind.
+        """
+        if self._others_waited:
+            self._interval += _SMOOTHING * (now - self._last - self._interval)
+        self._last = now
+        self._others_waited = still_waiting > 0
+
+    def wait(self, ahead: float, now: float) -> float:
+        """Return the seconds until a search with so many before it would start.
+
+        A queue that has stood still for longer than usual counts with the time it stood.
+        """
+        stood = now - self._last if self._others_waited else 0.0
+        return ahead * max(self._interval, stood)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -6,6 +6,7 @@
 
 from limpethollow_policy.connection.budgets import slots_per_owner
 from limpethollow_policy.connection.searchers import SearcherState
+from limpethollow_policy.process.choices import find_choice
 from limpethollow_policy.request.gathers import Gather
 from limpethollow_policy.request.snapshots import Inventory, choose_version, servable_versions
 from limpethollow_policy.version.groups import Group
@@ -29,11 +30,13 @@
         rng: Source for jitter.
     """
 
-    __slots__ = ("_max_age", "_searchers", "epoch")
+    __slots__ = ("_max_age", "_rng", "_score", "_searchers", "epoch")
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self.epoch = spec.epoch
         self._max_age = spec.inventory_max_age
+        self._rng = rng
+        self._score = find_choice(spec.replica_choice)
         self._searchers = {
             searcher.id: SearcherState(searcher, slots_per_owner(searcher, spec.owners), rng)
             for searcher in group.searchers
@@ -79,9 +82,9 @@
     ) -> Choice | None:
         """Choose the searcher for a call.
 
-        The one that serves most of the shards wins, so that a search takes few calls; among equals
-        the one with the shortest expected wait. A replica that failed this search before comes
-        last.
+        The service's replica choice ranks them. By default the one that serves most of the shards
+        wins, so that a search takes few calls; among equals the one with the shortest expected
+        wait. A replica that failed this search before comes last.
 
         Args:
             gather: The search, pinned.
@@ -90,7 +93,7 @@
             exclude: A searcher that must not be chosen.
         """
         best: Choice | None = None
-        best_score: tuple[int, int, float] | None = None
+        best_score: tuple[float, ...] | None = None
         for searcher in self.usable(now):
             if searcher.spec.id == exclude or not searcher.has_free_slot:
                 continue
@@ -98,7 +101,7 @@
             if not serves:
                 continue
             fresh = sum((shard, searcher.spec.id) not in gather.failed_at for shard in serves)
-            score = (fresh, len(serves), -searcher.expected_wait(now))
+            score = self._score(fresh, len(serves), searcher, now, self._rng)
             if best_score is None or score > best_score:
                 best, best_score = Choice(searcher, serves), score
         return best
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -3,7 +3,8 @@
 from random import Random
 
 from limpethollow_policy.connection.searchers import SearcherState
-from limpethollow_policy.process.admissions import make_queue
+from limpethollow_policy.process.admissions import AdmissionLimits, make_queue
+from limpethollow_policy.process.admissions_waits import DrainRate
 from limpethollow_policy.process.replicas import Choice, ReplicaSet
 from limpethollow_policy.request.events import (
     Action,
@@ -43,8 +44,11 @@
 _PIN_PATIENCE_SHARE = 0.25
 _ASK_AGAIN_SECONDS = 0.02
 _SMALLEST_RETRY_AFTER = 0.05
-_FIRST_SERVICE_TIME = 0.005
-_SMOOTHING = 0.1
+_REFUSALS = {
+    "queue_full": "The queue is full.",
+    "gave_way": "The queue is full and the search gave way to a firm that uses less of its share.",
+    "waited_out": "The search waited out its deadline.",
+}
 
 
 class GroupScheduler:
@@ -63,8 +67,8 @@
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self._spec = spec
         self._replicas = ReplicaSet(spec, group, rng)
-        shares = {caller.firm: caller.share for caller in spec.callers}
-        self._queue = make_queue(spec.admission.policy, spec.admission.max_queue, shares)
+        self._queue = make_queue(spec.admission.policy, _admission_limits(spec, self._replicas))
+        self._drain = DrainRate()
         self._active: dict[str, Gather] = {}
         self._calls: dict[str, OpenCall] = {}
         self._slot_requests: dict[str, SlotRequest] = {}
@@ -73,7 +77,6 @@
         self._latencies = LatencyWindow()
         self._hedges = ShareBudget(spec.hedge.budget, _HEDGE_RESERVE)
         self._retries = ShareBudget(_RETRY_SHARE, _RETRY_RESERVE)
-        self._service_time = _FIRST_SERVICE_TIME
         self._actions: list[Action] = []
 
     @property
@@ -94,9 +97,9 @@
         if error:
             self._refuse(gather, error)
         elif search.versions_only:
-            self._start(gather)
-        elif not self._queue.offer(gather):
-            self._refuse(gather, self._overloaded(now, "The queue is full."))
+            self._start(gather, now)
+        else:
+            self._let_wait(gather, now)
         return self._pump(now)
 
     def search_abandoned(self, search_id: str, now: float) -> list[Action]:
@@ -105,7 +108,7 @@
             if gather.search.id == search_id:
                 self._queue.remove(gather)
                 break
-        self._finish(search_id)
+        self._finish(search_id, now)
         return self._pump(now)
 
     def call_answered(self, call_id: str, reply: SearcherReply, now: float) -> list[Action]:
@@ -118,7 +121,6 @@
         searcher.answered(reply, None if call.is_inventory else latency, now)
         if not call.is_inventory:
             self._latencies.add(latency)
-            self._service_time += _SMOOTHING * (latency - self._service_time)
         self._take_parts(call, reply)
         self._take_errors(call, reply)
         return self._pump(now)
@@ -167,10 +169,11 @@
         for gather in tuple(self._active.values()):
             self._advance(gather, now)
         while len(self._queue) and self._may_start(now):
-            gather = self._queue.pop()
+            gather = self._queue.pop(now)
             if gather is None:
                 break
-            self._start(gather)
+            self._drain.started(now, len(self._queue))
+            self._start(gather, now)
             self._advance(gather, now)
         self._hedge(now)
         self._cancel_useless_calls()
@@ -182,9 +185,9 @@
         """Return whether a waiting search can use a slot, or learn at once that none is left."""
         return self._replicas.has_free_slot(now) or not self._replicas.usable(now)
 
-    def _start(self, gather: Gather) -> None:
+    def _start(self, gather: Gather, now: float) -> None:
         self._active[gather.search.id] = gather
-        self._queue.started(gather.search.firm)
+        self._queue.started(gather.search.firm, now)
 
     def _advance(self, gather: Gather, now: float) -> None:
         if not gather.is_pinned:
@@ -227,7 +230,7 @@
         elif servable and search.versions_only:
             versions = ServableVersions(self._replicas.epoch, servable)
             self._actions.append(Servable(search.id, versions))
-            self._finish(search.id)
+            self._finish(search.id, now)
         elif servable:
             gather.pin(self._replicas.epoch, servable[0])
         else:
@@ -453,7 +456,7 @@
         for gather in tuple(self._queue):
             if now >= gather.search.deadline:
                 self._queue.remove(gather)
-                self._refuse(gather, self._overloaded(now, "The search waited out its deadline."))
+                self._refuse_waiting(gather, "waited_out", now)
 
     def _conclude(self, gather: Gather, reason: str, now: float) -> None:
         """Give a search its final answer, or the typed error that says why there is none."""
@@ -466,7 +469,7 @@
             self._actions.append(Complete(search.id, gather.answer(reason)))
         else:
             self._refuse(gather, self._too_little(gather, reason, now))
-        self._finish(search.id)
+        self._finish(search.id, now)
 
     def _lost_pin(self, gather: Gather) -> bool:
         return "version_gone" in gather.failures.values()
@@ -497,30 +500,46 @@
         self._actions.append(Refuse(gather.search.id, error))
         self._actions.append(Count("searches_refused", error.code))
 
-    def _finish(self, search_id: str) -> None:
+    def _finish(self, search_id: str, now: float) -> None:
         gather = self._active.pop(search_id, None)
         if gather:
-            self._queue.finished(gather.search.firm)
+            self._queue.finished(gather.search.firm, now)
 
     # Admission and timing
 
     def _admission_error(self, gather: Gather, now: float) -> LimpethollowError | None:
+        firm = gather.search.firm
         if gather.search.deadline <= now:
+            self._count_refusal(firm, "deadline_passed")
             return DeadlinePassed("The deadline has passed; the search was not run.")
-        if self._estimated_wait() > gather.search.deadline - now:
-            return self._overloaded(now, "The wait would be longer than the deadline.")
+        if self._estimated_wait(firm, now) > gather.search.deadline - now:
+            self._count_refusal(firm, "wait_too_long")
+            return self._overloaded(now, "The wait would be longer than the deadline.", firm)
         return None
 
-    def _estimated_wait(self) -> float:
-        slots = sum(searcher.slots for searcher in self._replicas)
-        return len(self._queue) * self._service_time / max(slots, 1)
+    def _let_wait(self, gather: Gather, now: float) -> None:
+        out = self._queue.offer(gather)
+        if out is not None:
+            self._refuse_waiting(out, "queue_full" if out is gather else "gave_way", now)
+
+    def _refuse_waiting(self, gather: Gather, reason: str, now: float) -> None:
+        firm = gather.search.firm
+        self._count_refusal(firm, reason)
+        self._refuse(gather, self._overloaded(now, _REFUSALS[reason], firm))
+
+    def _count_refusal(self, firm: str, reason: str) -> None:
+        self._actions.append(Count("admissions_refused", f"{firm}/{reason}"))
 
-    def _overloaded(self, now: float, message: str) -> LimpethollowError:
-        return Overloaded(message, retry_after=self._retry_after(now))
+    def _estimated_wait(self, firm: str, now: float) -> float:
+        return self._drain.wait(self._queue.ahead_of(firm), now)
 
-    def _retry_after(self, now: float) -> float:
+    def _overloaded(self, now: float, message: str, firm: str = "") -> LimpethollowError:
+        return Overloaded(message, retry_after=self._retry_after(now, firm))
+
+    def _retry_after(self, now: float, firm: str = "") -> float:
         paused = [s.down_until - now for s in self._replicas if s.down_until > now]
-        return max(self._estimated_wait(), min(paused, default=0.0), _SMALLEST_RETRY_AFTER)
+        wait = self._estimated_wait(firm, now)
+        return max(wait, min(paused, default=0.0), _SMALLEST_RETRY_AFTER)
 
     def _wake(self, now: float) -> None:
         times = [*self._gather_times(now), *self._call_times()]
@@ -546,3 +565,11 @@
         if delay is None:
             return []
         return [c.started + delay for c in self._calls.values() if not c.is_inventory]
+
+
+def _admission_limits(spec: ServiceSpec, replicas: ReplicaSet) -> AdmissionLimits:
+    """Return the bounds of a group's queue; its capacity is in searches of all its shards."""
+    shards = {shard for searcher in replicas for shard in searcher.spec.shards}
+    calls = sum(searcher.slots * len(searcher.spec.shards) for searcher in replicas)
+    shares = {caller.firm: caller.share for caller in spec.callers}
+    return AdmissionLimits(spec.admission.max_queue, calls / len(shards), shares)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/checks.py
@@ -0,0 +1,17 @@
+"""Checks that the policies named in a service's configuration exist."""
+
+from limpethollow_policy.process.admissions import find_queue
+from limpethollow_policy.process.choices import find_choice
+from limpethollow_policy.process.dispatches import find_dispatch
+from limpethollow_wire.services import ServiceSpec
+
+
+def check_policies(spec: ServiceSpec) -> None:
+    """Check every policy that a service names.
+
+    Raises:
+        BadRequest: A name is not registered; the message lists those that are.
+    """
+    find_queue(spec.admission.policy)
+    find_choice(spec.replica_choice)
+    find_dispatch(spec.dispatch)
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from limpethollow_policy.connection.budgets import connections_per_searcher
-from limpethollow_policy.process.admissions import make_queue
+from limpethollow_policy.version.checks import check_policies
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.plans import FieldChange, Intent, Plan, PlanEffect
 from limpethollow_wire.services import ServiceRecord, ServiceSpec
@@ -25,7 +25,7 @@
     wanted = intent.service
     if wanted is not None:
         wanted.check()
-        make_queue(wanted.admission.policy, wanted.admission.max_queue, {})
+        check_policies(wanted)
     name = wanted.name if wanted else intent.delete
     old = current.spec if current else None
     changes = _changes(old, wanted)
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -96,6 +96,9 @@
         route_ttl: Seconds for which callers keep a route answer.
         inventory_max_age: Seconds for which a searcher's list of index versions is believed.
         searchers_per_group: Searchers that one group may hold at most.
+        replica_choice: Name of a registered replica choice.
+        dispatch: Name of a registered dispatch policy: `owner` sends a group's calls from its
+            owner, `direct` from any instance (a baseline for measurements).
     """
 
     name: str
@@ -110,6 +113,8 @@
     route_ttl: float = 5.0
     inventory_max_age: float = 1.0
     searchers_per_group: int = 16
+    replica_choice: str = "shortest_wait"
+    dispatch: str = "owner"
 
     def check(self) -> None:
         """Check what the types alone can't say.
--- /dev/null
+++ b/tests/system/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission with real processes."""
