Graceful shutdown as a state machine; own bounded pools of connections to searchers

Cause: the shutdown lingered for the longest route_ttl in force, a guess that knew nothing of the route answers peers had given; replies asked callers to close from the first moment; urllib3's pool refused every call after one mismatched reply (its close() is final), never closed idle connections and counted a closed one as free at once.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -2,6 +2,7 @@
 
 import re
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Protocol, TypeVar
@@ -142,6 +143,7 @@
         self._gate = gate
         self._metrics = metrics
         self._open = 0
+        self._last_arrival = 0.0
         self._lock = threading.Lock()
         self._server = wsgi.Server(
             (host, port),
@@ -171,12 +173,19 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests being handled now."""
-        return self._open
+        """Requests that have no answer yet, those waiting for a thread included."""
+        return self._open + self._server.requests.qsize
+
+    @property
+    def last_arrival(self) -> float:
+        """Monotonic second of the last request that is not safe to repeat blindly."""
+        return self._last_arrival
 
     def _serve(self, environ: Environ, start_response: Callable[..., Any]) -> Iterable[bytes]:
         with self._lock:
             self._open += 1
+            if environ["REQUEST_METHOD"] != "GET":
+                self._last_arrival = time.monotonic()
         try:
             reply = self._reply(environ)
         finally:
--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -179,6 +179,8 @@
         self._answer = answer
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer-request")
+        self._open = 0
+        self._open_lock = threading.Lock()
         self._server = serve(
             self._handle,
             host,
@@ -208,6 +210,11 @@
         host, port = self._server.socket.getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def open_requests(self) -> int:
+        """Requests of peers that have no answer yet, those waiting for a thread included."""
+        return self._open
+
     def _check_key(self, connection: ServerConnection, request: Request) -> Response | None:
         try:
             given = bearer_key(request.headers.get("Authorization"))
@@ -227,6 +234,7 @@
             events.PEER_LINKED.log(peer=hello.instance)
             for data in socket:
                 frame = convert(from_cbor(_frame_bytes(data)), Frame)
+                self._opened(1)
                 self._workers.submit(self._reply, socket, hello.instance, frame)
         except BadRequest as error:
             self._metrics.count("peers_refused", "bad_frame")
@@ -248,6 +256,12 @@
             socket.send(to_cbor(reply))
         except (WebSocketException, OSError):
             return
+        finally:
+            self._opened(-1)
+
+    def _opened(self, change: int) -> None:
+        with self._open_lock:
+            self._open += change
 
 
 def _frame_bytes(data: str | bytes) -> bytes:
--- a/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
@@ -1,12 +1,17 @@
-"""Connections to one searcher and the calls on them."""
+"""Calls to one searcher."""
 
 import threading
 import time
+from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any, TypeVar
 
-import urllib3
+from urllib3 import BaseHTTPResponse
+from urllib3.exceptions import HTTPError
 
-from limpethollow_policy.connection.budgets import connections_per_searcher
+from limpethollow_node.connection.pools import ConnectionPools, Lease, NoConnection
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.timers import Timers
 from limpethollow_policy.request.events import Failure
 from limpethollow_wire.bookings import SearcherBooking, SearcherBookingReply
 from limpethollow_wire.codecs import from_json, to_json
@@ -19,6 +24,10 @@
 
 _CONNECT_TIMEOUT = 0.25
 _CONTROL_TIMEOUT = 0.5
+_CANCEL_PATIENCE = 0.1
+_OVERTIME = 0.1
+_SMALLEST_TIMEOUT = 0.001
+_CHUNK_BYTES = 64 * 1024
 _JSON = {"Content-Type": "application/json"}
 
 
@@ -36,29 +45,62 @@
         self.retry_after = retry_after
 
 
+class _OpenCall:
+    """A call on its way, which another thread may cancel.
+
+    Attributes:
+        lease: Its connection, None before it has one.
+        is_cancelled: Whether nobody wants it any more.
+        ended: Set once it gave its result.
+    """
+
+    __slots__ = ("ended", "is_cancelled", "lease")
+
+    def __init__(self) -> None:
+        self.lease: Lease | None = None
+        self.is_cancelled = False
+        self.ended = threading.Event()
+
+    def abort(self) -> None:
+        """End the call at once if it has a connection."""
+        if self.lease is not None:
+            self.lease.abort()
+
+
 class SearcherClient:
-    """Calls one searcher over a bounded number of kept connections.
+    """Calls one searcher over the bounded, kept connections of its pool.
 
     A connection whose call failed in any way is closed and never used again: its reply might
     still come and be taken for the answer to the next call.
 
     Args:
-        spec: The searcher.
+        pools: Connections to all searchers.
+        searcher: The searcher.
+        timers: Where the end of calls without a cancel is set.
+        metrics: Where cancels are counted.
+        heard: Told of `draining` in each reply.
     """
 
-    def __init__(self, spec: SearcherSpec) -> None:
-        host, _, port = spec.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections_per_searcher(spec), block=True, retries=False
-        )
-        self._lock = threading.Lock()
-        self._last_used = time.monotonic()
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        searcher: SearcherSpec,
+        timers: Timers,
+        metrics: Metrics,
+        heard: Callable[[bool], None] = lambda draining: None,
+    ) -> None:
+        self._pools = pools
+        self._pool = pools.acquire(searcher)
+        self._timers = timers
+        self._metrics = metrics
+        self._heard = heard
+        self._calls: dict[str, _OpenCall] = {}
 
     def __enter__(self) -> "SearcherClient":
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._pool.close()
+        self._pools.release(self._pool)
 
     def search(self, call: SearcherCall) -> SearcherReply:
         """Send a search, or only ask for the inventory.
@@ -66,19 +108,47 @@
         Raises:
             CallFailed: There is no reply that can be used.
         """
-        reply = self._post("/search", call, SearcherReply, call.timeout)
-        if (reply.request_id, reply.service) != (call.request_id, call.service):
-            self._pool.close()
-            raise CallFailed(Failure.MISMATCHED)
+
+        def echoes(reply: SearcherReply) -> bool:
+            return (reply.request_id, reply.service) == (call.request_id, call.service)
+
+        open_call = self._calls[call.request_id] = _OpenCall()
+        control = not call.queries
+        try:
+            reply = self._post(
+                "/search", call, SearcherReply, call.timeout, echoes, open_call, control=control
+            )
+        except CallFailed:
+            if open_call.is_cancelled:
+                raise CallFailed(Failure.CANCELLED) from None
+            raise
+        finally:
+            open_call.ended.set()
+            self._calls.pop(call.request_id, None)
+        self._heard(reply.draining)
         return reply
 
     def cancel(self, request_id: str) -> None:
-        """Tell the searcher that nobody wants a call any more; failures don't matter."""
+        """Tell the searcher that nobody wants a call any more; failures don't matter.
+
+        The word goes out on another connection, so that the searcher can end the call and answer
+        it at once: then its connection stays warm. Where no reply follows, the connection is shut
+        down, which frees the thread that waits on it.
+        """
+        open_call = self._calls.get(request_id)
+        if open_call is None:
+            return
+        open_call.is_cancelled = True
         body = {"request_id": request_id}
         try:
-            self._post("/cancel", body, dict[str, Any], _CONTROL_TIMEOUT)
+            self._post(
+                "/cancel", body, dict[str, Any], _CONTROL_TIMEOUT, _any, _OpenCall(), control=True
+            )
         except CallFailed:
-            return
+            self._metrics.count("searcher_cancels", "not_told")
+        if not open_call.ended.wait(_CANCEL_PATIENCE):
+            self._metrics.count("searcher_cancels", "shut_down")
+            open_call.abort()
 
     def book(self, booking: SearcherBooking) -> SearcherBookingReply:
         """Send a booking.
@@ -87,7 +157,13 @@
             CallFailed: There is no reply that can be used; only `REFUSED` and `SHED` prove that
                 it was not run.
         """
-        return self._token_reply("/book", booking, booking.token, booking.timeout)
+        open_call = _OpenCall()
+        # Nobody cancels a booking, and a searcher that sends its reply a byte at a time would
+        # start the read timeout anew with each byte.
+        self._timers.call_at(time.monotonic() + booking.timeout + _OVERTIME, open_call.abort)
+        return self._token_reply(
+            "/book", booking, booking.token, booking.timeout, open_call, control=False
+        )
 
     def look_up(self, token: str, *, void: bool) -> SearcherBookingReply:
         """Ask what became of a token.
@@ -100,58 +176,114 @@
             CallFailed: There is no reply that can be used.
         """
         body = {"token": token, "void": void}
-        return self._token_reply("/bookings/look-up", body, token, _CONTROL_TIMEOUT)
+        return self._token_reply(
+            "/bookings/look-up", body, token, _CONTROL_TIMEOUT, _OpenCall(), control=True
+        )
 
-    def _token_reply(self, path: str, body: Any, token: str, timeout: float) -> Any:
-        reply = self._post(path, body, SearcherBookingReply, timeout)
-        if reply.token != token:
-            self._pool.close()
-            raise CallFailed(Failure.MISMATCHED)
-        return reply
+    def _token_reply(
+        self, path: str, body: Any, token: str, seconds: float, call: _OpenCall, *, control: bool
+    ) -> SearcherBookingReply:
+        def echoes(reply: SearcherBookingReply) -> bool:
+            return reply.token == token
 
-    def _post(self, path: str, body: Any, kind: type[T], seconds: float) -> T:
-        seconds = max(seconds, 0.001)
-        timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT, seconds), total=seconds)
-        try:
-            reply = self._pool.urlopen(
-                "POST",
-                path,
-                body=to_json(body),
-                headers=_JSON,
-                timeout=timeout,
-                pool_timeout=seconds,
-                retries=False,
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise CallFailed(_failure_of(error)) from None
-        return self._read(reply, kind)
-
-    def _read(self, reply: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
-        if reply.status == 503:
-            raise CallFailed(Failure.SHED, _retry_after(reply))
-        if reply.status != 200:
-            raise CallFailed(Failure.BROKEN)
+        return self._post(path, body, SearcherBookingReply, seconds, echoes, call, control=control)
+
+    def _post(
+        self,
+        path: str,
+        body: Any,
+        kind: type[T],
+        seconds: float,
+        echoes: Callable[[T], bool],
+        call: _OpenCall,
+        *,
+        control: bool,
+    ) -> T:
+        deadline = time.monotonic() + max(seconds, _SMALLEST_TIMEOUT)
         try:
-            return from_json(reply.data, kind, MAX_REPLY_BYTES)
-        except BadRequest:
-            raise CallFailed(Failure.BROKEN) from None
-
-
-def _failure_of(error: urllib3.exceptions.HTTPError) -> Failure:
-    """Tell apart what proves that no byte was sent from what proves nothing."""
-    not_sent = (
-        urllib3.exceptions.NewConnectionError,
-        urllib3.exceptions.ConnectTimeoutError,
-        urllib3.exceptions.EmptyPoolError,
-    )
-    if isinstance(error, not_sent):
-        return Failure.REFUSED
-    if isinstance(error, urllib3.exceptions.TimeoutError):
+            lease = self._pool.lease(deadline, control=control)
+        except NoConnection:
+            raise CallFailed(Failure.REFUSED) from None
+        with lease:
+            call.lease = lease
+            _open(lease, call, deadline)
+            response, data = _exchange(lease, path, to_json(body), deadline)
+            reply = _read(response, data, kind) if response.status == 200 else None
+            if reply is not None and not echoes(reply):
+                raise CallFailed(Failure.MISMATCHED)
+            lease.completed()
+        if reply is None:
+            raise _refusal(response)
+        return reply
+
+
+def _any(reply: Any) -> bool:
+    return True
+
+
+def _open(lease: Lease, call: _OpenCall, deadline: float) -> None:
+    """Make the connection ready; whatever fails here proves that no byte was sent."""
+    try:
+        lease.open(min(_CONNECT_TIMEOUT, max(deadline - time.monotonic(), _SMALLEST_TIMEOUT)))
+    except (OSError, HTTPError):
+        raise CallFailed(Failure.REFUSED) from None
+    if call.is_cancelled or lease.aborted or time.monotonic() >= deadline:
+        raise CallFailed(Failure.REFUSED)
+
+
+def _exchange(
+    lease: Lease, path: str, body: bytes, deadline: float
+) -> tuple[BaseHTTPResponse, bytes]:
+    """Send a request and read its whole reply; from here on it may have run."""
+    connection = lease.connection
+    connection.timeout = max(deadline - time.monotonic(), _SMALLEST_TIMEOUT)
+    sock = connection.sock
+    try:
+        connection.request("POST", path, body=body, headers=_JSON, preload_content=False)
+        response = connection.getresponse()
+        return response, _read_body(response, sock, deadline)
+    except TimeoutError:
+        raise CallFailed(Failure.TIMEOUT) from None
+    except (OSError, HTTPException, HTTPError, ValueError) as error:
+        raise CallFailed(_failure_of(error)) from None
+
+
+def _read_body(response: BaseHTTPResponse, sock: Any, deadline: float) -> bytes:
+    """Read a body within the deadline and its bound, however small its pieces are."""
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        sock.settimeout(max(deadline - time.monotonic(), _SMALLEST_TIMEOUT))
+        chunk = response.read1(_CHUNK_BYTES)
+        if not chunk:
+            return b"".join(chunks)
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_REPLY_BYTES or time.monotonic() >= deadline:
+            raise CallFailed(Failure.BROKEN if size > MAX_REPLY_BYTES else Failure.TIMEOUT)
+
+
+def _read(response: BaseHTTPResponse, data: bytes, kind: type[T]) -> T:
+    try:
+        return from_json(data, kind, MAX_REPLY_BYTES)
+    except BadRequest:
+        raise CallFailed(Failure.BROKEN) from None
+
+
+def _refusal(response: BaseHTTPResponse) -> CallFailed:
+    if response.status == 503:
+        return CallFailed(Failure.SHED, _retry_after(response))
+    return CallFailed(Failure.BROKEN)
+
+
+def _failure_of(error: Exception) -> Failure:
+    """Tell a timeout inside `urllib3` from a broken connection."""
+    if isinstance(error.__cause__ or error.__context__, TimeoutError):
         return Failure.TIMEOUT
     return Failure.BROKEN
 
 
-def _retry_after(reply: urllib3.BaseHTTPResponse) -> float | None:
+def _retry_after(reply: BaseHTTPResponse) -> float | None:
     try:
         return float(reply.headers["Retry-After"])
     except (KeyError, ValueError):
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -53,6 +53,9 @@
 STOPPED = _event(102, logging.INFO, "instance stopped")
 BOUND_REACHED = _event(103, logging.WARNING, "shutdown bound reached with requests still open")
 DEFECT = _event(104, logging.ERROR, "unexpected error; this is a defect")
+DRAINED = _event(110, logging.INFO, "waiting before the exit ended")
+PEER_NOT_TOLD = _event(111, logging.WARNING, "a peer could not be told that this instance leaves")
+EXIT_FORCED = _event(112, logging.ERROR, "exit forced because closing hung")
 
 # 200: configuration and platform
 RECORDS_APPLIED = _event(200, logging.INFO, "configuration records came into force")
@@ -69,6 +72,7 @@
 MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
 
 # 400: searchers
+CONNECTION_CONDEMNED = _event(450, logging.DEBUG, "connection to a searcher closed after a fault")
 SEARCHER_CALL_FAILED = _event(400, logging.DEBUG, "a call to a searcher failed")
 
 # 500: requests
--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from limpethollow_node.connection.pools import ConnectionPools
 from limpethollow_node.connection.searchers import SearcherClient
 from limpethollow_node.process.actors import (
     AbandonMessage,
@@ -30,16 +31,29 @@
     """One group served by this instance, and the version of its service that it serves."""
 
     def __init__(
-        self, record: ServiceRecord, group: Group, timers: Timers, metrics: Metrics, prefix: str
+        self,
+        record: ServiceRecord,
+        group: Group,
+        pools: ConnectionPools,
+        waiting: set[Future[Any]],
+        timers: Timers,
+        metrics: Metrics,
+        prefix: str,
     ) -> None:
         assert record.spec is not None
         self.version = record.version
-        self._clients = {searcher.id: SearcherClient(searcher) for searcher in group.searchers}
+        self._clients = {
+            searcher.id: SearcherClient(pools, searcher, timers, metrics)
+            for searcher in group.searchers
+        }
+        self._waiting = waiting
         self._ref = GroupActor.start(record.spec, group, self._clients, timers, metrics, prefix)
 
     def search(self, search: Search) -> Future[Any]:
         """Start a search; the future gets a `GroupAnswer`, `ServableVersions` or a typed error."""
         future: Future[Any] = Future()
+        self._waiting.add(future)
+        future.add_done_callback(self._waiting.discard)
         self._tell(SearchMessage(search, future), future)
         return future
 
@@ -92,6 +106,9 @@
         self._lock = threading.Lock()
         self._numbers = itertools.count(1)
         self._groups: dict[tuple[str, int], LocalGroup] = {}
+        self._pools = ConnectionPools(timers, metrics)
+        self._waiting: set[Future[Any]] = set()
+        self._gave_up = False
 
     def __enter__(self) -> "LocalGroups":
         return self
@@ -101,10 +118,20 @@
             groups, self._groups = self._groups, {}
         for group in groups.values():
             group.retire()
+        self._pools.close()
+
+    def give_up(self) -> None:
+        """End everything that is open because the process is about to exit."""
+        self._gave_up = True
+        self._pools.close()
+        for future in tuple(self._waiting):
+            future.cancel()
 
     def get(self, record: ServiceRecord, index: int) -> LocalGroup:
         """Return a group of a service, started at this version if it was not running."""
         assert record.spec is not None
+        if self._gave_up:
+            raise Unavailable("The instance exits.", retry_after=_RETRY_AFTER)
         with self._lock:
             group = self._groups.get((record.name, index))
             if group is None or group.version < record.version:
@@ -112,7 +139,15 @@
                     group.retire()
                 prefix = f"{self._incarnation}-{next(self._numbers)}"
                 cut = cut_groups(record.spec)[index]
-                group = LocalGroup(record, cut, self._timers, self._metrics, prefix)
+                group = LocalGroup(
+                    record,
+                    cut,
+                    self._pools,
+                    self._waiting,
+                    self._timers,
+                    self._metrics,
+                    prefix,
+                )
                 self._groups[record.name, index] = group
             return group
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -7,6 +7,7 @@
 from limpethollow_node.connection.peers import PeerLink, PeerLost, PeerUnreachable
 from limpethollow_node.process import events
 from limpethollow_node.process.members import MemberKeeper
+from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.peers import Hello
 
@@ -27,6 +28,7 @@
         self._key = key
         self._hello = hello
         self._lock = threading.Lock()
+        self._closed = False
         self._links: dict[str, PeerLink] = {}
         self._opening: dict[str, threading.Lock] = {}
 
@@ -34,7 +36,14 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for link in tuple(self._links.values()):
+        self.give_up()
+
+    def give_up(self) -> None:
+        """Close all links and open none any more; requests that still wait on them fail typed."""
+        with self._lock:
+            self._closed = True
+            links = tuple(self._links.values())
+        for link in links:
             link.close()
 
     def request(self, peer_id: str, kind: str, body: Any, reply: type[T], timeout: float) -> T:
@@ -63,6 +72,8 @@
             return link
 
     def _open(self, peer_id: str) -> PeerLink:
+        if self._closed:
+            raise PeerUnreachable("This instance is leaving.")
         info = self._members.get(peer_id)
         if info is None:
             raise PeerUnreachable(f"No instance '{peer_id}' is listed.")
@@ -70,7 +81,7 @@
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
-        self._members.heard(hello.instance, hello.incarnation, hello.state == "leaving")
+        self._members.heard(hello.instance, hello.incarnation, hello.state in LEAVING_STATES)
 
     def _drop(self, peer_id: str) -> None:
         """Close a link that gave no reply: it may be silent for good while a new one works."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/main.py
@@ -20,7 +20,7 @@
 
     Returns:
         0 after a graceful shutdown, 2 for a mistake in the settings, 3 where a listener could not
-        be bound.
+        be bound; the process itself exits with 4 where closing hung and the exit was forced.
     """
     options = _parser().parse_args(arguments)
     try:
@@ -45,9 +45,12 @@
 
 def _serve(settings: NodeSettings) -> int:
     try:
-        with Node(settings) as node:
-            signal.signal(signal.SIGTERM, lambda *_: node.lifecycle.ask_to_leave())
-            signal.signal(signal.SIGINT, lambda *_: node.lifecycle.ask_to_leave())
+        node = Node(settings)
+        # Before the listeners are bound: a request may arrive as soon as they are, and a signal
+        # without its handler would cut it off.
+        signal.signal(signal.SIGTERM, lambda *_: node.lifecycle.ask_to_leave())
+        signal.signal(signal.SIGINT, lambda *_: node.lifecycle.ask_to_leave())
+        with node:
             print(json.dumps({"ready": node.addresses}), flush=True)
             node.run()
     except OSError as error:
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -1,7 +1,6 @@
 """One instance: all its parts, started and stopped in order."""
 
 import secrets
-import time
 from contextlib import ExitStack
 from random import Random
 
@@ -10,7 +9,7 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.groups import LocalGroups
-from limpethollow_node.process.lifecycles import InstanceState, Lifecycle
+from limpethollow_node.process.lifecycles import Lifecycle, RouteBook, ShutdownHooks
 from limpethollow_node.process.links import PeerLinks
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.metrics import Metrics
@@ -23,14 +22,13 @@
 from limpethollow_node.request.peers import PeerContext, answer_peer
 from limpethollow_node.request.searches import Coordinator
 from limpethollow_node.version.planners import Planner
-from limpethollow_wire.exceptions import LimpethollowError
+from limpethollow_policy.process.shutdowns import OpenWork
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Hello
+from limpethollow_wire.peers import Hello, Leaving, RouteHeld
 from limpethollow_wire.settings import NodeSettings
 
 _OPERATOR_THREADS = 4
 _PEER_TIMEOUT = 0.5
-_DRAIN_POLL = 0.02
 
 
 class Node:
@@ -49,7 +47,7 @@
         self._id = settings.instance.id
         self._incarnation = secrets.token_hex(4)
         self._rng = Random()
-        self._lifecycle = Lifecycle()
+        self._lifecycle = Lifecycle(settings.shutdown.linger, settings.shutdown.bound)
         self._stack = ExitStack()
         self._metrics = Metrics()
         self._build()
@@ -57,12 +55,11 @@
     def __enter__(self) -> "Node":
         for part in self._parts:
             self._stack.enter_context(part)
-        self._lifecycle.enter(InstanceState.SERVING)
+        self._lifecycle.started()
         events.STARTED.log(incarnation=self._incarnation, caller=self._callers.address)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._lifecycle.enter(InstanceState.CLOSING)
         self._stack.close()
         events.STOPPED.log()
 
@@ -82,8 +79,17 @@
 
     def run(self) -> None:
         """Serve until asked to leave, then leave gracefully."""
-        self._lifecycle.wait_for_leave()
-        self._leave()
+        self._lifecycle.run(
+            ShutdownHooks(
+                refuse_tokens=self._refuse_tokens,
+                tell_peer=self._tell_peer,
+                peers=lambda: tuple(peer.id for peer in self._members.peers()),
+                held=lambda: self._routes.peer_leaves(self._id, self._incarnation),
+                longest_ttl=self._longest_ttl,
+                open_work=self._open_work,
+                give_up=self._give_up,
+            )
+        )
 
     def status(self) -> InstanceStatus:
         """Return what this instance says of itself."""
@@ -102,9 +108,11 @@
         platform = PlatformClient(settings.platform, metrics)
         timers = Timers()
         self._members = MemberKeeper(self._id, platform, self._rng)
+        self._routes = RouteBook(self._members)
         self._configs = ConfigKeeper(platform, self._rng)
         self._links = PeerLinks(self._members, keys.peer, self._hello)
-        groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
+        self._groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
+        groups = self._groups
         self._configs.listen(groups.records_applied)
         coordinator = Coordinator(
             self._id, self._configs, self._members, self._links, groups, metrics
@@ -113,9 +121,22 @@
             self._id, self._incarnation, self._configs, self._links, groups, metrics
         )
         planner = Planner(self._id, platform, self._configs, self._members, self._links)
-        peers = PeerContext(self._configs, self._members, coordinator, self._bookings, self.status)
+        peers = PeerContext(
+            self._configs,
+            self._members,
+            self._routes,
+            coordinator,
+            self._bookings,
+            self.status,
+        )
         caller_context = CallerContext(
-            self._id, self._incarnation, self._configs, self._members, coordinator, self._bookings
+            self._id,
+            self._incarnation,
+            self._configs,
+            self._members,
+            self._routes,
+            coordinator,
+            self._bookings,
         )
         operator_context = OperatorContext(
             keys.operator, self._configs, self._members, planner, metrics, self.status
@@ -167,31 +188,22 @@
             self._lifecycle.state,
         )
 
-    def _leave(self) -> None:
-        """Stay useful until callers' addresses have expired, then wait for what is open."""
-        events.STOPPING.log()
-        bound = time.monotonic() + self._settings.shutdown.bound
-        self._lifecycle.enter(InstanceState.LEAVING)
+    def _refuse_tokens(self) -> None:
         self._bookings.leave()
-        self._tell_peers()
-        if self._lifecycle.pause(min(self._linger(), self._settings.shutdown.bound)):
-            return
-        while self._callers.open_requests and time.monotonic() < bound:
-            if self._lifecycle.pause(_DRAIN_POLL):
-                return
-        if self._callers.open_requests:
-            events.BOUND_REACHED.log(open=self._callers.open_requests)
-
-    def _linger(self) -> float:
-        ttls = [r.spec.route_ttl for r in self._configs.records if r.spec is not None]
-        return max([self._settings.shutdown.linger, *ttls])
-
-    def _tell_peers(self) -> None:
-        self._members.heard(self._id, self._incarnation, True)
-        for peer in self._members.peers():
-            try:
-                self._links.request(
-                    peer.id, "instance.hello", self._hello(), Acknowledgement, _PEER_TIMEOUT
-                )
-            except LimpethollowError:
-                continue
+
+    def _tell_peer(self, peer_id: str) -> float:
+        message = Leaving(self._id, self._incarnation)
+        reply = self._links.request(peer_id, "instance.leaving", message, RouteHeld, _PEER_TIMEOUT)
+        return reply.seconds
+
+    def _longest_ttl(self) -> float:
+        return max((r.spec.route_ttl for r in self._configs.records if r.spec), default=0.0)
+
+    def _open_work(self) -> OpenWork:
+        listeners = (self._callers, self._operators, self._peers)
+        requests = sum(listener.open_requests for listener in listeners)
+        return OpenWork(requests, self._callers.last_arrival)
+
+    def _give_up(self) -> None:
+        self._groups.give_up()
+        self._links.give_up()
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -4,6 +4,7 @@
 
 from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
@@ -26,6 +27,7 @@
     incarnation: str
     configs: ConfigKeeper
     members: MemberKeeper
+    routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
 
@@ -34,7 +36,7 @@
 def route(context: CallerContext, request: HttpRequest) -> HttpReply:
     """Say which instances a caller should use for a service."""
     spec, _ = _admit(context, request)
-    live = context.members.routable()
+    live = context.routes.answer(spec.route_ttl)
     instances = tuple(
         RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id))
         for i in owner_order(group_key(spec.name, 0), live)
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -5,14 +5,16 @@
 from typing import Any
 
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
+from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.bookings import ForwardedBooking, OutcomeQuestion
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Records
+from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Leaving, Records, RouteHeld
 from limpethollow_wire.searches import GroupSearch, GroupVersions
 
 PeerHandler = Callable[["PeerContext", Any], Any]
@@ -26,6 +28,7 @@
 
     configs: ConfigKeeper
     members: MemberKeeper
+    routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
     status: Callable[[], InstanceStatus]
@@ -88,10 +91,15 @@
 
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    context.members.heard(body.instance, body.incarnation, body.state == "leaving")
+    context.members.heard(body.instance, body.incarnation, body.state in LEAVING_STATES)
     return Acknowledgement()
 
 
+@peer_request("instance.leaving", Leaving)
+def _leaving(context: PeerContext, body: Leaving) -> Any:
+    return RouteHeld(context.routes.peer_leaves(body.instance, body.incarnation))
+
+
 @peer_request("instance.status", type(None))
 def _status(context: PeerContext, body: None) -> Any:
     return context.status()
--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -2,7 +2,7 @@
 
 import time
 import uuid
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import CancelledError, Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
 from functools import partial
@@ -23,6 +23,7 @@
     CoverageTooLow,
     DeadlinePassed,
     LimpethollowError,
+    Unavailable,
     VersionGone,
 )
 from limpethollow_wire.limits import MAX_DEADLINE_SECONDS
@@ -266,6 +267,10 @@
         left = search.deadline - time.monotonic() + _GRACE_SECONDS
         try:
             return future.result(max(left, 0.0))
+        except CancelledError:
+            raise Unavailable(
+                "The instance exits and gave the search up.", retry_after=_RETRY_AFTER
+            ) from None
         except FutureTimeout:
             group.abandon(search.id)
             raise DeadlinePassed(
--- a/packages/limpethollow-wire/src/limpethollow_wire/peers.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/peers.py
@@ -16,6 +16,19 @@
     state: str = "serving"
 
 
+class Leaving(msgspec.Struct, frozen=True):
+    """The sender is leaving: name it in no further route answer."""
+
+    instance: str
+    incarnation: str
+
+
+class RouteHeld(msgspec.Struct, frozen=True):
+    """For how many seconds callers may still hold the leaving instance's address."""
+
+    seconds: float
+
+
 class Frame(msgspec.Struct, frozen=True, omit_defaults=True):
     """One frame on a link between instances.
 
