--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -1,6 +1,7 @@
 """HTTP listeners: bounds on requests, typed errors, replies."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
@@ -88,6 +89,8 @@
         self._metrics = metrics
         self._threads = threads
         self._open = 0
+        self._handling = 0
+        self._last_arrival = 0.0
         self._lock = threading.Lock()
         self._server = TypedServer(
             (host, port),
@@ -116,11 +119,24 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests being handled now."""
-        return self._open
+        """Requests that have no answer yet, those waiting for a thread included."""
+        return self._open + self._server.requests.qsize
+
+    @property
+    def last_arrival(self) -> float:
+        """Monotonic second of the last request that is not safe to repeat blindly."""
+        return self._last_arrival
 
     def _serve(self, environ: Environ, start_response: Callable[..., Any]) -> Iterable[bytes]:
-        reply = self._reply(environ)
+        with self._lock:
+            self._open += 1
+            if environ["REQUEST_METHOD"] != "GET":
+                self._last_arrival = time.monotonic()
+        try:
+            reply = self._reply(environ)
+        finally:
+            with self._lock:
+                self._open -= 1
         is_text = isinstance(reply.body, str)
         body = reply.body.encode() if is_text else to_json(reply.body)
         headers = [
@@ -163,14 +179,14 @@
 
     def _handle(self, handler: Any, request: HttpRequest) -> HttpReply:
         with self._lock:
-            if self._open >= self._threads:
+            if self._handling >= self._threads:
                 raise InstanceBusy("The instance has no thread free.", retry_after=_RETRY_AFTER)
-            self._open += 1
+            self._handling += 1
         try:
             return handler(self._context, request)
         finally:
             with self._lock:
-                self._open -= 1
+                self._handling -= 1
 
     def _read(self, environ: Environ) -> HttpRequest:
         length = _body_length(environ)
