--- a/packages/limpethollow-node/src/limpethollow_node/process/members.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/members.py
@@ -86,10 +86,15 @@
         with self._lock:
             return self._view.changes_since(revision)
 
-    def heard(self, hello: Hello, dialled: bool = False) -> None:
+    def greeted(self, hello: Hello, dialled: bool = False) -> None:
+        """Take in an instance's hello."""
+        with self._lock:
+            self._view.greeted(hello, time.monotonic(), dialled)
+
+    def heard(self, instance_id: str, incarnation: str, leaving: bool) -> None:
         """Take in an instance's word on itself."""
         with self._lock:
-            self._view.heard(hello, time.monotonic(), dialled)
+            self._view.heard(instance_id, incarnation, leaving, time.monotonic())
 
     def answered(self, instance_id: str) -> None:
         """Note that an instance replied to a request of ours."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/relays.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/relays.py
@@ -244,7 +244,7 @@
         """Learn the list from an instance whose id is not known yet."""
         link = None
         try:
-            link = PeerLink(address, self._key, self._hello(), self._members.heard)
+            link = PeerLink(address, self._key, self._hello(), self._members.greeted)
             body = link.request("members.pull", ListQuestion(-1), _PEER_TIMEOUT)
             self._members.listed(convert(body, ListChange))
         except LimpethollowError as error:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/members.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/members.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.instances import InstanceInfo
 from limpethollow_wire.peers import Hello, ListChange
 
@@ -98,30 +99,45 @@
             dropped=tuple(i for i in touched if i not in self._instances),
         )
 
-    def heard(self, hello: Hello, now: float, dialled: bool = False) -> None:
-        """Take in a word from the instance itself; it counts more than the list.
+    def greeted(self, hello: Hello, now: float, dialled: bool = False) -> None:
+        """Take in an instance's hello, which also tells where it is.
 
         Args:
             hello: Who spoke.
             now: Monotonic seconds.
+            dialled: Whether it answered at its listed address.
+        """
+        instance_id = hello.instance
+        if instance_id not in self._instances and hello.peer_address:
+            known = self._unlisted.get(instance_id)
+            since = known.since if known else float("-inf")
+            self._unlisted[instance_id] = _Unlisted(_info(hello), since)
+        leaving = hello.state in LEAVING_STATES
+        self.heard(instance_id, hello.incarnation, leaving, now, dialled)
+
+    def heard(
+        self, instance_id: str, incarnation: str, leaving: bool, now: float, dialled: bool = False
+    ) -> None:
+        """Take in a word from the instance itself; it counts more than the list.
+
+        Args:
+            instance_id: Who spoke.
+            incarnation: Its run.
+            leaving: Whether it leaves.
+            now: Monotonic seconds.
             dialled: Whether it answered at its listed address. Such a word is of the current run;
                 one that came in may be a late word of a run that was replaced since.
         """
-        evidence = self._evidence.setdefault(hello.instance, _Evidence())
-        if hello.incarnation != evidence.incarnation:
-            if hello.incarnation in evidence.retired and not dialled:
+        evidence = self._evidence.setdefault(instance_id, _Evidence())
+        if incarnation != evidence.incarnation:
+            if incarnation in evidence.retired and not dialled:
                 return
             if evidence.incarnation:
                 kept = (evidence.incarnation, *evidence.retired)[:_KEPT_INCARNATIONS]
-                evidence.retired = tuple(i for i in kept if i != hello.incarnation)
-            evidence.incarnation = hello.incarnation
-        evidence.leaving = hello.state in ("leaving", "closing")
-        if hello.instance not in self._instances and hello.peer_address:
-            since = float("-inf")
-            if hello.instance in self._unlisted:
-                since = self._unlisted[hello.instance].since
-            self._unlisted[hello.instance] = _Unlisted(_info(hello), since)
-        self.answered(hello.instance, now)
+                evidence.retired = tuple(i for i in kept if i != incarnation)
+            evidence.incarnation = incarnation
+        evidence.leaving = leaving
+        self.answered(instance_id, now)
 
     def answered(self, instance_id: str, now: float) -> None:
         """Note that an instance replied to a request of ours."""
