Bookings: the outcome is a pure state machine, with proof from the searchers themselves

Cause: the executor's loop decided itself when to dispatch again, a lost outcome stayed unknown for good, a dead executor left its tokens without an answer, and the ledger never forgot an entry.

Change: BookingRun (events in, actions out) decides slots, dispatches, look-ups and outcomes; the node's driver only carries them. A lost dispatch is looked up and voided at its searcher. Where the executor is gone, any instance voids the token at every searcher of the token's placement. Tokens carry issue period, placement and shard, so an unseen old token is never dispatched and a searcher that joins later can't get one. The ledger is bounded and closes its periods when full. The client answers with NotRun and OutcomeUnknown errors and tries a new token only after proof.

Ruled out: a record in the platform's store per booking (two writes each, and stops with the store).

--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -74,3 +74,5 @@
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "the outcome of a booking is not known")
+BOOKING_RESOLVED = _event(510, logging.INFO, "a booking was resolved by asking its searchers")
+LEDGER_FULL = _event(511, logging.WARNING, "the ledger of bookings is full")
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -70,7 +70,7 @@
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
-        self._members.heard(hello.instance, hello.incarnation, hello.state == "leaving")
+        self._members.heard(hello.instance, hello.incarnation, hello.state == "leaving", hello.age)
 
     def _drop(self, peer_id: str) -> None:
         """Close a link that gave no reply: it may be silent for good while a new one works."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/members.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/members.py
@@ -28,6 +28,7 @@
         self._platform = platform
         self._lock = threading.Lock()
         self._view = Membership(own_id)
+        self._began: dict[str, tuple[str, float]] = {}
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._follow, name="members", daemon=True)
@@ -39,10 +40,20 @@
     def __exit__(self, *_: object) -> None:
         self._stopped.set()
 
-    def heard(self, instance_id: str, incarnation: str, leaving: bool) -> None:
-        """Take in an instance's word on itself."""
+    def heard(
+        self, instance_id: str, incarnation: str, leaving: bool, age: float | None = None
+    ) -> None:
+        """Take in an instance's word on itself, with the age of its run where it gave one."""
         with self._lock:
             self._view.heard(instance_id, incarnation, leaving)
+            if age is not None:
+                self._began[instance_id] = (incarnation, time.monotonic() - age)
+
+    def age(self, instance_id: str, incarnation: str) -> float | None:
+        """Return the age of an instance's run in seconds, None where it is not known."""
+        with self._lock:
+            heard, began = self._began.get(instance_id, ("", 0.0))
+        return time.monotonic() - began if heard == incarnation else None
 
     def unreachable(self, instance_id: str) -> None:
         """Note that a link to an instance failed."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -151,6 +151,7 @@
             platform,
             timers,
             groups,
+            self._bookings,
             self._links,
             self._members,
             self._configs,
@@ -165,6 +166,7 @@
             self._incarnation,
             self._settings.instance.failure_domain,
             self._lifecycle.state,
+            self._bookings.age,
         )
 
     def _leave(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
@@ -1,17 +1,23 @@
-"""Runs bookings: at most once each, and with a true word on what became of them."""
+"""Takes bookings and look-ups in, and leads each to the run of the instance its token names."""
 
 import threading
 import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 from limpethollow_node.connection.peers import PeerLost, PeerUnreachable, require_time
-from limpethollow_node.connection.searchers import CallFailed
 from limpethollow_node.process import events
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.groups import LocalGroup, LocalGroups
 from limpethollow_node.process.links import PeerLinks
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.request.bookings import BookingLedger, Verdict
-from limpethollow_policy.request.events import Failure, SlotRequest
+from limpethollow_node.process.timers import Timers
+from limpethollow_node.request.booking_drivers import BookingDriver, DriverContext
+from limpethollow_node.request.booking_resolvers import BookingResolver
+from limpethollow_policy.request.booking_periods import period_at
+from limpethollow_policy.request.booking_placements import Placements
+from limpethollow_policy.request.bookings import NEVER_RUN, BookingLedger, Verdict, never_run
 from limpethollow_policy.version.groups import cut_groups
 from limpethollow_wire.bookings import (
     BookingOutcome,
@@ -19,19 +25,15 @@
     BookingToken,
     ForwardedBooking,
     OutcomeQuestion,
-    OutcomeState,
-    SearcherBooking,
-)
-from limpethollow_wire.exceptions import (
-    BadRequest,
-    LimpethollowError,
-    Overloaded,
+    token_prefix,
 )
+from limpethollow_wire.exceptions import BadRequest, Overloaded, TokenReused
+from limpethollow_wire.limits import MAX_DEADLINE_SECONDS
 from limpethollow_wire.services import ServiceRecord
 
-_GRACE_SECONDS = 0.25
-_RETRY_AFTER = 0.5
-_PROOF_OF_NOT_RUN = frozenset({Failure.REFUSED, Failure.SHED})
+_GRACE_SECONDS = 0.1
+_LOOK_UP_TIMEOUT = 1.0
+_BACKGROUND_WORKERS = 16
 
 
 class BookingExecutor:
@@ -60,143 +62,235 @@
         self._links = links
         self._groups = groups
         self._metrics = metrics
+        self._started = time.monotonic()
         self._lock = threading.Lock()
-        self._ledger = BookingLedger(own_id, incarnation)
+        self._ledger = BookingLedger(own_id, incarnation, self._started)
+        self._drivers: dict[str, BookingDriver] = {}
+        self._placements = Placements()
+        self._timers = Timers()
+        self._resolver = BookingResolver(metrics)
+        self._background = ThreadPoolExecutor(
+            _BACKGROUND_WORKERS, thread_name_prefix="booking-background"
+        )
+        self._context = DriverContext(
+            self._group, self._resolver, self._later, self._settled, self._stopped, metrics
+        )
+        self._stack = ExitStack()
+        configs.listen(self._records_applied)
+
+    def __enter__(self) -> "BookingExecutor":
+        self._stack.enter_context(self._resolver)
+        self._stack.enter_context(self._timers)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+        self._background.shutdown(wait=False, cancel_futures=True)
+
+    @property
+    def age(self) -> float:
+        """Seconds since this run began, by which issue periods are counted."""
+        return time.monotonic() - self._started
+
+    @property
+    def open_runs(self) -> int:
+        """Bookings dispatched here whose outcome is not final yet."""
+        with self._lock:
+            return len(self._drivers)
 
     def leave(self) -> None:
-        """Take no new token from now on."""
+        """Take no unseen token from now on; each is told that it was not run and never will be."""
         with self._lock:
-            self._ledger.leaving = True
+            self._ledger.leave()
+
+    def token_prefix(
+        self, record: ServiceRecord, instance_id: str, incarnation: str, age: float
+    ) -> str:
+        """Return the first parts of the tokens that an instance executes now for a service."""
+        with self._lock:
+            placement = self._placements.placement(record)
+        return token_prefix(instance_id, incarnation, period_at(age), placement)
 
     def book(self, service: str, firm: str, request: BookingRequest) -> BookingOutcome:
-        """Run a caller's booking, here or at the instance that its token names."""
+        """Run a caller's booking, here or at the instance that its token names.
+
+        Raises:
+            NotRun: It was not run and never will be under this token.
+            OutcomeUnknown: It may have run, or may yet run.
+            TokenReused: The token belongs to another booking.
+            Overloaded: This instance can remember no more tokens; it was not run.
+        """
         spec = self._configs.require(service).spec
         assert spec is not None
         budget = spec.objective.deadline if request.deadline is None else request.deadline
         if not 0 <= request.shard < spec.shards:
             raise BadRequest(f"'shard' must be 0 to {spec.shards - 1}.")
+        if budget > MAX_DEADLINE_SECONDS:
+            raise BadRequest(f"'deadline' must be at most {MAX_DEADLINE_SECONDS:g} seconds.")
+        require_time(budget)
         forwarded = ForwardedBooking(service, firm, request, budget)
         with self._metrics.timed("booking"):
-            return self._route(forwarded)
+            outcome = self._route(forwarded)
+        self._metrics.count("booking_answers", outcome.state)
+        return outcome.require_run()
 
     def run_forwarded(self, forwarded: ForwardedBooking) -> BookingOutcome:
-        """Run a booking that another instance sent here."""
+        """Run a booking whose token names this instance.
+
+        Raises:
+            TokenReused: The token belongs to another booking.
+            Overloaded: This instance can remember no more tokens; it was not run.
+        """
         require_time(forwarded.budget)
-        token = BookingToken.parse(forwarded.request.token)
+        token = _token_of(forwarded)
+        now = time.monotonic()
+        deadline = now + forwarded.budget
         with self._lock:
-            verdict = self._ledger.offer(token)
+            verdict = self._ledger.offer(
+                token, forwarded.owner, forwarded.fingerprint, deadline, now
+            )
+            if verdict is Verdict.DISPATCH:
+                driver = self._add_driver(token, forwarded)
         self._metrics.count("bookings", verdict)
         if verdict is Verdict.DISPATCH:
-            return self._dispatch(forwarded)
-        return self._without_dispatch(verdict, str(token))
+            driver.start()
+            driver.wait(deadline - time.monotonic())
+            return driver.outcome
+        return self._without_dispatch(verdict, token, forwarded.service, deadline)
 
     def look_up(self, question: OutcomeQuestion) -> BookingOutcome:
-        """Say what became of a booking, asking the instance that its token names."""
+        """Say what became of a booking: by its executor, or by the searchers where it is gone.
+
+        Raises:
+            TokenReused: The token belongs to a booking of another service or firm.
+        """
         token = BookingToken.parse(question.token)
         if token.instance == self._own_id:
             return self.look_up_here(question)
         try:
             return self._links.request(
-                token.instance, "booking.look_up", question, BookingOutcome, _RETRY_AFTER
+                token.instance, "booking.look_up", question, BookingOutcome, _LOOK_UP_TIMEOUT
             )
         except (PeerUnreachable, PeerLost):
-            return _unknown(question.token)
+            return self._resolve(question.service, token)
 
     def look_up_here(self, question: OutcomeQuestion) -> BookingOutcome:
         """Say what this instance knows of a token that names it."""
+        token = BookingToken.parse(question.token)
+        now = time.monotonic()
         with self._lock:
-            outcome = self._ledger.outcome(question.token)
-        return outcome or _unknown(question.token)
+            verdict = self._ledger.look_up(token, question.owner, now)
+        self._metrics.count("booking_look_ups", verdict)
+        return self._without_dispatch(verdict, token, question.service, now)
 
     def _route(self, forwarded: ForwardedBooking) -> BookingOutcome:
-        token = BookingToken.parse(forwarded.request.token)
-        require_time(forwarded.budget)
+        token = _token_of(forwarded)
         if token.instance == self._own_id:
             return self.run_forwarded(forwarded)
+        deadline = time.monotonic() + forwarded.budget
         timeout = forwarded.budget + _GRACE_SECONDS
         try:
             return self._links.request(
                 token.instance, "booking.run", forwarded, BookingOutcome, timeout
             )
-        except (PeerUnreachable, PeerLost):
+        except (PeerUnreachable, PeerLost) as error:
             # Some other instance may have forwarded the same token before, so even a link that
             # never opened does not prove that the booking was not run.
-            events.BOOKING_UNKNOWN.log(token=str(token), reason="executor_unreachable")
-            return _unknown(str(token))
+            reason = type(error).__name__
+            self._metrics.count("booking_forward_failures", reason)
+            events.BOOKING_UNKNOWN.log(token=str(token), reason=reason)
+        if time.monotonic() < deadline:
+            question = OutcomeQuestion(forwarded.service, forwarded.firm, str(token))
+            return self.look_up(question)
+        return self._resolve(forwarded.service, token)
 
-    def _without_dispatch(self, verdict: Verdict, token: str) -> BookingOutcome:
+    def _without_dispatch(
+        self, verdict: Verdict, token: BookingToken, service: str, deadline: float
+    ) -> BookingOutcome:
         if verdict is Verdict.KNOWN:
-            with self._lock:
-                return self._ledger.outcome(token) or _unknown(token)
+            return self._known(token, service, deadline)
         if verdict is Verdict.FULL:
-            raise Overloaded("The ledger of bookings is full.", retry_after=_RETRY_AFTER)
-        if verdict is Verdict.LEAVING:
-            return BookingOutcome(token, OutcomeState.NOT_RUN, retry_after=0.0)
-        return _unknown(token)
-
-    def _dispatch(self, forwarded: ForwardedBooking) -> BookingOutcome:
-        record = self._configs.require(forwarded.service)
-        group = self._groups.get(record, _group_of(record, forwarded.request.shard))
-        deadline = time.monotonic() + forwarded.budget
-        token = forwarded.request.token
-        excluded: frozenset[str] = frozenset()
-        attempt = 0
-        while True:
-            attempt += 1
-            request_id = f"{token}#{attempt}"
-            slot = SlotRequest(request_id, forwarded.request.shard, deadline, excluded)
-            try:
-                searcher_id = group.take_slot(slot).result(forwarded.budget + _GRACE_SECONDS)
-            except (LimpethollowError, TimeoutError):
-                return self._give_up(token)
             with self._lock:
-                self._ledger.dispatched(token, searcher_id)
-            try:
-                return self._send(forwarded, group, request_id, searcher_id, deadline)
-            except CallFailed as error:
-                group.release_slot(request_id, error.failure, error.retry_after)
-                self._metrics.count("booking_dispatch_failures", error.failure)
-                if error.failure not in _PROOF_OF_NOT_RUN:
-                    return self._lost(token, error.failure)
-                with self._lock:
-                    excluded = self._ledger.not_run_there(token)
-            if time.monotonic() >= deadline:
-                return self._give_up(token)
-
-    def _send(
-        self,
-        forwarded: ForwardedBooking,
-        group: LocalGroup,
-        request_id: str,
-        searcher_id: str,
-        deadline: float,
-    ) -> BookingOutcome:
-        booking = SearcherBooking(
-            token=forwarded.request.token,
-            service=forwarded.service,
-            shard=forwarded.request.shard,
-            booking=forwarded.request.booking,
-            timeout=deadline - time.monotonic(),
-        )
-        reply = group.client(searcher_id).book(booking)
-        group.release_slot(request_id)
+                retry_after = self._ledger.retry_after(time.monotonic())
+            events.LEDGER_FULL.log(token=str(token), retry_after=retry_after)
+            raise Overloaded(
+                "The ledger of bookings is full; the token will not be run.",
+                remedy="Book again with a new token after retry_after seconds.",
+                retry_after=retry_after,
+                details={"token": str(token)},
+            )
+        if verdict in NEVER_RUN:
+            return never_run(token, verdict)
+        return self._resolve(service, token)
+
+    def _known(self, token: BookingToken, service: str, deadline: float) -> BookingOutcome:
         with self._lock:
-            return self._ledger.searcher_said(reply)
+            driver = self._drivers.get(str(token))
+            entry = self._ledger.entry(token)
+        if driver is not None:
+            driver.wait(deadline - time.monotonic())
+            driver.ask()
+            return driver.outcome
+        if entry is not None and entry.known.state.is_final:
+            return entry.known
+        return self._resolve(service, token)
 
-    def _give_up(self, token: str) -> BookingOutcome:
+    def _resolve(self, service: str, token: BookingToken) -> BookingOutcome:
         with self._lock:
-            return self._ledger.gave_up(token)
+            holders = self._placements.holders(service, token.placement, token.shard)
+        return self._resolver.resolve(token, holders)
+
+    def _add_driver(self, token: BookingToken, forwarded: ForwardedBooking) -> BookingDriver:
+        entry = self._ledger.entry(token)
+        assert entry is not None and entry.run is not None
+        holders = self._placements.holders(forwarded.service, token.placement, token.shard)
+        driver = BookingDriver(forwarded, entry.run, holders, self._context)
+        self._drivers[str(token)] = driver
+        return driver
 
-    def _lost(self, token: str, failure: Failure) -> BookingOutcome:
-        events.BOOKING_UNKNOWN.log(token=token, reason=failure)
+    def _settled(self, forwarded: ForwardedBooking) -> None:
         with self._lock:
-            return self._ledger.lost(token)
+            self._ledger.settle(BookingToken.parse(forwarded.request.token))
+            self._drivers.pop(forwarded.request.token, None)
+
+    def _stopped(self, forwarded: ForwardedBooking) -> None:
+        with self._lock:
+            self._drivers.pop(forwarded.request.token, None)
+
+    def _group(self, service: str, shard: int) -> tuple[LocalGroup, str]:
+        record = self._configs.require(service)
+        group = self._groups.get(record, _group_of(record, shard))
+        with self._lock:
+            placement = self._placements.placement(record)
+        return group, placement if group.version == record.version else ""
+
+    def _records_applied(self, records: tuple[ServiceRecord, ...]) -> None:
+        with self._lock:
+            self._placements.applied(records)
+
+    def _later(self, when: float, work: Callable[[], None]) -> None:
+        self._timers.call_at(when, lambda: self._submit(work))
+
+    def _submit(self, work: Callable[[], None]) -> None:
+        try:
+            self._background.submit(work)
+        except RuntimeError:
+            # The instance is closing; others resolve the token at the searchers.
+            return
+
+
+def _token_of(forwarded: ForwardedBooking) -> BookingToken:
+    """Return the token of a booking, checked against its shard.
+
+    Raises:
+        TokenReused: The token was made for another shard.
+    """
+    token = BookingToken.parse(forwarded.request.token)
+    if token.shard != forwarded.request.shard:
+        raise TokenReused("The token was made for another shard; this booking was not run.")
+    return token
 
 
 def _group_of(record: ServiceRecord, shard: int) -> int:
     assert record.spec is not None
     return next(group.index for group in cut_groups(record.spec) if shard in group.shards)
-
-
-def _unknown(token: str) -> BookingOutcome:
-    return BookingOutcome(token, OutcomeState.UNKNOWN, retry_after=_RETRY_AFTER)
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -36,7 +36,13 @@
     spec, _ = _admit(context, request)
     live = context.members.routable()
     instances = tuple(
-        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id))
+        RouteInstance(
+            i.id,
+            i.address,
+            i.failure_domain,
+            _incarnation(context, i.id),
+            _token_prefix(context, spec.name, i.id),
+        )
         for i in owner_order(group_key(spec.name, 0), live)
     )
     return HttpReply(Route(spec.name, spec.route_ttl, instances))
@@ -82,3 +88,17 @@
     if instance_id == context.own_id:
         return context.incarnation
     return context.members.incarnation(instance_id)
+
+
+def _token_prefix(context: CallerContext, service: str, instance_id: str) -> str:
+    """Return the first parts of an instance's tokens, empty where its run is not known."""
+    bookings = context.bookings
+    incarnation = _incarnation(context, instance_id)
+    if instance_id == context.own_id:
+        age: float | None = bookings.age
+    else:
+        age = context.members.age(instance_id, incarnation)
+    if not incarnation or age is None:
+        return ""
+    record = context.configs.require(service)
+    return bookings.token_prefix(record, instance_id, incarnation, age)
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -88,7 +88,7 @@
 
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    context.members.heard(body.instance, body.incarnation, body.state == "leaving")
+    context.members.heard(body.instance, body.incarnation, body.state == "leaving", body.age)
     return Acknowledgement()
 
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -179,6 +179,13 @@
     remedy = "Book again with a new token."
 
 
+@error_kind("token_reused", 409)
+class TokenReused(LimpethollowError, ValueError):
+    """The token belongs to another booking; this request was not run."""
+
+    remedy = "Make a new token for each booking."
+
+
 @error_kind("outcome_unknown", 504)
 class OutcomeUnknown(LimpethollowError, TimeoutError):
     """The booking may or may not have been run."""
--- a/packages/limpethollow-wire/src/limpethollow_wire/instances.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/instances.py
@@ -37,13 +37,16 @@
         id: Name of the instance.
         address: `host:port` for callers.
         failure_domain: Where it runs.
-        incarnation: Its current run, for booking tokens; empty where not known.
+        incarnation: Its current run; empty where not known.
+        token_prefix: First parts of the booking tokens that it executes now; empty where its run
+            is not known.
     """
 
     id: str
     address: str
     failure_domain: str
     incarnation: str = ""
+    token_prefix: str = ""
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/packages/limpethollow-wire/src/limpethollow_wire/peers.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/peers.py
@@ -8,12 +8,21 @@
 
 
 class Hello(msgspec.Struct, frozen=True):
-    """First frame on a link, both ways: who speaks."""
+    """First frame on a link, both ways: who speaks.
+
+    Attributes:
+        instance: Id of the instance.
+        incarnation: Its current run.
+        failure_domain: Where it runs.
+        state: What it does with requests.
+        age: Seconds since this run began, from which others know its issue period of tokens.
+    """
 
     instance: str
     incarnation: str
     failure_domain: str
     state: str = "serving"
+    age: float = 0.0
 
 
 class Frame(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/limpethollow/src/limpethollow/sessions.py
+++ b/packages/limpethollow/src/limpethollow/sessions.py
@@ -9,8 +9,15 @@
 
 from limpethollow.adapters import Adapter, HttpAdapter
 from limpethollow.exceptions import NoReply, NotConnected
-from limpethollow_wire.bookings import BookingOutcome, BookingRequest, BookingToken
-from limpethollow_wire.exceptions import LimpethollowError, Unavailable
+from limpethollow_wire.bookings import BookingOutcome, BookingRequest
+from limpethollow_wire.exceptions import (
+    InternalError,
+    LimpethollowError,
+    NotRun,
+    OutcomeUnknown,
+    Overloaded,
+    Unavailable,
+)
 from limpethollow_wire.instances import Route
 from limpethollow_wire.searches import SearchAnswer, SearchRequest
 
@@ -19,6 +26,9 @@
 _ROUTE_TIMEOUT = 2.0
 _DEFAULT_WAIT = 5.0
 _GRACE_SECONDS = 0.5
+_BOOKING_GRACE_SECONDS = 2.0
+_ASK_AGAIN_SECONDS = 0.5
+_MAX_NEW_TOKENS = 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,6 +50,7 @@
         key: The caller's key.
         adapter: Transport; HTTP where left out.
         clock: Monotonic clock in seconds.
+        sleep: Waits for some seconds.
     """
 
     def __init__(
@@ -49,11 +60,13 @@
         *,
         adapter: Adapter | None = None,
         clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         self._seeds = [addresses] if isinstance(addresses, str) else list(addresses)
         self._key = key
         self._adapter = adapter or HttpAdapter()
         self._clock = clock
+        self._sleep = sleep
         self._lock = threading.Lock()
         self._routes: dict[str, _KeptRoute] = {}
 
@@ -112,8 +125,9 @@
     ) -> BookingOutcome:
         """Book at most once.
 
-        The next address is tried only where no connection could be made, under the same token.
-        Where no reply came, the outcome is unknown: keep the token and ask `look_up`.
+        The same token goes to the next address only where no connection could be made. Where no
+        reply came, the outcome is looked up until the deadline. A booking that is proved not to
+        have run is tried again under a new token, unless the token was given.
 
         Usage:
             >>> outcome = session.book("turnero", shard=2, booking={"court": 4, "hour": 18})
@@ -128,30 +142,45 @@
             deadline: Seconds to wait, the service's own where left out.
 
         Returns:
-            What is known, with the token; `unknown` is a possible state.
+            What the searcher made of it, `booked` or `rejected`, with the token.
+
+        Raises:
+            NotRun: It was not run and never will be under its token; book again.
+            OutcomeUnknown: It may have run or may yet run; `details["token"]` names the token for
+                `look_up`. Don't book again before its outcome is final.
+            LimpethollowError: Any other typed reason; the booking was not run.
         """
-        token = token or self.new_token(service)
-        request = BookingRequest(token, shard, booking, deadline)
-        path = f"/v1/services/{service}/bookings"
-        timeout = (deadline or _DEFAULT_WAIT) + _GRACE_SECONDS
-        try:
-            return self._try_each(service, path, request, BookingOutcome, timeout, (NotConnected,))
-        except NoReply:
-            return self.look_up(service, token)
+        until = self._clock() + (deadline or _DEFAULT_WAIT)
+        for attempt in range(1, _MAX_NEW_TOKENS + 1):
+            name = token or self.new_token(service, shard)
+            request = BookingRequest(name, shard, booking, deadline)
+            try:
+                return self._book_once(service, request, until)
+            except NotRun:
+                self.forget(service)
+                if token is not None or attempt == _MAX_NEW_TOKENS or self._clock() >= until:
+                    raise
+        raise AssertionError("The last attempt returns or raises.")
 
     def look_up(self, service: str, token: str) -> BookingOutcome:
-        """Ask what became of a booking."""
+        """Ask what became of a booking; any instance can say.
+
+        A token that no instance has seen yet is closed by this: it will never be run.
+
+        Returns:
+            What is known; `unknown` and `in_flight` are possible states, with `retry_after`.
+        """
         path = f"/v1/services/{service}/bookings/{token}"
         return self._try_each(
             service, path, None, BookingOutcome, _DEFAULT_WAIT, (NotConnected, NoReply)
         )
 
-    def new_token(self, service: str) -> str:
+    def new_token(self, service: str, shard: int) -> str:
         """Make a token for one booking; keep it to ask for the outcome later."""
         for instance in self.route(service).instances:
-            if instance.incarnation:
-                nonce = secrets.token_hex(8)
-                return str(BookingToken(instance.id, instance.incarnation, nonce))
+            if instance.token_prefix:
+                return f"{instance.token_prefix}.{shard}.{secrets.token_hex(8)}"
+        self.forget(service)
         raise Unavailable("No instance that runs bookings is known.", retry_after=1.0)
 
     def route(self, service: str) -> Route:
@@ -175,6 +204,38 @@
         """Close all connections."""
         self._adapter.close()
 
+    def _book_once(self, service: str, request: BookingRequest, until: float) -> BookingOutcome:
+        """Send one token and answer for it truly, whatever happens on the way."""
+        path = f"/v1/services/{service}/bookings"
+        timeout = (request.deadline or _DEFAULT_WAIT) + _BOOKING_GRACE_SECONDS
+        try:
+            return self._try_each(service, path, request, BookingOutcome, timeout, (NotConnected,))
+        except (NoReply, InternalError, OutcomeUnknown) as error:
+            # The token went out, so nothing but its own outcome may be told from here on.
+            return self._find_out(service, request.token, until, error)
+
+    def _find_out(
+        self, service: str, token: str, until: float, error: LimpethollowError
+    ) -> BookingOutcome:
+        """Look a token up until its outcome is final or the deadline has passed."""
+        while True:
+            try:
+                outcome = self.look_up(service, token)
+            except Overloaded:
+                # Said of a token that its executor never saw and now will never run.
+                raise
+            except LimpethollowError:
+                # A refused look-up says nothing of the booking that was sent before it.
+                raise OutcomeUnknown(
+                    f"The booking may have run ({error.message})",
+                    retry_after=_ASK_AGAIN_SECONDS,
+                    details={"token": token, "state": "unknown", "reason": "no_reply"},
+                ) from error
+            pause = outcome.retry_after or 0.0
+            if outcome.state.is_final or self._clock() + pause >= until:
+                return outcome.require_run()
+            self._sleep(pause)
+
     def _ask_route(self, service: str, addresses: Sequence[str]) -> Route:
         error: LimpethollowError = Unavailable("No address to ask is known.")
         for address in dict.fromkeys(addresses):
