--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -91,7 +91,8 @@
 
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    context.members.heard(body.instance, body.incarnation, body.state in LEAVING_STATES)
+    leaving = body.state in LEAVING_STATES
+    context.members.heard(body.instance, body.incarnation, leaving, body.age)
     return Acknowledgement()
 
 
--- a/packages/limpethollow/src/limpethollow/main.py
+++ b/packages/limpethollow/src/limpethollow/main.py
@@ -8,8 +8,8 @@
 import json
 import sys
 
-from limpethollow.commands import COMMANDS, EXIT_REFUSED, EXIT_USAGE, exit_code
-from limpethollow.exceptions import LimpethollowError, SettingsError
+from limpethollow.commands import COMMANDS, EXIT_PARTIAL, EXIT_REFUSED, EXIT_USAGE, exit_code
+from limpethollow.exceptions import LimpethollowError, OutcomeUnknown, SettingsError
 from limpethollow.views import to_text
 from limpethollow_wire.codecs import to_plain
 
@@ -54,7 +54,13 @@
         print(f"limpethollow {options.command}: {error}", file=sys.stderr)
         if error.retry_after is not None:
             print(f"Come back in {error.retry_after:.2g} s.", file=sys.stderr)
-    return EXIT_USAGE if isinstance(error, SettingsError) else EXIT_REFUSED
+    return _error_code(error)
+
+
+def _error_code(error: LimpethollowError) -> int:
+    if isinstance(error, SettingsError):
+        return EXIT_USAGE
+    return EXIT_PARTIAL if isinstance(error, OutcomeUnknown) else EXIT_REFUSED
 
 
 if __name__ == "__main__":
