--- a/packages/limpethollow-node/src/limpethollow_node/process/members.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/members.py
@@ -38,6 +38,7 @@
         self._lock = threading.Lock()
         self._view = Membership(own_id)
         self._duty = WatchDuty(own_id, failure_domain, time.monotonic(), rng)
+        self._began: dict[str, tuple[str, float]] = {}
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._listeners: list[Callable[[], None]] = []
         self._stopped = threading.Event()
@@ -75,6 +76,7 @@
         """Take in the list or a change of it, from the platform or from a peer."""
         with self._lock:
             applied = self._view.listed(change, time.monotonic())
+            self._began = {i: began for i, began in self._began.items() if self._view.get(i)}
         if not applied:
             return
         events.MEMBERS_CHANGED.log(revision=change.revision, changed=len(change.listed))
@@ -88,14 +90,23 @@
 
     def greeted(self, hello: Hello, dialled: bool = False) -> None:
         """Take in an instance's hello."""
+        now = time.monotonic()
         with self._lock:
-            self._view.greeted(hello, time.monotonic(), dialled)
+            self._view.greeted(hello, now, dialled)
+            if self._view.incarnation(hello.instance) == hello.incarnation:
+                self._began[hello.instance] = (hello.incarnation, now - hello.age)
 
     def heard(self, instance_id: str, incarnation: str, leaving: bool) -> None:
         """Take in an instance's word on itself."""
         with self._lock:
             self._view.heard(instance_id, incarnation, leaving, time.monotonic())
 
+    def age(self, instance_id: str, incarnation: str) -> float | None:
+        """Return the age of an instance's run in seconds, None where it is not known."""
+        with self._lock:
+            heard, began = self._began.get(instance_id, ("", 0.0))
+        return time.monotonic() - began if heard == incarnation else None
+
     def answered(self, instance_id: str) -> None:
         """Note that an instance replied to a request of ours."""
         with self._lock:
--- a/packages/limpethollow-wire/src/limpethollow_wire/peers.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/peers.py
@@ -15,7 +15,8 @@
         instance: Id of the speaker.
         incarnation: Its current run.
         failure_domain: Where it runs.
-        state: State of its life cycle.
+        state: What it does with requests.
+        age: Seconds since this run began, from which others know its issue period of tokens.
         address: `host:port` for callers, so that an instance the list lacks can be used.
         peer_address: `host:port` for other instances.
         operator_address: `host:port` for operators.
@@ -25,6 +26,7 @@
     incarnation: str
     failure_domain: str
     state: str = "serving"
+    age: float = 0.0
     address: str = ""
     peer_address: str = ""
     operator_address: str = ""
