--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for docs/CAPACITY.md."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/members.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/members.py
@@ -48,7 +48,16 @@
         own_id: Id of this instance.
     """
 
-    __slots__ = ("_changes", "_evidence", "_instances", "_own_id", "_revision", "_unlisted")
+    __slots__ = (
+        "_changes",
+        "_evidence",
+        "_instances",
+        "_live",
+        "_live_until",
+        "_own_id",
+        "_revision",
+        "_unlisted",
+    )
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
@@ -56,6 +65,8 @@
         self._instances: dict[str, InstanceInfo] = {}
         self._unlisted: dict[str, _Unlisted] = {}
         self._evidence: dict[str, _Evidence] = {}
+        self._live: tuple[InstanceInfo, ...] | None = None
+        self._live_until = 0.0
         self._changes: deque[tuple[int, frozenset[str]]] = deque(maxlen=_KEPT_CHANGES)
 
     @property
@@ -84,6 +95,7 @@
             after.pop(instance_id, None)
         self._take(after, change.revision, now)
         self._forget(now)
+        self._live = None
         return True
 
     def changes_since(self, revision: int) -> ListChange:
@@ -137,11 +149,14 @@
                 evidence.retired = tuple(i for i in kept if i != incarnation)
             evidence.incarnation = incarnation
         evidence.leaving = leaving
+        self._live = None
         self.answered(instance_id, now)
 
     def answered(self, instance_id: str, now: float) -> None:
         """Note that an instance replied to a request of ours."""
         evidence = self._evidence.setdefault(instance_id, _Evidence())
+        if evidence.lost or instance_id in self._unlisted:
+            self._live = None
         evidence.heard_at = now
         evidence.lost = False
         evidence.unreachable_until = float("-inf")
@@ -150,6 +165,8 @@
     def asked(self, instance_id: str, now: float) -> None:
         """Note that an instance sent us a request: it runs, but may not be reachable from here."""
         self._evidence.setdefault(instance_id, _Evidence()).heard_at = now
+        if instance_id in self._unlisted:
+            self._live = None
 
     def unreachable(self, instance_id: str, now: float) -> None:
         """Note that a link to the instance failed; each failure in a row doubles the pause."""
@@ -157,6 +174,7 @@
         evidence.unreachable_until = now + evidence.pause
         evidence.pause = min(evidence.pause * 2, _LONGEST_PAUSE)
         evidence.lost = True
+        self._live = None
 
     def incarnation(self, instance_id: str) -> str:
         """Return the run that an instance last named, empty where not known."""
@@ -187,8 +205,20 @@
         return tuple(i for i in self.everyone(now) if i.id != self._own_id)
 
     def routable(self, now: float) -> tuple[InstanceInfo, ...]:
-        """Return the instances that callers may be sent to."""
-        return tuple(i for i in self.everyone(now) if self.state(i.id, now) == "live")
+        """Return the instances that callers may be sent to.
+
+        The same tuple comes back until something changes, since every request asks for it.
+        """
+        if self._live is None or now >= self._live_until:
+            self._live = tuple(i for i in self.everyone(now) if self.state(i.id, now) == "live")
+            self._live_until = self._next_change(now)
+        return self._live
+
+    def _next_change(self, now: float) -> float:
+        """Return when the mere passage of time changes who is live."""
+        ends = [e.unreachable_until for e in self._evidence.values()]
+        ends += [self._evidence[i].heard_at + _UNLISTED_SECONDS for i in self._unlisted]
+        return min((end for end in ends if end > now), default=float("inf"))
 
     def _is_speaking(self, unlisted: _Unlisted, now: float) -> bool:
         """Return whether an instance spoke after the list dropped it, and not long ago."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/relays.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/relays.py
@@ -86,19 +86,22 @@
         rng: Source for jitter and choice.
     """
 
-    __slots__ = ("_own_id", "_rng")
+    __slots__ = ("_chosen_from", "_own_id", "_partners", "_rng")
 
     def __init__(self, own_id: str, rng: Random) -> None:
         self._own_id = own_id
         self._rng = rng
+        self._chosen_from: tuple[InstanceInfo, ...] = ()
+        self._partners: list[InstanceInfo] = []
 
-    def partner(self, reachable: Iterable[InstanceInfo]) -> str | None:
+    def partner(self, reachable: tuple[InstanceInfo, ...]) -> str | None:
         """Return the id of a peer, None where there is none."""
-        peers = [instance for instance in reachable if instance.id != self._own_id]
-        ordered = owner_order(f"gossip/{self._own_id}", peers)
-        if not ordered:
-            return None
-        return self._rng.choice(ordered[:GOSSIP_PARTNERS]).id
+        if reachable is not self._chosen_from:
+            peers = [instance for instance in reachable if instance.id != self._own_id]
+            ordered = owner_order(f"gossip/{self._own_id}", peers)
+            self._partners = ordered[:GOSSIP_PARTNERS]
+            self._chosen_from = reachable
+        return self._rng.choice(self._partners).id if self._partners else None
 
     def pause(self, hurried: bool) -> float:
         """Return the seconds until the next comparison.
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -51,6 +51,7 @@
         self.silent = False
         self.pairs: set[_Pair] = set()
         self.opened = 0
+        self.bytes = 0
         self.entry = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.handlers = {("POST", "control"): self.control, ("GET", "control/stats"): self.stats}
 
@@ -89,6 +90,7 @@
     def pump(self, pair: _Pair, source: socket.socket, sink: socket.socket, reply: bool) -> None:
         try:
             while data := source.recv(_CHUNK):
+                self.bytes += len(data)
                 if self.delay:
                     time.sleep(self.delay)
                 if pair.frozen.is_set():
@@ -120,7 +122,7 @@
         return 200, {"pairs": len(pairs)}
 
     def stats(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
-        return 200, {"opened": self.opened, "pairs": len(self.pairs)}
+        return 200, {"opened": self.opened, "pairs": len(self.pairs), "bytes": self.bytes}
 
 
 if __name__ == "__main__":
--- a/tests/unit/configuration/test_members.py
+++ b/tests/unit/configuration/test_members.py
@@ -164,9 +164,9 @@
         assert len(starts) >= 15
 
     def test_gossip_keeps_to_few_partners_in_many_domains(self):
-        instances = [info(f"n{n}", f"d{n % 4}") for n in range(100)]
+        instances = tuple(info(f"n{n}", f"d{n % 4}") for n in range(100))
         choice = GossipChoice("n0", Random(1))
         partners = {choice.partner(instances) for _ in range(200)}
         assert len(partners) == 6
         assert "n0" not in partners
-        assert choice.partner([info("n0")]) is None
+        assert choice.partner((info("n0"),)) is None
