--- a/packages/limpethollow-node/src/limpethollow_node/process/relays.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/relays.py
@@ -33,7 +33,8 @@
 
 _BEAT_SECONDS = 1.0
 _PEER_TIMEOUT = 0.5
-_SPREAD_SECONDS = 1.0
+_SPREAD_SECONDS = 0.6
+_GRACE_SECONDS = 0.3
 _RECORDS_PER_FRAME = 32
 _FEEDERS = 8
 
@@ -139,7 +140,7 @@
             try:
                 body = SpreadRequest(record)
                 return self._links.request(
-                    relay, "relay.spread", body, SpreadReply, _SPREAD_SECONDS + _PEER_TIMEOUT
+                    relay, "relay.spread", body, SpreadReply, _SPREAD_SECONDS + _GRACE_SECONDS
                 ).in_force
             except LimpethollowError as error:
                 self._metrics.count("spreads_failed", error.code)
