A peer's typed refusal is no longer taken for a lost link

Cause: typed errors also fit built-in kinds, so that a refusal such as Unavailable is an OSError and CoverageTooLow a TimeoutError. The link's and the coordinator's handlers for broken sockets and late futures caught them: the caller got another kind, the link was dropped, and the owner counted as unreachable. Ruled out: a hang of the group's scheduler (its answers came at once; the log shows no late call). Change: both handlers let typed errors through first. Found by: make demo, whose kill now waits for a search in flight.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -6,12 +6,52 @@
 import sys
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 from limpethollow import OutcomeState, SearchAnswer
+from limpethollow.exceptions import Conflict
+from limpethollow.models import Intent
+from limpethollow_wire.codecs import convert
 from tests.support.clusters import Cluster
-
-SERVICE = "driver-finder"
-SHARDS = list(range(6))
+from tests.support.processes import wait_for
+
+SERVICE = "driver-finder-1"
+SHARDS = list(range(4))
+INSTANCES = 4
+SEARCHES_PER_THREAD = 20
+SEARCH_THREADS = 4
+SLOW_SERVICE_TIME = 0.02
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """One service of tas-north, at the sizes of the users' brief.
+
+    Attributes:
+        searchers: Number of searchers.
+        slots: Requests each runs at once.
+        connections: Connections each accepts.
+        connect_cost: Seconds a new connection costs.
+    """
+
+    searchers: int
+    slots: int
+    connections: int
+    connect_cost: float
+
+
+FINDER = Size(searchers=2, slots=2, connections=25, connect_cost=0.006)
+DESK = Size(searchers=4, slots=4, connections=110, connect_cost=0.001)
+# tas-north with 2 instead of 20 driver finders and 2 instead of 30 depot boards.
+TAS_NORTH = {
+    "driver-finder-1": FINDER,
+    "driver-finder-2": FINDER,
+    "depot-board-1": FINDER,
+    "depot-board-2": FINDER,
+    "booking-desk": DESK,
+    "billing-split": DESK,
+}
 
 
 class WrongAnswer(Exception):
@@ -22,7 +62,7 @@
     """Run all steps."""
     with Cluster() as cluster:
         try:
-            for step in (_confirm, _route, _search, _book, _kill):
+            for step in (_confirm, _conflict, _route, _search, _book, _kill):
                 print(f"{step.__doc__}")
                 print(f"    {step(cluster)}")
         except WrongAnswer as error:
@@ -38,12 +78,52 @@
 
 
 def _confirm(cluster: Cluster) -> str:
-    """An operator states an intent, reads the plan and confirms it."""
-    cluster.start_instances(4)
-    searchers = cluster.start_searchers(SERVICE, [SHARDS, SHARDS], connect_cost=0.006)
-    confirmation = cluster.put_service(SERVICE, searchers)
-    _require(len(confirmation.in_force) == 4, f"in force at {confirmation.in_force} only")
-    return f"version {confirmation.version} in force at {', '.join(confirmation.in_force)}"
+    """An operator states an intent for each service, reads the plans and confirms them."""
+    cluster.start_instances(INSTANCES)
+    for name, size in TAS_NORTH.items():
+        _confirm_service(cluster, name, size)
+    with cluster.operator("n3") as operator:
+        known = {service["name"] for service in operator.services()["services"]}
+    _require(known == set(TAS_NORTH), f"n3 knows {sorted(known)} only")
+    return f"{len(known)} services in force at {INSTANCES} instances"
+
+
+def _confirm_service(cluster: Cluster, name: str, size: Size) -> None:
+    searchers = cluster.start_searchers(
+        name,
+        [SHARDS] * size.searchers,
+        slots=size.slots,
+        connection_limit=size.connections,
+        connect_cost=size.connect_cost,
+    )
+    intent = Intent(service=cluster.service_spec(name, searchers))
+    with cluster.operator() as operator:
+        plan = operator.plan(intent)
+        _require(plan.action == "create", f"the plan for {name} would {plan.action}")
+        status = operator.status()
+        _require(name not in status.versions, f"{name} is in force before its plan is confirmed")
+        confirmation = operator.confirm(plan.id)
+    _require(len(confirmation.in_force) == INSTANCES, f"{name} lacks {confirmation.lacking}")
+
+
+def _conflict(cluster: Cluster) -> str:
+    """Two operators plan against the same version; the second confirm changes nothing."""
+    with cluster.operator("n0") as first, cluster.operator("n1") as second:
+        spec = first.services()["services"][0]["spec"]
+        name = spec["name"]
+        early = first.plan(_with_ttl(spec, 2.0))
+        late = second.plan(_with_ttl(spec, 3.0))
+        done = first.confirm(early.id)
+        try:
+            second.confirm(late.id)
+        except Conflict as conflict:
+            _require(first.status().versions[name] == done.version, "the version moved on")
+            return f"{conflict}"
+    raise WrongAnswer("both plans were carried out")
+
+
+def _with_ttl(spec: dict[str, Any], seconds: float) -> Intent:
+    return convert({"service": {**spec, "route_ttl": seconds}}, Intent)
 
 
 def _route(cluster: Cluster) -> str:
@@ -51,7 +131,7 @@
     with cluster.session() as session:
         route = session.route(SERVICE)
     domains = [instance.failure_domain for instance in route.instances]
-    _require(len(set(domains)) == 4, f"the route lies in {domains}")
+    _require(len(set(domains)) == INSTANCES, f"the route lies in {domains}")
     return ", ".join(f"{i.id} ({i.failure_domain})" for i in route.instances)
 
 
@@ -79,13 +159,17 @@
 
     def search() -> None:
         with cluster.session() as session:
-            for _ in range(20):
+            for _ in range(SEARCHES_PER_THREAD):
                 answers.append(_attempt(lambda: session.search(SERVICE, {}, deadline=5.0)))
 
-    threads = [threading.Thread(target=search) for _ in range(4)]
+    victim = cluster.searchers[f"{SERVICE}-s0"]
+    for number in range(FINDER.searchers):
+        cluster.searchers[f"{SERVICE}-s{number}"].control(service_time=SLOW_SERVICE_TIME)
+    threads = [threading.Thread(target=search) for _ in range(SEARCH_THREADS)]
     for thread in threads:
         thread.start()
-    cluster.searchers[f"{SERVICE}-s0"].kill()
+    wait_for(lambda: victim.stats()["running"] > 0, "a search on the searcher to kill")
+    victim.kill()
     for thread in threads:
         thread.join()
     for answer in answers:
--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -117,6 +117,10 @@
         try:
             self._socket.send(to_cbor(Frame(number, kind, body)))
             return future.result(timeout)
+        except LimpethollowError:
+            # Some typed errors are also built-in OSError or TimeoutError; the peer's own refusal
+            # must not be taken for a lost link.
+            raise
         except (FutureTimeout, ConnectionClosed, OSError):
             raise PeerLost("The peer gave no reply in time.", retry_after=_RETRY_AFTER) from None
         finally:
--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -269,6 +269,9 @@
         left = search.deadline - time.monotonic() + _GRACE_SECONDS
         try:
             return future.result(max(left, 0.0))
+        except LimpethollowError:
+            # Some typed errors are also a built-in TimeoutError, which means something else below.
+            raise
         except CancelledError:
             raise Unavailable(
                 "The instance exits and gave the search up.", retry_after=_RETRY_AFTER
