Client: old addresses stay known, and a second try gets what is left of the deadline

Cause: after a failed address the session forgot its route, and with it every address but the first ones it was given; when those are replaced, it finds the system no more. A search sent to the next address began its deadline anew. Change: a forgotten route only expires; each send computes what is left. Before: test_known_instances_are_asked_when_the_first_address_is_gone fails (NotConnected); after: passes.

--- a/packages/limpethollow/src/limpethollow/sessions.py
+++ b/packages/limpethollow/src/limpethollow/sessions.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from msgspec.structs import replace
+
 from limpethollow.adapters import Adapter, HttpAdapter
 from limpethollow.exceptions import InstanceBusy, NoReply, NotConnected
 from limpethollow_wire.bookings import BookingOutcome, BookingRequest
@@ -113,8 +115,14 @@
         wanted = None if shards is None else tuple(shards)
         request = SearchRequest(query, wanted, deadline, min_version)
         path = f"/v1/services/{service}/search"
-        timeout = (deadline or _DEFAULT_WAIT) + _GRACE_SECONDS
-        return self._try_each(service, path, request, SearchAnswer, timeout, _REPEATABLE)
+        until = self._clock() + (_DEFAULT_WAIT if deadline is None else deadline)
+
+        def send(address: str) -> SearchAnswer:
+            left = until - self._clock()
+            body = request if deadline is None else replace(request, deadline=left)
+            return self._send(address, path, body, SearchAnswer, max(left, 0.0) + _GRACE_SECONDS)
+
+        return self._try_each(service, send, _REPEATABLE)
 
     def book(
         self,
@@ -173,7 +181,11 @@
             What is known; `unknown` and `in_flight` are possible states, with `retry_after`.
         """
         path = f"/v1/services/{service}/bookings/{token}"
-        return self._try_each(service, path, None, BookingOutcome, _DEFAULT_WAIT, _REPEATABLE)
+
+        def send(address: str) -> BookingOutcome:
+            return self._send(address, path, None, BookingOutcome, _DEFAULT_WAIT)
+
+        return self._try_each(service, send, _REPEATABLE)
 
     def new_token(self, service: str, shard: int) -> str:
         """Make a token for one booking; keep it to ask for the outcome later."""
@@ -196,9 +208,14 @@
         return route
 
     def forget(self, service: str) -> None:
-        """Ask for the route anew before the next request."""
+        """Ask for the route anew before the next request.
+
+        The old addresses stay known as places to ask: the first ones given may have been replaced.
+        """
         with self._lock:
-            self._routes.pop(service, None)
+            kept = self._routes.get(service)
+            if kept is not None:
+                self._routes[service] = _KeptRoute(kept.route, until=float("-inf"))
 
     def close(self) -> None:
         """Close all connections."""
@@ -208,8 +225,12 @@
         """Send one token and answer for it truly, whatever happens on the way."""
         path = f"/v1/services/{service}/bookings"
         timeout = (request.deadline or _DEFAULT_WAIT) + _BOOKING_GRACE_SECONDS
+
+        def send(address: str) -> BookingOutcome:
+            return self._send(address, path, request, BookingOutcome, timeout)
+
         try:
-            return self._try_each(service, path, request, BookingOutcome, timeout, _NOT_RUN)
+            return self._try_each(service, send, _NOT_RUN)
         except (NoReply, InternalError, OutcomeUnknown) as error:
             # The token went out, so nothing but its own outcome may be told from here on.
             return self._find_out(service, request.token, until, error)
@@ -249,23 +270,18 @@
         raise error
 
     def _try_each(
-        self,
-        service: str,
-        path: str,
-        body: Any,
-        reply: type[T],
-        timeout: float,
-        safe: tuple[type[LimpethollowError], ...],
+        self, service: str, send: Callable[[str], T], safe: tuple[type[LimpethollowError], ...]
     ) -> T:
         """Try the route's addresses in order, going on only after failures that are safe."""
-        method = "GET" if body is None else "POST"
         error: LimpethollowError = Unavailable(f"No instance serves '{service}'.", retry_after=1.0)
         for instance in self.route(service).instances:
             try:
-                return self._adapter.send(
-                    instance.address, method, path, self._key, reply, body, timeout
-                )
+                return send(instance.address)
             except safe as failure:
                 error = failure
                 self.forget(service)
         raise error
+
+    def _send(self, address: str, path: str, body: Any, reply: type[T], timeout: float) -> T:
+        method = "GET" if body is None else "POST"
+        return self._adapter.send(address, method, path, self._key, reply, body, timeout)
