--- /dev/null
+++ b/benchmarks/search/__init__.py
@@ -0,0 +1,1 @@
+"""Search under load and faults: tail latency, coverage and extra calls, against the baseline."""
--- a/tests/standins/searcher.py
+++ b/tests/standins/searcher.py
@@ -3,7 +3,8 @@
 It holds shards in several index versions, runs `slots` requests at once, lets `backlog` more wait
 and sheds the rest, refuses connections over its limit, and pays `connect_cost` seconds for each new
 one. It keeps bookings by token and counts how often each was run. `POST /control` changes any field
-of its state; `GET /control/stats` shows what it counted. Its health and load endpoints lag.
+of its state, and with `{"reset": true}` clears its counts and peaks; `GET /control/stats` shows
+what it counted. Its health and load endpoints lag.
 """
 
 import argparse
@@ -158,6 +159,7 @@
                 self.counts["shed"] += 1
                 return False
             self.waiting += 1
+            self.peaks["open"] = max(self.peaks["open"], self.running + self.waiting)
             got = self.free.wait_for(lambda: self.running < self.slots, timeout)
             self.waiting -= 1
             if not got:
@@ -210,6 +212,9 @@
 
     def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
         with self.free:
+            if body.pop("reset", False):
+                self.counts.clear()
+                self.peaks.clear()
             for field, value in body.items():
                 setattr(self, field, value)
             if "draining" in body:
