Admission: least_usage by default; quota, drr and elastic leave the product

The wait is now estimated from each firm's own backlog and pace: with the group's pace a flooding firm was told half of its true wait, because the other firms' searches overtake its own.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions.py
@@ -3,10 +3,7 @@
 The registry of all policies. `docs/ADMISSION.md` gives the figures by which the default was chosen.
 """
 
-from limpethollow_policy.process import admissions_drr as _drr
-from limpethollow_policy.process import admissions_elastic as _elastic
 from limpethollow_policy.process import admissions_fifo as _fifo
-from limpethollow_policy.process import admissions_quota as _quota
 from limpethollow_policy.process import admissions_usage as _usage
 from limpethollow_policy.process.admissions_queues import (
     AdmissionLimits,
@@ -16,7 +13,7 @@
     policy_names,
 )
 
-REGISTERED_MODULES = (_fifo, _quota, _drr, _elastic, _usage)
+REGISTERED_MODULES = (_fifo, _usage)
 
 __all__ = [
     "AdmissionLimits",
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_fifo.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_fifo.py
@@ -8,6 +8,7 @@
     AdmissionQueue,
     admission_policy,
 )
+from limpethollow_policy.process.admissions_waits import DrainRate
 from limpethollow_policy.request.gathers import Gather
 
 
@@ -15,10 +16,11 @@
 class FifoQueue(AdmissionQueue):
     """First come, first served: the baseline; one flooding firm fills it for all."""
 
-    __slots__ = ("_waiting",)
+    __slots__ = ("_drain", "_waiting")
 
     def __init__(self, limits: AdmissionLimits) -> None:
         super().__init__(limits)
+        self._drain = DrainRate()
         self._waiting: deque[Gather] = deque()
 
     def __len__(self) -> int:
@@ -36,13 +38,17 @@
 
     def pop(self, now: float) -> Gather | None:
         """Take out the search that came first."""
-        return self._waiting.popleft() if self._waiting else None
+        if not self._waiting:
+            return None
+        gather = self._waiting.popleft()
+        self._drain.started(now, len(self._waiting))
+        return gather
 
     def remove(self, gather: Gather) -> None:
         """Take out one search that left."""
         if gather in self._waiting:
             self._waiting.remove(gather)
 
-    def ahead_of(self, firm: str) -> float:
-        """Return all that wait."""
-        return len(self._waiting)
+    def wait(self, firm: str, now: float) -> float:
+        """Return the seconds that all who wait take."""
+        return self._drain.wait(len(self._waiting), now)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_queues.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_queues.py
@@ -1,16 +1,18 @@
 """What all admission policies share: their registry, their bounds and one queue per firm."""
 
 from abc import ABC, abstractmethod
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from limpethollow_policy.process.admissions_waits import DrainRate
 from limpethollow_policy.request.gathers import Gather
 from limpethollow_wire.exceptions import BadRequest
 
 _POLICIES: dict[str, type["AdmissionQueue"]] = {}
 
 _UNLISTED_SHARE = 1.0
+_UNUSED_DRAIN = DrainRate()
 
 
 def admission_policy(name: str) -> Callable[[type["AdmissionQueue"]], type["AdmissionQueue"]]:
@@ -48,25 +50,16 @@
 
     Attributes:
         max_queue: Searches that may wait.
-        capacity: Searches that the searchers' slots can run at once.
         shares: Weight by firm; firms not listed weigh 1.
     """
 
     max_queue: int
-    capacity: float = 1.0
     shares: dict[str, float] = field(default_factory=dict)
 
     def share(self, firm: str) -> float:
         """Return a firm's weight."""
         return self.shares.get(firm, _UNLISTED_SHARE)
 
-    def portion(self, firm: str) -> float:
-        """Return a firm's part of all listed weights, 0 to 1."""
-        total = sum(self.shares.values())
-        if firm not in self.shares:
-            total += _UNLISTED_SHARE
-        return self.share(firm) / total
-
 
 class AdmissionQueue(ABC):
     """Searches that wait for a free slot.
@@ -106,14 +99,8 @@
         """Take out one search that left; nothing where it does not wait."""
 
     @abstractmethod
-    def ahead_of(self, firm: str) -> float:
-        """Return how many waiting searches would start before a new one of this firm."""
-
-    def started(self, firm: str, now: float) -> None:
-        """Note that a search of this firm began to use searchers."""
-
-    def finished(self, firm: str, now: float) -> None:
-        """Note that a search of this firm no longer uses searchers."""
+    def wait(self, firm: str, now: float) -> float:
+        """Return the seconds that a new search of this firm is expected to wait."""
 
 
 class FirmQueues:
@@ -182,12 +169,12 @@
     flood then pushes out its own searches and never another firm's.
     """
 
-    __slots__ = ("_running", "_waiting")
+    __slots__ = ("_drains", "_waiting")
 
     def __init__(self, limits: AdmissionLimits) -> None:
         super().__init__(limits)
         self._waiting = FirmQueues()
-        self._running: Counter[str] = Counter()
+        self._drains: dict[str, DrainRate] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -204,28 +191,31 @@
         heaviest = max(self._waiting.firms, key=lambda other: (self._load(other), other == firm))
         return self._waiting.take_newest(heaviest)
 
+    def pop(self, now: float) -> Gather | None:
+        """Take out the first search of the firm that is next."""
+        if not len(self):
+            return None
+        firm = self._next_firm(now)
+        gather = self._waiting.take_first(firm)
+        self._drains.setdefault(firm, DrainRate()).started(now, self._waiting.backlog(firm))
+        return gather
+
     def remove(self, gather: Gather) -> None:
         """Take out one search that left."""
         self._waiting.remove(gather)
 
-    def ahead_of(self, firm: str) -> float:
-        """Return a firm's own backlog and what the others start meanwhile, by their shares."""
-        own = self._waiting.backlog(firm)
-        turns = (own + 1) / self._limits.share(firm)
-        others = sum(
-            min(self._waiting.backlog(other), turns * self._limits.share(other))
-            for other in self._waiting.firms
-            if other != firm
-        )
-        return own + others
+    def wait(self, firm: str, now: float) -> float:
+        """Return the seconds that a firm's own backlog takes at its own pace of late.
 
-    def started(self, firm: str, now: float) -> None:
-        """Note that a search of this firm began to use searchers."""
-        self._running[firm] += 1
+        The pace has the other firms' turns in it, so a flooding firm is told the truth about its
+        own wait and a firm without backlog is not charged for another's.
+        """
+        drain = self._drains.get(firm, _UNUSED_DRAIN)
+        return drain.wait(self._waiting.backlog(firm), now)
 
-    def finished(self, firm: str, now: float) -> None:
-        """Note that a search of this firm no longer uses searchers."""
-        self._running[firm] -= 1
+    @abstractmethod
+    def _next_firm(self, now: float) -> str:
+        """Return the firm, of those with a waiting search, whose first search starts next."""
 
     def _load(self, firm: str) -> float:
         return self._waiting.backlog(firm) / self._limits.share(firm)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_usage.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_usage.py
@@ -44,14 +44,16 @@
         self._usage: dict[str, _Usage] = {}
 
     def pop(self, now: float) -> Gather | None:
-        """Take out the first search of the firm with the least use for its share."""
-        if not len(self):
-            return None
-        firm = min(self._waiting.firms, key=lambda firm: self._used(firm, now))
-        gather = self._waiting.take_first(firm)
-        self._usage.setdefault(firm, _Usage()).add(len(gather.search.shards), now)
+        """Take out the first search of the firm that is next, and charge the firm for it."""
+        gather = super().pop(now)
+        if gather is not None:
+            usage = self._usage.setdefault(gather.search.firm, _Usage())
+            usage.add(len(gather.search.shards), now)
         return gather
 
+    def _next_firm(self, now: float) -> str:
+        return min(self._waiting.firms, key=lambda firm: self._used(firm, now))
+
     def _used(self, firm: str, now: float) -> float:
         usage = self._usage.get(firm)
         return usage.at(now) / self._limits.share(firm) if usage else 0.0
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_waits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_waits.py
@@ -7,8 +7,8 @@
 class DrainRate:
     """Seconds from one start of a waiting search to the next, while searches wait.
 
-    Measured at the queue's exit, it covers whatever limits the group, such as one slow searcher or
-    searches that take many calls each.
+    Measured at the exit of a queue, it covers whatever slows that queue: one slow searcher,
+    searches that take many calls each, or other firms' turns.
     """
 
     __slots__ = ("_interval", "_last", "_others_waited")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -4,7 +4,6 @@
 
 from limpethollow_policy.connection.searchers import SearcherState
 from limpethollow_policy.process.admissions import AdmissionLimits, make_queue
-from limpethollow_policy.process.admissions_waits import DrainRate
 from limpethollow_policy.process.replicas import Choice, ReplicaSet
 from limpethollow_policy.request.events import (
     Action,
@@ -67,8 +66,9 @@
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self._spec = spec
         self._replicas = ReplicaSet(spec, group, rng)
-        self._queue = make_queue(spec.admission.policy, _admission_limits(spec, self._replicas))
-        self._drain = DrainRate()
+        shares = {caller.firm: caller.share for caller in spec.callers}
+        limits = AdmissionLimits(spec.admission.max_queue, shares)
+        self._queue = make_queue(spec.admission.policy, limits)
         self._active: dict[str, Gather] = {}
         self._calls: dict[str, OpenCall] = {}
         self._slot_requests: dict[str, SlotRequest] = {}
@@ -97,7 +97,7 @@
         if error:
             self._refuse(gather, error)
         elif search.versions_only:
-            self._start(gather, now)
+            self._start(gather)
         else:
             self._let_wait(gather, now)
         return self._pump(now)
@@ -108,7 +108,7 @@
             if gather.search.id == search_id:
                 self._queue.remove(gather)
                 break
-        self._finish(search_id, now)
+        self._finish(search_id)
         return self._pump(now)
 
     def call_answered(self, call_id: str, reply: SearcherReply, now: float) -> list[Action]:
@@ -172,8 +172,7 @@
             gather = self._queue.pop(now)
             if gather is None:
                 break
-            self._drain.started(now, len(self._queue))
-            self._start(gather, now)
+            self._start(gather)
             self._advance(gather, now)
         self._hedge(now)
         self._cancel_useless_calls()
@@ -185,9 +184,8 @@
         """Return whether a waiting search can use a slot, or learn at once that none is left."""
         return self._replicas.has_free_slot(now) or not self._replicas.usable(now)
 
-    def _start(self, gather: Gather, now: float) -> None:
+    def _start(self, gather: Gather) -> None:
         self._active[gather.search.id] = gather
-        self._queue.started(gather.search.firm, now)
 
     def _advance(self, gather: Gather, now: float) -> None:
         if not gather.is_pinned:
@@ -230,7 +228,7 @@
         elif servable and search.versions_only:
             versions = ServableVersions(self._replicas.epoch, servable)
             self._actions.append(Servable(search.id, versions))
-            self._finish(search.id, now)
+            self._finish(search.id)
         elif servable:
             gather.pin(self._replicas.epoch, servable[0])
         else:
@@ -469,7 +467,7 @@
             self._actions.append(Complete(search.id, gather.answer(reason)))
         else:
             self._refuse(gather, self._too_little(gather, reason, now))
-        self._finish(search.id, now)
+        self._finish(search.id)
 
     def _lost_pin(self, gather: Gather) -> bool:
         return "version_gone" in gather.failures.values()
@@ -500,10 +498,8 @@
         self._actions.append(Refuse(gather.search.id, error))
         self._actions.append(Count("searches_refused", error.code))
 
-    def _finish(self, search_id: str, now: float) -> None:
-        gather = self._active.pop(search_id, None)
-        if gather:
-            self._queue.finished(gather.search.firm, now)
+    def _finish(self, search_id: str) -> None:
+        self._active.pop(search_id, None)
 
     # Admission and timing
 
@@ -531,7 +527,7 @@
         self._actions.append(Count("admissions_refused", f"{firm}/{reason}"))
 
     def _estimated_wait(self, firm: str, now: float) -> float:
-        return self._drain.wait(self._queue.ahead_of(firm), now)
+        return self._queue.wait(firm, now)
 
     def _overloaded(self, now: float, message: str, firm: str = "") -> LimpethollowError:
         return Overloaded(message, retry_after=self._retry_after(now, firm))
@@ -565,11 +561,3 @@
         if delay is None:
             return []
         return [c.started + delay for c in self._calls.values() if not c.is_inventory]
-
-
-def _admission_limits(spec: ServiceSpec, replicas: ReplicaSet) -> AdmissionLimits:
-    """Return the bounds of a group's queue; its capacity is in searches of all its shards."""
-    shards = {shard for searcher in replicas for shard in searcher.spec.shards}
-    calls = sum(searcher.slots * len(searcher.spec.shards) for searcher in replicas)
-    shares = {caller.firm: caller.share for caller in spec.callers}
-    return AdmissionLimits(spec.admission.max_queue, calls / len(shards), shares)
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -67,7 +67,7 @@
         max_queue: Requests that may wait in one group.
     """
 
-    policy: str = "fifo"
+    policy: str = "least_usage"
     max_queue: int = 200
 
 
