--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -6,10 +6,12 @@
 
 from limpethollow_policy.connection.budgets import slots_per_owner
 from limpethollow_policy.connection.searchers import SearcherState
-from limpethollow_policy.request.gathers import Gather
+from limpethollow_policy.request.gathers import Gather, Snapshot
 from limpethollow_policy.request.snapshots import Inventory, choose_version, servable_versions
 from limpethollow_policy.version.groups import Group
-from limpethollow_wire.services import ServiceSpec
+from limpethollow_wire.services import SearcherSpec, ServiceSpec
+
+_STRAGGLER_FACTOR = 5.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,18 +28,16 @@
     Args:
         spec: The service.
         group: The group.
-        rng: Source for jitter.
+        rng: Source for jitter and for the choice among equals.
     """
 
-    __slots__ = ("_max_age", "_searchers", "epoch")
+    __slots__ = ("_max_age", "_removed", "_rng", "_searchers", "epoch", "shards")
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
-        self.epoch = spec.epoch
-        self._max_age = spec.inventory_max_age
-        self._searchers = {
-            searcher.id: SearcherState(searcher, slots_per_owner(searcher, spec.owners), rng)
-            for searcher in group.searchers
-        }
+        self._rng = rng
+        self._searchers: dict[str, SearcherState] = {}
+        self._removed: list[SearcherState] = []
+        self.reconfigure(spec, group)
 
     def __iter__(self) -> Iterator[SearcherState]:
         return iter(self._searchers.values())
@@ -45,6 +45,29 @@
     def __getitem__(self, searcher_id: str) -> SearcherState:
         return self._searchers[searcher_id]
 
+    def reconfigure(self, spec: ServiceSpec, group: Group) -> None:
+        """Take in a new configuration.
+
+        A searcher that stays keeps its evidence and its open calls, so that its slots are not used
+        twice over. One that was removed with calls open is remembered until they end, in case that
+        the next configuration names it again.
+        """
+        known = [*self._searchers.values(), *self._removed]
+        self.epoch = spec.epoch
+        self.shards = group.shards
+        self._max_age = spec.inventory_max_age
+        self._searchers = {}
+        for searcher in group.searchers:
+            slots = slots_per_owner(searcher, spec.owners)
+            state = next((s for s in known if _is_same(s, searcher)), None)
+            if state is None:
+                state = SearcherState(searcher, slots, self._rng)
+            state.spec = searcher
+            state.slots = slots
+            self._searchers[searcher.id] = state
+        kept = self._searchers.values()
+        self._removed = [s for s in known if s.in_flight and s not in kept]
+
     def holders(self, shard: int) -> list[SearcherState]:
         """Return the searchers that hold a shard by configuration."""
         return [searcher for searcher in self if shard in searcher.spec.shards]
@@ -57,14 +80,21 @@
         """Return whether some usable searcher can take one more call."""
         return any(searcher.has_free_slot for searcher in self.usable(now))
 
+    def free_share(self, now: float) -> float:
+        """Return the share of the usable searchers' slots that is free, 0 to 1."""
+        usable = self.usable(now)
+        slots = sum(searcher.slots for searcher in usable)
+        used = sum(min(searcher.in_flight, searcher.slots) for searcher in usable)
+        return 1.0 - used / slots if slots else 0.0
+
+    def usable_holders(self, shards: frozenset[int], now: float) -> list[SearcherState]:
+        """Return the usable searchers that hold one of the shards by configuration."""
+        return [s for s in self.usable(now) if not shards.isdisjoint(s.spec.shards)]
+
     def stale(self, shards: frozenset[int], now: float) -> list[SearcherState]:
         """Return the usable holders whose list of versions is too old to pin by."""
-        return [
-            searcher
-            for searcher in self.usable(now)
-            if not shards.isdisjoint(searcher.spec.shards)
-            and not searcher.inventory_is_fresh(now, self._max_age)
-        ]
+        holders = self.usable_holders(shards, now)
+        return [s for s in holders if not s.inventory_is_fresh(now, self._max_age)]
 
     def servable(self, shards: frozenset[int], min_version: int, now: float) -> tuple[int, ...]:
         """Return the versions that fresh, usable replicas serve on every shard, newest first."""
@@ -75,31 +105,47 @@
         return choose_version(self._inventories(now), shards, min_version)
 
     def choose(
-        self, gather: Gather, shards: frozenset[int], now: float, exclude: str = ""
+        self,
+        gather: Gather,
+        shards: frozenset[int],
+        now: float,
+        *,
+        exclude: SearcherState | None = None,
+        patient: bool = False,
     ) -> Choice | None:
         """Choose the searcher for a call.
 
         The one that serves most of the shards wins, so that a search takes few calls; among equals
-        the one with the shortest expected wait. A replica that failed this search before comes
-        last.
+        the one with the shortest expected wait. A straggler comes after the others, and a replica
+        that failed this search before comes last.
 
         Args:
             gather: The search, pinned.
             shards: Shards that need a call.
             now: Monotonic second.
             exclude: A searcher that must not be chosen.
+            patient: Whether it is better to wait for a slot of a fast replica than to use a free
+                one of a straggler.
         """
+        able = [
+            (searcher, self.serves(searcher, gather, shards))
+            for searcher in self.usable(now)
+            if searcher is not exclude
+        ]
+        able = [(searcher, serves) for searcher, serves in able if serves]
+        if not able:
+            return None
+        shortest = min(searcher.expected_wait(now) for searcher, _ in able)
         best: Choice | None = None
-        best_score: tuple[int, int, float] | None = None
-        for searcher in self.usable(now):
-            if searcher.spec.id == exclude or not searcher.has_free_slot:
-                continue
-            serves = self._serves(searcher, gather, shards)
-            if not serves:
+        best_score: tuple[float, ...] = ()
+        for searcher, serves in able:
+            wait = searcher.expected_wait(now)
+            straggles = wait > shortest * _STRAGGLER_FACTOR
+            if not searcher.has_free_slot or (patient and straggles):
                 continue
             fresh = sum((shard, searcher.spec.id) not in gather.failed_at for shard in serves)
-            score = (fresh, len(serves), -searcher.expected_wait(now))
-            if best_score is None or score > best_score:
+            score = (fresh > 0, not straggles, fresh, len(serves), -wait, self._rng.random())
+            if best is None or score > best_score:
                 best, best_score = Choice(searcher, serves), score
         return best
 
@@ -112,15 +158,18 @@
         ]
         return min(paused, default=None)
 
-    def serves_somewhere(self, shard: int, version: int, now: float) -> bool:
-        """Return whether a usable replica keeps this version of the shard, busy or not."""
-        return any(s.can_serve(shard, self.epoch, version) for s in self.usable(now))
+    def serves_somewhere(self, shard: int, snapshot: Snapshot, now: float) -> bool:
+        """Return whether a usable replica keeps this snapshot of the shard, busy or not."""
+        return any(s.can_serve(shard, snapshot.epoch, snapshot.version) for s in self.usable(now))
 
-    def _serves(
+    def serves(
         self, searcher: SearcherState, gather: Gather, shards: frozenset[int]
     ) -> frozenset[int]:
-        version = gather.version or 0
-        return frozenset(s for s in shards if searcher.can_serve(s, gather.epoch, version))
+        """Return those of the shards that a searcher keeps at the search's snapshot."""
+        if gather.snapshot is None:
+            return frozenset()
+        epoch, version = gather.snapshot
+        return frozenset(s for s in shards if searcher.can_serve(s, epoch, version))
 
     def _inventories(self, now: float) -> list[Inventory]:
         return [
@@ -128,3 +177,7 @@
             for searcher in self.usable(now)
             if searcher.inventory_is_fresh(now, self._max_age)
         ]
+
+
+def _is_same(state: SearcherState, spec: SearcherSpec) -> bool:
+    return (state.spec.id, state.spec.address) == (spec.id, spec.address)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
@@ -0,0 +1,86 @@
+"""Slots of searchers for bookings, which come before searches."""
+
+from limpethollow_policy.connection.searchers import SearcherState
+from limpethollow_policy.process.replicas import ReplicaSet
+from limpethollow_policy.process.waits import WaitEstimate
+from limpethollow_policy.request.events import DenySlot, Failure, GrantSlot, SlotRequest
+from limpethollow_policy.request.outboxes import Outbox
+from limpethollow_wire.exceptions import LimpethollowError, Overloaded, Unavailable
+
+
+class SlotDesk:
+    """Gives bookings their slots and takes them back.
+
+    Args:
+        replicas: The group's searchers.
+        waits: How long a refused caller should stay away.
+        outbox: Where actions go.
+    """
+
+    __slots__ = ("_granted", "_outbox", "_replicas", "_waiting", "_waits")
+
+    def __init__(self, replicas: ReplicaSet, waits: WaitEstimate, outbox: Outbox) -> None:
+        self._replicas = replicas
+        self._waits = waits
+        self._outbox = outbox
+        self._waiting: dict[str, SlotRequest] = {}
+        self._granted: dict[str, SearcherState] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no booking waits for a slot or uses one."""
+        return not (self._waiting or self._granted)
+
+    def deadlines(self) -> list[float]:
+        """Return the monotonic seconds at which waiting bookings must be answered."""
+        return [request.deadline for request in self._waiting.values()]
+
+    def wanted(self, request: SlotRequest) -> None:
+        """Take in a booking's wish."""
+        self._waiting[request.id] = request
+
+    def released(
+        self, request_id: str, failure: Failure | None, retry_after: float | None, now: float
+    ) -> None:
+        """Take in that a booking no longer uses its slot, and how its dispatch ended."""
+        self._waiting.pop(request_id, None)
+        searcher = self._granted.pop(request_id, None)
+        if searcher is None:
+            return
+        searcher.call_ended(request_id)
+        if failure is not None:
+            searcher.failed(failure, retry_after, now)
+
+    def serve(self, now: float) -> None:
+        """Grant free slots, and deny at once what can't be granted in time."""
+        for request in tuple(self._waiting.values()):
+            if self._serve(request, now):
+                del self._waiting[request.id]
+
+    def _serve(self, request: SlotRequest, now: float) -> bool:
+        holders = [s for s in self._replicas.holders(request.shard) if s.is_usable(now)]
+        free = [s for s in holders if s.has_free_slot]
+        if now >= request.deadline:
+            self._deny(request, self._overloaded(now))
+        elif free:
+            self._grant(request, free, now)
+        elif not holders:
+            message = f"No searcher of shard {request.shard} can be used."
+            self._deny(request, Unavailable(message, retry_after=self._waits.retry_after(now)))
+        else:
+            return False
+        return True
+
+    def _grant(self, request: SlotRequest, free: list[SearcherState], now: float) -> None:
+        best = min(free, key=lambda s: (s.spec.id in request.exclude, s.expected_wait(now)))
+        best.call_started(request.id, now)
+        self._granted[request.id] = best
+        self._outbox.add(GrantSlot(request.id, best.spec.id))
+
+    def _overloaded(self, now: float) -> Overloaded:
+        message = "No slot became free in time."
+        return Overloaded(message, retry_after=self._waits.retry_after(now))
+
+    def _deny(self, request: SlotRequest, error: LimpethollowError) -> None:
+        self._outbox.add(DenySlot(request.id, error))
+        self._outbox.count("bookings_refused", error.code)
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -1,6 +1,6 @@
 """What a group's scheduler is told and what it asks to be done."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
@@ -150,35 +150,3 @@
 Action = (
     StartCall | CancelCall | Complete | Servable | Refuse | GrantSlot | DenySlot | WakeAt | Count
 )
-
-
-@dataclass(slots=True)
-class OpenCall:
-    """A call on its way, as the scheduler remembers it.
-
-    Attributes:
-        id: Name of the call.
-        searcher_id: Where it went.
-        started: Monotonic second it was sent.
-        timeout: Seconds it may take.
-        version: Index version asked for; 0 for an inventory call.
-        shards: Shards asked for, by search.
-        hedge: Whether it repeats work that another call is still doing.
-        hedged: Whether another call repeats its work.
-        cancelled: Whether its cancellation was asked for.
-    """
-
-    id: str
-    searcher_id: str
-    started: float
-    timeout: float
-    version: int
-    shards: dict[str, frozenset[int]] = field(default_factory=dict)
-    hedge: bool = False
-    hedged: bool = False
-    cancelled: bool = False
-
-    @property
-    def is_inventory(self) -> bool:
-        """Whether the call asks only for the searcher's index versions."""
-        return not self.shards
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
@@ -1,14 +1,37 @@
 """One search inside a group, from its arrival to its answer."""
 
 from collections import Counter
-from collections.abc import Iterable
-from typing import Any
+from hashlib import blake2b
+from typing import Any, NamedTuple
+
+import msgspec
 
 from limpethollow_policy.request.events import Search
 from limpethollow_wire.searches import Coverage, GroupAnswer, MissingShard, Part
 from limpethollow_wire.services import Objective
 
 MAX_RESTARTS = 4
+MAX_FAILURES_PER_SHARD = 4
+
+_KEY_BYTES = 12
+
+
+class Snapshot(NamedTuple):
+    """What all parts of one answer have in common.
+
+    Attributes:
+        epoch: Partition epoch.
+        version: Index version.
+    """
+
+    epoch: int
+    version: int
+
+
+def query_key(query: dict[str, Any]) -> str:
+    """Return a name that two queries share exactly if they ask for the same."""
+    text = msgspec.json.encode(query, order="deterministic")
+    return blake2b(text, digest_size=_KEY_BYTES).hexdigest()
 
 
 class Gather:
@@ -24,40 +47,42 @@
     """
 
     __slots__ = (
+        "_floor",
         "_parts",
         "answer_at",
         "arrived",
-        "attempts",
-        "epoch",
+        "ask_again_at",
+        "ask_pause",
+        "asked_shards",
         "failed_at",
         "failures",
-        "floor",
-        "in_flight",
+        "key",
         "restarts",
         "search",
-        "started",
-        "version",
+        "shard_failures",
+        "snapshot",
     )
 
     def __init__(self, search: Search, objective: Objective, now: float) -> None:
         self.search = search
+        self.key = query_key(search.query)
         self.arrived = now
-        self.floor = objective.coverage_floor if search.floor is None else search.floor
         self.answer_at = _answer_time(search, objective, now)
-        self.started = False
-        self.epoch = 0
-        self.version: int | None = None
+        self.snapshot: Snapshot | None = None
         self.restarts = 0
         self.failures: dict[int, str] = {}
         self.failed_at: set[tuple[int, str]] = set()
-        self.attempts: Counter[int] = Counter()
-        self.in_flight: dict[int, set[str]] = {}
+        self.shard_failures: Counter[int] = Counter()
+        self.asked_shards: set[int] = set()
+        self.ask_again_at = now
+        self.ask_pause = 0.0
+        self._floor = objective.coverage_floor if search.floor is None else search.floor
         self._parts: dict[int, list[Any]] = {}
 
     @property
     def is_pinned(self) -> bool:
         """Whether the snapshot is chosen."""
-        return self.version is not None
+        return self.snapshot is not None
 
     @property
     def uncovered(self) -> frozenset[int]:
@@ -65,69 +90,74 @@
         return self.search.shards - self._parts.keys()
 
     @property
-    def idle_shards(self) -> frozenset[int]:
-        """Shards with no part, no call on its way and not given up on."""
-        busy = {shard for shard, calls in self.in_flight.items() if calls}
-        return self.uncovered - busy - self.failures.keys()
+    def open_shards(self) -> frozenset[int]:
+        """Shards with no part that were not given up on."""
+        return self.uncovered - self.failures.keys()
 
     @property
     def is_finished(self) -> bool:
         """Whether nothing is left to wait for."""
-        return self.is_pinned and self.uncovered <= self.failures.keys()
+        return self.is_pinned and not self.open_shards
 
     @property
-    def share(self) -> float:
-        """Share of the wanted shards covered, 0 to 1."""
-        return len(self._parts) / len(self.search.shards)
+    def is_lost(self) -> bool:
+        """Whether so many shards were given up on that the floor can't be met any more."""
+        return self._is_below_floor(len(self.search.shards) - len(self.failures))
 
     @property
     def meets_floor(self) -> bool:
         """Whether enough shards are covered for an answer."""
-        return self.share >= self.floor
+        return not self._is_below_floor(len(self._parts))
+
+    @property
+    def covered_count(self) -> int:
+        """Number of shards covered."""
+        return len(self._parts)
 
     def horizon(self) -> float:
         """Return the monotonic second until which waiting can still help."""
         return self.answer_at if self.meets_floor else self.search.deadline
 
-    def pin(self, epoch: int, version: int) -> None:
+    def pin(self, snapshot: Snapshot) -> None:
         """Choose the snapshot; all that was collected at another one is dropped."""
-        self.epoch = epoch
-        self.version = version
+        self.snapshot = snapshot
         self._parts.clear()
         self.failures.clear()
-        self.attempts.clear()
+        self.asked_shards.clear()
+
+    def may_restart(self) -> bool:
+        """Return whether the search may still start over at another snapshot."""
+        return self.restarts < MAX_RESTARTS
 
-    def unpin(self) -> bool:
-        """Drop the snapshot and start over; false where that was done too often."""
+    def unpin(self) -> None:
+        """Drop the snapshot and all that was collected at it."""
         self.restarts += 1
-        self.version = None
+        self.snapshot = None
         self._parts.clear()
         self.failures.clear()
-        return self.restarts <= MAX_RESTARTS
-
-    def call_started(self, call_id: str, shards: Iterable[int]) -> None:
-        """Remember that a call for these shards is on its way."""
-        for shard in shards:
-            self.in_flight.setdefault(shard, set()).add(call_id)
-            self.attempts[shard] += 1
 
-    def call_ended(self, call_id: str, shards: Iterable[int]) -> None:
-        """Forget a call, whatever became of it."""
-        for shard in shards:
-            self.in_flight.get(shard, set()).discard(call_id)
-
-    def accept(self, shard: int, epoch: int, version: int, rows: list[Any]) -> bool:
+    def accept(self, shard: int, snapshot: Snapshot, rows: list[Any]) -> bool:
         """Keep a part if it is wanted and of the pinned snapshot.
 
         Returns:
             Whether it was kept.
         """
-        if shard not in self.uncovered or (epoch, version) != (self.epoch, self.version):
+        if shard not in self.uncovered or snapshot != self.snapshot:
             return False
         self._parts[shard] = rows
         self.failures.pop(shard, None)
         return True
 
+    def failed(self, shard: int, searcher_id: str) -> bool:
+        """Note that a searcher gave no part for a shard.
+
+        Returns:
+            Whether another try is allowed.
+        """
+        self.failed_at.add((shard, searcher_id))
+        self.shard_failures[shard] += 1
+        return self.shard_failures[shard] < MAX_FAILURES_PER_SHARD
+
     def give_up(self, shard: int, reason: str) -> None:
         """Stop trying to cover a shard."""
         self.failures[shard] = reason
@@ -136,16 +166,17 @@
         """Build the answer from what has come.
 
         Args:
-            reason: Why shards that are neither covered nor given up on are missing.
+            reason: Why shards that were asked for and neither covered nor given up on are missing.
         """
         missing = tuple(
-            MissingShard(shard, self.failures.get(shard, reason))
+            MissingShard(shard, self._missing_reason(shard, reason))
             for shard in sorted(self.uncovered)
         )
         covered = tuple(sorted(self._parts))
+        snapshot = self.snapshot or Snapshot(0, 0)
         coverage = Coverage(
-            epoch=self.epoch,
-            version=self.version or 0,
+            epoch=snapshot.epoch,
+            version=snapshot.version,
             wanted=len(self.search.shards),
             covered=covered,
             missing=missing,
@@ -153,6 +184,14 @@
         parts = tuple(Part(shard, self._parts[shard]) for shard in covered)
         return GroupAnswer(coverage, parts)
 
+    def _missing_reason(self, shard: int, reason: str) -> str:
+        if shard in self.failures:
+            return self.failures[shard]
+        return reason if shard in self.asked_shards else "no_slot"
+
+    def _is_below_floor(self, shards: int) -> bool:
+        return shards / len(self.search.shards) < self._floor
+
 
 def _answer_time(search: Search, objective: Objective, now: float) -> float:
     if objective.mode == "latency":
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/hedges.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/hedges.py
@@ -1,6 +1,6 @@
 """When a call is hedged, and how many hedges are allowed."""
 
-from bisect import insort
+from bisect import bisect_left, insort
 from collections import deque
 
 _WINDOW = 256
@@ -21,10 +21,16 @@
         self._order: deque[float] = deque()
         self._sorted: list[float] = []
 
+    @property
+    def slowest(self) -> float:
+        """The longest latency remembered, 0 where there is none."""
+        return self._sorted[-1] if self._sorted else 0.0
+
     def add(self, latency: float) -> None:
         """Remember one call's latency in seconds."""
         if len(self._order) == self._size:
-            self._sorted.remove(self._order.popleft())
+            oldest = self._order.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
         self._order.append(latency)
         insort(self._sorted, latency)
 
@@ -52,17 +58,31 @@
 
     def __init__(self, share: float, reserve: float) -> None:
         self._share = share
-        self._reserve = reserve if share > 0 else 0.0
-        self._tokens = self._reserve
+        self._reserve = reserve
+        self._tokens = reserve if share > 0 else 0.0
+
+    @property
+    def share(self) -> float:
+        """Actions allowed per call."""
+        return self._share
 
     @property
     def available(self) -> bool:
         """Whether one more action is allowed now."""
         return self._tokens >= 1.0
 
-    def earn(self) -> None:
-        """Count one call."""
-        self._tokens = min(self._tokens + self._share, self._reserve)
+    def earn(self, weight: float = 1.0) -> None:
+        """Count one call.
+
+        Args:
+            weight: How much the call counts, 0 to 1; less where there is less room for more calls.
+        """
+        self._tokens = min(self._tokens + self._share * weight, self._reserve)
+
+    def change_share(self, share: float) -> None:
+        """Allow another share from now on."""
+        self._share = share
+        self._tokens = self._tokens if share > 0 else 0.0
 
     def spend(self) -> bool:
         """Take one action out of the budget; false where it is empty."""
--- /dev/null
+++ b/tests/system/search/__init__.py
@@ -0,0 +1,1 @@
+"""Search over real processes, under faults."""
--- /dev/null
+++ b/tests/unit/search/__init__.py
@@ -0,0 +1,1 @@
+"""What search decides: snapshots, calls, sharing, hedges, answers."""
