--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -6,6 +6,7 @@
 
 from limpethollow_policy.connection.budgets import slots_per_owner
 from limpethollow_policy.connection.searchers import SearcherState
+from limpethollow_policy.process.choices import Candidate, find_choice
 from limpethollow_policy.request.gathers import Gather, Snapshot
 from limpethollow_policy.request.snapshots import Inventory, choose_version, servable_versions
 from limpethollow_policy.version.groups import Group
@@ -31,7 +32,7 @@
         rng: Source for jitter and for the choice among equals.
     """
 
-    __slots__ = ("_max_age", "_removed", "_rng", "_searchers", "epoch", "shards")
+    __slots__ = ("_max_age", "_removed", "_rng", "_score", "_searchers", "epoch", "shards")
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self._rng = rng
@@ -56,6 +57,7 @@
         self.epoch = spec.epoch
         self.shards = group.shards
         self._max_age = spec.inventory_max_age
+        self._score = find_choice(spec.replica_choice)
         self._searchers = {}
         for searcher in group.searchers:
             slots = slots_per_owner(searcher, spec.owners)
@@ -113,19 +115,14 @@
         exclude: SearcherState | None = None,
         patient: bool = False,
     ) -> Choice | None:
-        """Choose the searcher for a call.
-
-        The one that serves most of the shards wins, so that a search takes few calls; among equals
-        the one with the shortest expected wait. A straggler comes after the others, and a replica
-        that failed this search before comes last.
+        """Choose the searcher for a call by the service's replica choice.
 
         Args:
             gather: The search, pinned.
             shards: Shards that need a call.
             now: Monotonic second.
             exclude: A searcher that must not be chosen.
-            patient: Whether it is better to wait for a slot of a fast replica than to use a free
-                one of a straggler.
+            patient: Whether the call may wait for a slot of another searcher.
         """
         able = [
             (searcher, self.serves(searcher, gather, shards))
@@ -133,19 +130,18 @@
             if searcher is not exclude
         ]
         able = [(searcher, serves) for searcher, serves in able if serves]
-        if not able:
-            return None
-        shortest = min(searcher.expected_wait(now) for searcher, _ in able)
+        shortest = min((searcher.expected_wait(now) for searcher, _ in able), default=0.0)
         best: Choice | None = None
         best_score: tuple[float, ...] = ()
         for searcher, serves in able:
-            wait = searcher.expected_wait(now)
-            straggles = wait > shortest * _STRAGGLER_FACTOR
-            if not searcher.has_free_slot or (patient and straggles):
+            if not searcher.has_free_slot:
                 continue
+            wait = searcher.expected_wait(now)
             fresh = sum((shard, searcher.spec.id) not in gather.failed_at for shard in serves)
-            score = (fresh > 0, not straggles, fresh, len(serves), -wait, self._rng.random())
-            if best is None or score > best_score:
+            straggles = wait > shortest * _STRAGGLER_FACTOR
+            candidate = Candidate(fresh, len(serves), wait, straggles, patient)
+            score = self._score(candidate, self._rng)
+            if score is not None and (best is None or score > best_score):
                 best, best_score = Choice(searcher, serves), score
         return best
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -2,14 +2,14 @@
 
 from random import Random
 
-from limpethollow_policy.process.admissions import AdmissionQueue, make_queue
+from limpethollow_policy.process.admissions import AdmissionLimits, AdmissionQueue, make_queue
 from limpethollow_policy.process.answers import Verdicts
 from limpethollow_policy.process.calls import CallTable
-from limpethollow_policy.process.senders import CallSender
 from limpethollow_policy.process.pins import Pin, Pinner
 from limpethollow_policy.process.repeats import Repeats
 from limpethollow_policy.process.replicas import ReplicaSet
 from limpethollow_policy.process.searches import ActiveSearches
+from limpethollow_policy.process.senders import CallSender
 from limpethollow_policy.process.slots import SlotDesk
 from limpethollow_policy.process.waits import WaitEstimate
 from limpethollow_policy.request.events import (
@@ -34,6 +34,12 @@
 from limpethollow_wire.services import ServiceSpec
 
 _MAX_HUNGRY = 8
+_REFUSALS = {
+    "wait_too_long": "The wait would be longer than the deadline.",
+    "queue_full": "The queue is full.",
+    "gave_way": "The queue is full and the search gave way to a firm that uses less of its share.",
+    "waited_out": "The search waited out its deadline.",
+}
 
 
 class GroupScheduler:
@@ -53,7 +59,7 @@
         self._spec = spec
         self._outbox = Outbox()
         self._replicas = ReplicaSet(spec, group, rng)
-        self._queue = _queue_for(spec)
+        self._queue = _queue_for(spec, self._replicas)
         self._waits = WaitEstimate(self._replicas, self._queue)
         self._active = ActiveSearches()
         self._calls = CallTable()
@@ -84,7 +90,7 @@
         self._spec = spec
         self._replicas.reconfigure(spec, group)
         self._repeats.reconfigure(spec.hedge)
-        self._move_queue()
+        self._move_queue(now)
         return self._pump(now)
 
     def search_arrived(self, search: Search, now: float) -> list[Action]:
@@ -92,13 +98,13 @@
         gather = Gather(search, self._spec.objective, now)
         if search.deadline <= now:
             message = "The deadline has passed; the search was not run."
-            self._refuse(gather, DeadlinePassed(message))
+            self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
         elif search.versions_only or self._needs_no_call(gather, now):
-            self._start(gather)
-        elif self._waits.estimate() > search.deadline - now:
-            self._refuse(gather, self._overloaded(now, "The wait would outlast the deadline."))
-        elif not self._queue.offer(gather):
-            self._refuse(gather, self._overloaded(now, "The queue is full."))
+            self._start(gather, now)
+        elif self._waits.estimate(search.firm, now) > search.deadline - now:
+            self._refuse_overload(gather, "wait_too_long", now)
+        else:
+            self._let_wait(gather, now)
         return self._pump(now)
 
     def search_abandoned(self, search_id: str, now: float) -> list[Action]:
@@ -106,7 +112,7 @@
         waiting = next((g for g in self._queue if g.search.id == search_id), None)
         if waiting is not None:
             self._queue.remove(waiting)
-        self._finish(search_id)
+        self._finish(search_id, now)
         return self._pump(now)
 
     def call_answered(self, call_id: str, reply: SearcherReply, now: float) -> list[Action]:
@@ -120,7 +126,6 @@
             self._repeats.call_cut_short(latency)
         elif not call.is_inventory:
             self._repeats.call_answered(latency)
-            self._waits.call_answered(latency, len(call.work))
         self._sender.take_reply(call, reply)
         return self._pump(now)
 
@@ -186,10 +191,11 @@
         number is bounded so that the queue's policy goes on deciding who is next.
         """
         while len(self._queue) and self._may_start(now):
-            gather = self._queue.pop()
+            gather = self._queue.pop(now)
             if gather is None:
                 return
-            self._start(gather)
+            self._waits.started(now)
+            self._start(gather, now)
             self._advance(gather, now)
 
     def _may_start(self, now: float) -> bool:
@@ -206,25 +212,31 @@
         version = servable[0] if search.pinned is None and servable else search.pinned
         return version is not None and self._sender.will_bring_all(gather, version)
 
-    def _start(self, gather: Gather) -> None:
+    def _let_wait(self, gather: Gather, now: float) -> None:
+        out = self._queue.offer(gather)
+        if out is not None:
+            self._refuse_overload(out, "queue_full" if out is gather else "gave_way", now)
+
+    def _start(self, gather: Gather, now: float) -> None:
         self._active.add(gather)
-        self._queue.started(gather.search.firm)
+        self._queue.started(gather.search.firm, now)
 
-    def _finish(self, search_id: str) -> None:
+    def _finish(self, search_id: str, now: float) -> None:
         gather = self._active.remove(search_id)
         if gather is not None:
-            self._queue.finished(gather.search.firm)
+            self._queue.finished(gather.search.firm, now)
 
-    def _move_queue(self) -> None:
-        """Make the queue anew by the new configuration; nobody who waits loses the place."""
+    def _move_queue(self, now: float) -> None:
+        """Make the queue anew by the new configuration; nobody who waits is refused for that."""
         waiting = sorted(self._queue, key=lambda gather: gather.arrived)
-        self._queue = _queue_for(self._spec, at_least=len(waiting))
+        self._queue = _queue_for(self._spec, self._replicas, at_least=len(waiting))
         self._waits.queue = self._queue
         for gather in self._active:
-            self._queue.started(gather.search.firm)
+            self._queue.started(gather.search.firm, now)
         for gather in waiting:
-            if not self._queue.offer(gather):
-                self._start(gather)
+            out = self._queue.offer(gather)
+            if out is not None:
+                self._start(out, now)
 
     # Snapshot
 
@@ -232,7 +244,7 @@
         """Choose a search's snapshot; false where it has none now."""
         search = gather.search
         if not search.shards <= self._replicas.shards:
-            self._restart_elsewhere(gather)
+            self._restart_elsewhere(gather, now)
             return False
         match self._pinner.pin(gather, now):
             case Pin.WAITING:
@@ -251,7 +263,7 @@
             best = self._replicas.best_version(search.shards, search.min_version, now)
             versions = () if best is None else (best,)
         self._outbox.add(Servable(search.id, ServableVersions(self._replicas.epoch, versions)))
-        self._finish(search.id)
+        self._finish(search.id, now)
 
     def _drop_hopeless(self, gather: Gather, now: float) -> None:
         """Stop waiting for shards that no replica will serve before the answer is due."""
@@ -263,7 +275,7 @@
             if back is not None and back < gather.horizon():
                 continue
             if self._repartitioned(gather) and gather.search.deadline > now:
-                return self._restart_elsewhere(gather)
+                return self._restart_elsewhere(gather, now)
             if not any(holder.is_usable(now) for holder in self._replicas.holders(shard)):
                 gather.give_up(shard, "no_replica")
             elif self._restart(gather, now):
@@ -277,12 +289,12 @@
         at_other_epoch = gather.snapshot and gather.snapshot.epoch != self._replicas.epoch
         return bool(at_other_epoch) or not gather.search.shards <= self._replicas.shards
 
-    def _restart_elsewhere(self, gather: Gather) -> None:
+    def _restart_elsewhere(self, gather: Gather, now: float) -> None:
         """Have the coordinator start over, since it knows which shards there are now."""
         self._outbox.count("search_restarts", "repartition")
         message = "The service was partitioned anew while the search ran."
         self._outbox.add(Refuse(gather.search.id, VersionGone(message)))
-        self._finish(gather.search.id)
+        self._finish(gather.search.id, now)
 
     def _restart(self, gather: Gather, now: float) -> bool:
         """Start over at another snapshot if that can cover more, and can be done in time."""
@@ -313,7 +325,7 @@
         for gather in tuple(self._queue):
             if now >= gather.search.deadline:
                 self._queue.remove(gather)
-                self._refuse(gather, self._overloaded(now, "The search waited out its deadline."))
+                self._refuse_overload(gather, "waited_out", now)
 
     def _conclude(self, gather: Gather, reason: str, now: float) -> None:
         """Give a search its final answer, or the typed error that says why there is none."""
@@ -322,14 +334,21 @@
             self._refuse(gather, verdict.error)
         else:
             self._outbox.add(verdict)
-        self._finish(gather.search.id)
+        self._finish(gather.search.id, now)
 
     def _refuse(self, gather: Gather, error: LimpethollowError) -> None:
         self._outbox.add(Refuse(gather.search.id, error))
         self._outbox.count("searches_refused", error.code)
 
-    def _overloaded(self, now: float, message: str) -> LimpethollowError:
-        return Overloaded(message, retry_after=self._waits.retry_after(now))
+    def _refuse_overload(self, gather: Gather, reason: str, now: float) -> None:
+        retry_after = self._waits.retry_after(now, gather.search.firm)
+        self._refuse_unstarted(
+            gather, reason, Overloaded(_REFUSALS[reason], retry_after=retry_after)
+        )
+
+    def _refuse_unstarted(self, gather: Gather, reason: str, error: LimpethollowError) -> None:
+        self._outbox.count("admissions_refused", f"{gather.search.firm}/{reason}")
+        self._refuse(gather, error)
 
     # Timing
 
@@ -354,7 +373,10 @@
         return times
 
 
-def _queue_for(spec: ServiceSpec, at_least: int = 0) -> AdmissionQueue:
+def _queue_for(spec: ServiceSpec, replicas: ReplicaSet, at_least: int = 0) -> AdmissionQueue:
+    """Return an empty queue; its capacity is in searches of all the group's shards."""
+    calls = sum(searcher.slots * len(searcher.spec.shards) for searcher in replicas)
     shares = {caller.firm: caller.share for caller in spec.callers}
     max_queue = max(spec.admission.max_queue, at_least)
-    return make_queue(spec.admission.policy, max_queue, shares)
+    limits = AdmissionLimits(max_queue, calls / len(replicas.shards), shares)
+    return make_queue(spec.admission.policy, limits)
