--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -174,6 +174,7 @@
             platform,
             timers,
             groups,
+            self._bookings,
             self._links,
             self._members,
             self._configs,
@@ -188,6 +189,7 @@
             self._incarnation,
             self._settings.instance.failure_domain,
             self._lifecycle.state,
+            self._bookings.age,
         )
 
     def _refuse_tokens(self) -> None:
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -171,9 +171,11 @@
 
 
 @error_kind("instance_busy", 503)
-class InstanceBusy(Overloaded):
+class InstanceBusy(LimpethollowError, ConnectionError):
     """This one instance has no room; the request was not run, and another instance may take it."""
 
+    remedy = "Send it to another instance, or come back after retry_after seconds."
+
 
 @error_kind("unavailable", 503)
 class Unavailable(LimpethollowError, ConnectionError):
@@ -203,6 +205,13 @@
     remedy = "Book again with a new token."
 
 
+@error_kind("token_reused", 409)
+class TokenReused(LimpethollowError, ValueError):
+    """The token belongs to another booking; this request was not run."""
+
+    remedy = "Make a new token for each booking."
+
+
 @error_kind("outcome_unknown", 504)
 class OutcomeUnknown(LimpethollowError, TimeoutError):
     """The booking may or may not have been run."""
