Groups go over to a new configuration in place

A new version started a second actor with its own slots while the first drained, so for that time a searcher got twice its slots, and a search sent to the stopping actor hung until its deadline (an actor that stops drops its inbox). A handle per version keeps bookings to the searchers that their outcome is looked for at.

--- a/packages/limpethollow-node/src/limpethollow_node/process/actors.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/actors.py
@@ -1,5 +1,6 @@
 """The actor that drives one group's scheduler."""
 
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -30,9 +31,12 @@
     WakeAt,
 )
 from limpethollow_policy.version.groups import Group
+from limpethollow_wire.exceptions import Unavailable
 from limpethollow_wire.searches import SearcherCall, SearcherReply
 from limpethollow_wire.services import ServiceSpec
 
+_RETRY_AFTER = 0.1
+
 
 @dataclass(slots=True, frozen=True)
 class SearchMessage:
@@ -88,11 +92,64 @@
     """The time the scheduler asked to be woken at has come."""
 
 
+@dataclass(slots=True, frozen=True)
+class ReconfigureMessage:
+    """A newer version of the service came into force."""
+
+    spec: ServiceSpec
+    group: Group
+    clients: dict[str, SearcherClient]
+
+
 @dataclass(slots=True, frozen=True)
 class RetireMessage:
     """A newer version took over; end once nothing is open."""
 
 
+class Mailbox:
+    """Where an actor takes messages until it is retired.
+
+    An actor that stops drops what is left in its inbox, and a search in it would hang until its
+    deadline. So closing and asking exclude each other: what was asked before is ahead of the
+    retirement in the inbox, and what comes after is refused here.
+
+    Args:
+        ref: The actor.
+    """
+
+    def __init__(self, ref: pykka.ActorRef[Any]) -> None:
+        self._ref = ref
+        self._lock = threading.Lock()
+        self._closed = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the actor takes requests."""
+        return not self._closed and self._ref.is_alive()
+
+    def ask(self, message: Any) -> bool:
+        """Send a message that wants an answer; false where there will be none."""
+        with self._lock:
+            return not self._closed and self._send(message)
+
+    def tell(self, message: Any) -> None:
+        """Send a message that concerns something open, which keeps the actor alive."""
+        self._send(message)
+
+    def close(self, last: Any) -> None:
+        """Send the last message and refuse all that want an answer."""
+        with self._lock:
+            self._closed = True
+            self._send(last)
+
+    def _send(self, message: Any) -> bool:
+        try:
+            self._ref.tell(message)
+        except pykka.ActorDeadError:
+            return False
+        return True
+
+
 class GroupActor(pykka.ThreadingActor):
     """Carries events to one group's scheduler and its actions to the searchers.
 
@@ -123,13 +180,12 @@
         self._metrics = metrics
         self._scheduler = GroupScheduler(spec, group, Random())
         self._clients = clients
-        self._calls: dict[str, str] = {}
+        self._calls: dict[str, SearcherClient] = {}
         self._futures: dict[str, Future[Any]] = {}
         self._slots: dict[str, Future[str]] = {}
         self._wake_at = float("inf")
         self._retiring = False
-        workers = sum(2 * searcher.slots + 2 for searcher in group.searchers)
-        self._workers = ThreadPoolExecutor(workers, thread_name_prefix=f"calls-{spec.name}")
+        self._workers = self._make_workers(group)
 
     def on_stop(self) -> None:
         """Close all connections when the actor ends."""
@@ -138,8 +194,12 @@
             client.__exit__()
 
     def on_failure(self, *details: Any) -> None:
-        """Log the defect that ended the actor."""
+        """Log the defect that ended the actor, and answer all that waits for it."""
         events.DEFECT.log(where="group actor", service=self._service, error=repr(details[1]))
+        error = Unavailable("The group has a defect and starts anew.", retry_after=_RETRY_AFTER)
+        for future in (*self._futures.values(), *self._slots.values()):
+            if future.set_running_or_notify_cancel():
+                future.set_exception(error)
 
     def on_receive(self, message: Any) -> Any:
         """Hand one event to the scheduler and carry out what it says."""
@@ -168,6 +228,11 @@
                 return self._scheduler.slot_wanted(request, now)
             case ReleaseMessage(request_id, failure, retry_after):
                 return self._scheduler.slot_released(request_id, failure, retry_after, now)
+            case ReconfigureMessage(spec, group, clients):
+                self._clients = clients
+                self._workers.shutdown(wait=False)
+                self._workers = self._make_workers(group)
+                return self._scheduler.reconfigure(spec, group, now)
             case RetireMessage():
                 self._retiring = True
                 return []
@@ -179,8 +244,8 @@
     def _carry_out(self, action: Action) -> None:
         match action:
             case StartCall():
-                self._calls[action.call_id] = action.searcher_id
-                self._workers.submit(self._call, action)
+                client = self._calls[action.call_id] = self._clients[action.searcher_id]
+                self._workers.submit(self._call, client, action)
             case CancelCall(call_id):
                 self._workers.submit(self._cancel, self._calls[call_id], call_id)
             case Complete(search_id, answer):
@@ -190,9 +255,11 @@
             case Refuse(search_id, error):
                 self._settle(search_id, lambda future: future.set_exception(error))
             case GrantSlot(request_id, searcher_id):
-                self._slots.pop(request_id).set_result(searcher_id)
+                self._give_slot(request_id, searcher_id)
             case DenySlot(request_id, error):
-                self._slots.pop(request_id).set_exception(error)
+                future = self._slots.pop(request_id)
+                if future.set_running_or_notify_cancel():
+                    future.set_exception(error)
             case Count(name, reason):
                 self._metrics.count(name, reason)
             case WakeAt(when):
@@ -203,6 +270,13 @@
         if future is not None and future.set_running_or_notify_cancel():
             give(future)
 
+    def _give_slot(self, request_id: str, searcher_id: str) -> None:
+        future = self._slots.pop(request_id)
+        if future.set_running_or_notify_cancel():
+            future.set_result(searcher_id)
+        else:
+            self.actor_ref.tell(ReleaseMessage(request_id, None, None))
+
     def _set_wake(self, when: float) -> None:
         if when < self._wake_at:
             self._wake_at = when
@@ -212,7 +286,7 @@
         if self.actor_ref.is_alive():
             self.actor_ref.tell(TickMessage())
 
-    def _call(self, action: StartCall) -> None:
+    def _call(self, client: SearcherClient, action: StartCall) -> None:
         call = SearcherCall(
             request_id=self._request_id(action.call_id),
             service=self._service,
@@ -224,7 +298,7 @@
         self._metrics.count("searcher_calls", "search" if action.queries else "inventory")
         try:
             with self._metrics.timed("searcher_call"):
-                reply = self._clients[action.searcher_id].search(call)
+                reply = client.search(call)
             result: AnsweredMessage | FailedMessage = AnsweredMessage(action.call_id, reply)
         except CallFailed as error:
             result = FailedMessage(action.call_id, error.failure, error.retry_after)
@@ -236,9 +310,14 @@
         if self.actor_ref.is_alive():
             self.actor_ref.tell(result)
 
-    def _cancel(self, searcher_id: str, call_id: str) -> None:
+    def _cancel(self, client: SearcherClient, call_id: str) -> None:
         self._metrics.count("searcher_calls", "cancel")
-        self._clients[searcher_id].cancel(self._request_id(call_id))
+        client.cancel(self._request_id(call_id))
 
     def _request_id(self, call_id: str) -> str:
         return f"{self._prefix}-{call_id}"
+
+    def _make_workers(self, group: Group) -> ThreadPoolExecutor:
+        """Return threads for every slot, for the cancels of all calls and for inventories."""
+        workers = sum(2 * searcher.slots + 2 for searcher in group.searchers)
+        return ThreadPoolExecutor(workers, thread_name_prefix=f"calls-{self._service}")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
@@ -58,7 +58,7 @@
                 del self._waiting[request.id]
 
     def _serve(self, request: SlotRequest, now: float) -> bool:
-        holders = [s for s in self._replicas.holders(request.shard) if s.is_usable(now)]
+        holders = [s for s in self._holders(request) if s.is_usable(now)]
         free = [s for s in holders if s.has_free_slot]
         if now >= request.deadline:
             self._deny(request, self._overloaded(now))
@@ -71,6 +71,17 @@
             return False
         return True
 
+    def _holders(self, request: SlotRequest) -> list[SearcherState]:
+        """Return the searchers that may run a booking.
+
+        A booking was taken in under one version of the configuration, and its outcome is looked
+        for at the searchers of that version. One that a newer version brought is left out.
+        """
+        holders = self._replicas.holders(request.shard)
+        if not request.holders:
+            return holders
+        return [s for s in holders if (s.spec.id, s.spec.address) in request.holders]
+
     def _grant(self, request: SlotRequest, free: list[SearcherState], now: float) -> None:
         best = min(free, key=lambda s: (s.spec.id in request.exclude, s.expected_wait(now)))
         best.call_started(request.id, now)
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -108,12 +108,14 @@
         shard: Shard that holds what is booked.
         deadline: Monotonic second at which the caller stops waiting.
         exclude: Searchers that are proved not to have run it, tried last.
+        holders: Ids and addresses of the searchers that may be granted, empty for all holders.
     """
 
     id: str
     shard: int
     deadline: float
     exclude: frozenset[str] = frozenset()
+    holders: frozenset[tuple[str, str]] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
