Coordinator: one pin across groups, restarts, silent owners, configurations that differ

Cause: a coordinator and an owner that had different versions of a service in force refused each other four times in a row and the caller got an error for as long as the change took to spread; a frozen owner held every search to its deadline; a group that lost the pinned version failed the whole search after four equal tries.

Now versions that cut the shards alike serve each other, otherwise the older of the two is brought up to date; a silent owner is passed over after 40 % of the time, within a budget, and asked last for a second; a group that can't serve the chosen version is missing with that reason; parts that nobody waits for are abandoned at their owners.

--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -15,7 +15,12 @@
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
 from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Leaving, Records, RouteHeld
-from limpethollow_wire.searches import GroupSearch, GroupVersions
+from limpethollow_wire.searches import (
+    GroupAbandon,
+    GroupSearch,
+    GroupVersions,
+    RecordQuestion,
+)
 
 PeerHandler = Callable[["PeerContext", Any], Any]
 
@@ -61,12 +66,24 @@
 
 @peer_request("group.search", GroupSearch)
 def _search(context: PeerContext, body: GroupSearch) -> Any:
-    return context.coordinator.search_group(body)
+    return context.coordinator.parts.search(body)
 
 
 @peer_request("group.versions", GroupVersions)
 def _versions(context: PeerContext, body: GroupVersions) -> Any:
-    return context.coordinator.group_versions(body)
+    return context.coordinator.parts.versions(body)
+
+
+@peer_request("group.abandon", GroupAbandon)
+def _abandon(context: PeerContext, body: GroupAbandon) -> Any:
+    context.coordinator.parts.abandon(body.request_id)
+    return Acknowledgement()
+
+
+@peer_request("group.record", RecordQuestion)
+def _record(context: PeerContext, body: RecordQuestion) -> Any:
+    record = context.coordinator.parts.record(body.service)
+    return Records(() if record is None else (record,))
 
 
 @peer_request("booking.run", ForwardedBooking)
--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -2,29 +2,25 @@
 
 import time
 import uuid
-from concurrent.futures import CancelledError, Future, ThreadPoolExecutor
-from concurrent.futures import TimeoutError as FutureTimeout
+from collections.abc import Callable
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from dataclasses import dataclass
-from functools import partial
-from typing import Any, TypeVar
+from typing import TypeVar
 
-from limpethollow_node.connection.peers import PeerLost, PeerUnreachable, require_time
+from limpethollow_node.connection.peers import require_time
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.groups import LocalGroups
 from limpethollow_node.process.links import PeerLinks
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.dispatches import find_dispatch
-from limpethollow_policy.process.owners import group_key
-from limpethollow_policy.request.events import Search
-from limpethollow_policy.request.merges import merge_answers
-from limpethollow_policy.version.groups import cut_groups
+from limpethollow_node.request.owners import OwnerLinks
+from limpethollow_node.request.parts import RETRY_AFTER, GroupParts
+from limpethollow_policy.request.merges import choose_across, merge_answers
+from limpethollow_policy.version.groups import GroupCuts
 from limpethollow_wire.exceptions import (
     BadRequest,
     CoverageTooLow,
-    DeadlinePassed,
     LimpethollowError,
-    Unavailable,
     VersionGone,
 )
 from limpethollow_wire.limits import MAX_DEADLINE_SECONDS
@@ -40,15 +36,25 @@
 
 T = TypeVar("T")
 
-_SCATTER_WORKERS = 32
-_GRACE_SECONDS = 0.25
-_RETRY_AFTER = 0.2
 _MAX_RESTARTS = 4
+_VERSION_GONE = "version_gone"
 
 
 @dataclass(slots=True, frozen=True)
 class _Scatter:
-    """One search on its way, with what all its groups share."""
+    """One try at a search, with what all its groups share.
+
+    Attributes:
+        request_id: Names this try at the owners.
+        record: The service.
+        spec: Its configuration.
+        firm: The caller's firm or club.
+        request: What the caller asked for.
+        wanted: Shards asked of each group.
+        answer_at: Monotonic second at which the answer is due.
+        deadline: Monotonic second after which it has no use.
+        is_last: Whether there will be no other try.
+    """
 
     request_id: str
     record: ServiceRecord
@@ -56,13 +62,22 @@
     firm: str
     request: SearchRequest
     wanted: dict[int, tuple[int, ...]]
+    answer_at: float
     deadline: float
+    is_last: bool
 
     @property
     def left(self) -> float:
         """Seconds left."""
         return self.deadline - time.monotonic()
 
+    @property
+    def answer_in(self) -> float | None:
+        """Seconds left until the latency objective, None where the service has none."""
+        if self.spec.objective.mode != "latency":
+            return None
+        return max(self.answer_at - time.monotonic(), 0.0)
+
 
 class Coordinator:
     """Answers searches by asking the owner of each group.
@@ -85,13 +100,16 @@
         groups: LocalGroups,
         metrics: Metrics,
     ) -> None:
-        self._own_id = own_id
         self._configs = configs
-        self._members = members
-        self._links = links
-        self._groups = groups
         self._metrics = metrics
-        self._workers = ThreadPoolExecutor(_SCATTER_WORKERS, thread_name_prefix="scatter")
+        self._cuts = GroupCuts()
+        self._parts = GroupParts(configs, groups, self._cuts)
+        self._owners = OwnerLinks(own_id, configs, members, links, self._parts, metrics)
+
+    @property
+    def parts(self) -> GroupParts:
+        """The owner's side at this instance."""
+        return self._parts
 
     def search(self, service: str, firm: str, request: SearchRequest) -> SearchAnswer:
         """Answer one search.
@@ -102,192 +120,160 @@
         with self._metrics.timed("search"):
             return self._search(service, firm, request)
 
-    def search_group(self, search: GroupSearch) -> GroupAnswer:
-        """Answer one group's part of a search as its owner.
+    def _search(self, service: str, firm: str, request: SearchRequest) -> SearchAnswer:
+        """Try until an answer of one snapshot is there, within the caller's deadline.
 
-        Raises:
-            VersionGone: The coordinator used another version of the configuration.
+        A try is void where a group lost the snapshot or the service was partitioned anew. An error
+        that says when to come back is final: waiting on the caller's time would not help.
         """
-        record = self._same_record(search.service, search.spec_version)
-        require_time(search.budget)
-        local = Search(
-            id=f"{search.request_id}-{uuid.uuid4().hex[:8]}",
-            firm=search.firm,
-            query=search.query,
-            shards=frozenset(search.shards),
-            deadline=time.monotonic() + search.budget,
-            min_version=search.min_version,
-            pinned=search.pinned,
-            floor=search.floor,
-        )
-        return self._run_local(record, search.group, local)
-
-    def group_versions(self, question: GroupVersions) -> ServableVersions:
-        """Say which index versions a group owned here can serve."""
-        record = self._same_record(question.service, question.spec_version)
-        require_time(question.budget)
-        local = Search(
-            id=uuid.uuid4().hex,
-            firm="",
-            query={},
-            shards=frozenset(question.shards),
-            deadline=time.monotonic() + question.budget,
-            min_version=question.min_version,
-            versions_only=True,
-        )
-        return self._run_local(record, question.group, local)
-
-    def _search(self, service: str, firm: str, request: SearchRequest) -> SearchAnswer:
-        deadline = None
-        for _ in range(_MAX_RESTARTS):
+        arrived = time.monotonic()
+        for number in range(1, _MAX_RESTARTS + 1):
             record = self._configs.require(service)
-            scatter = self._prepare(record, firm, request, deadline)
-            deadline = scatter.deadline
+            scatter = self._prepare(record, firm, request, arrived, number == _MAX_RESTARTS)
             try:
                 return self._answer(scatter)
             except VersionGone as error:
-                if request.min_version and error.retry_after is not None:
+                if error.retry_after is not None:
                     raise
                 self._metrics.count("search_restarts", "coordinator")
         raise VersionGone(
-            "The index changed too often while the search ran.", retry_after=_RETRY_AFTER
+            "The index changed too often while the search ran.",
+            remedy="Come back after retry_after seconds.",
+            retry_after=RETRY_AFTER,
         )
 
     def _prepare(
-        self, record: ServiceRecord, firm: str, request: SearchRequest, deadline: float | None
+        self,
+        record: ServiceRecord,
+        firm: str,
+        request: SearchRequest,
+        arrived: float,
+        is_last: bool,
     ) -> _Scatter:
         spec = record.spec
         assert spec is not None
         shards = _wanted_shards(spec, request)
-        if deadline is None:
-            deadline = time.monotonic() + _budget(spec, request)
+        deadline = arrived + _budget(spec, request)
+        objective = spec.objective
+        due = arrived + objective.latency if objective.mode == "latency" else deadline
         wanted = {
             group.index: tuple(sorted(shards & group.shards))
-            for group in cut_groups(spec)
+            for group in self._cuts.of(record)
             if shards & group.shards
         }
-        return _Scatter(uuid.uuid4().hex, record, spec, firm, request, wanted, deadline)
+        request_id = uuid.uuid4().hex
+        answer_at = min(due, deadline)
+        return _Scatter(
+            request_id, record, spec, firm, request, wanted, answer_at, deadline, is_last
+        )
 
     def _answer(self, scatter: _Scatter) -> SearchAnswer:
-        single = len(scatter.wanted) == 1
-        pinned = None if single else self._pin(scatter)
-        floor = None if single else 0.0
-        asks = {
-            index: GroupSearch(
+        require_time(scatter.left)
+        if len(scatter.wanted) == 1:
+            answers = self._search_groups(scatter, frozenset(scatter.wanted), None)
+            return self._merge(scatter, answers, {})
+        known = self._known_versions(scatter)
+        servable = {i: a for i, a in known.items() if isinstance(a, ServableVersions)}
+        if not servable:
+            raise next(a for a in known.values() if isinstance(a, LimpethollowError))
+        pinned, able = choose_across(scatter.wanted, servable, scatter.spec.epoch)
+        absent = {i: getattr(known[i], "code", _VERSION_GONE) for i in scatter.wanted.keys() - able}
+        return self._merge(scatter, self._search_groups(scatter, able, pinned), absent)
+
+    def _known_versions(self, scatter: _Scatter) -> dict[int, ServableVersions | LimpethollowError]:
+        """Ask every group which index versions it can serve."""
+
+        def ask(index: int) -> ServableVersions:
+            body = GroupVersions(
+                service=scatter.record.name,
+                spec_version=scatter.record.version,
+                group=index,
+                shards=scatter.wanted[index],
+                budget=scatter.left,
+                min_version=scatter.request.min_version,
+                epoch=scatter.spec.epoch,
+                request_id=scatter.request_id,
+            )
+            return self._owners.versions(scatter.record, body, scatter.answer_at, scatter.deadline)
+
+        return self._ask_all(scatter, frozenset(scatter.wanted), ask)
+
+    def _search_groups(
+        self, scatter: _Scatter, groups: frozenset[int], pinned: int | None
+    ) -> dict[int, GroupAnswer | LimpethollowError]:
+        """Ask groups for their parts; several have their coverage judged as a whole, here."""
+
+        def ask(index: int) -> GroupAnswer:
+            body = GroupSearch(
                 request_id=scatter.request_id,
                 service=scatter.record.name,
                 spec_version=scatter.record.version,
                 group=index,
                 firm=scatter.firm,
                 query=scatter.request.query,
-                shards=shards,
+                shards=scatter.wanted[index],
                 budget=scatter.left,
                 min_version=scatter.request.min_version,
                 pinned=pinned,
-                floor=floor,
-            )
-            for index, shards in scatter.wanted.items()
-        }
-        answers = self._scatter(scatter, "group.search", asks, self.search_group, GroupAnswer)
-        return self._merge(scatter, answers)
-
-    def _pin(self, scatter: _Scatter) -> int:
-        """Choose the newest index version that every group can serve."""
-        asks = {
-            index: GroupVersions(
-                scatter.record.name,
-                scatter.record.version,
-                index,
-                shards,
-                scatter.left,
-                scatter.request.min_version,
+                floor=None if pinned is None else 0.0,
+                epoch=scatter.spec.epoch,
+                answer_in=scatter.answer_in,
             )
-            for index, shards in scatter.wanted.items()
-        }
-        answers = self._scatter(
-            scatter, "group.versions", asks, self.group_versions, ServableVersions
-        )
-        known = [a.versions for a in answers.values() if isinstance(a, ServableVersions)]
-        if not known:
-            raise next(a for a in answers.values() if isinstance(a, LimpethollowError))
-        common = set(known[0]).intersection(*known[1:])
-        return max(common) if common else max(max(versions) for versions in known)
+            return self._owners.search(scatter.record, body, scatter.answer_at, scatter.deadline)
 
-    def _scatter(
-        self,
-        scatter: _Scatter,
-        kind: str,
-        asks: dict[int, Any],
-        local: Any,
-        reply: type[T],
+        return self._ask_all(scatter, groups, ask)
+
+    def _ask_all(
+        self, scatter: _Scatter, groups: frozenset[int], ask: Callable[[int], T]
     ) -> dict[int, T | LimpethollowError]:
-        """Ask all groups at once; a group that fails gives its error instead of its answer."""
-        ask = partial(self._ask_owner, scatter, kind, local=local, reply=reply)
-        if len(asks) == 1:
-            index, body = next(iter(asks.items()))
-            return {index: ask(index, body)}
-        futures = {index: self._workers.submit(ask, index, body) for index, body in asks.items()}
-        return {index: _result_of(future) for index, future in futures.items()}
-
-    def _ask_owner(
-        self, scatter: _Scatter, kind: str, index: int, body: Any, *, local: Any, reply: type[T]
-    ) -> T:
-        """Ask the first owner that can be reached; a search is safe to send again."""
-        key = group_key(scatter.record.name, index)
-        order = find_dispatch(scatter.spec.dispatch)
-        for owner in order(key, self._own_id, self._members.routable()):
-            if owner == self._own_id:
-                return local(body)
-            try:
-                self._metrics.count("forwards", kind)
-                timeout = scatter.left + _GRACE_SECONDS
-                return self._links.request(owner, kind, body, reply, timeout)
-            except (PeerUnreachable, PeerLost) as error:
-                self._metrics.count("forwards_failed", error.code)
-                require_time(scatter.left)
-        return local(body)
+        """Ask groups at once; one that fails gives its error instead of its answer.
+
+        Raises:
+            VersionGone: A group lost the snapshot, so the others' parts are of no use; they are
+                told so at once.
+        """
+        if len(groups) == 1:
+            return {index: _result_of(ask, index) for index in groups}
+        futures = {self._owners.submit(_result_of, ask, index): index for index in groups}
+        answers: dict[int, T | LimpethollowError] = {}
+        pending: set[Future[T | LimpethollowError]] = set(futures)
+        while pending:
+            done, pending = wait(pending, return_when=FIRST_COMPLETED)
+            answers |= {futures[future]: future.result() for future in done}
+            gone = [a for a in answers.values() if isinstance(a, VersionGone)]
+            if gone and not scatter.is_last and pending:
+                self._abandon(scatter)
+                raise gone[0]
+        return answers
+
+    def _abandon(self, scatter: _Scatter) -> None:
+        owners = {self._owners.order(scatter.record, index)[0] for index in scatter.wanted}
+        self._owners.abandon(scatter.request_id, owners)
 
     def _merge(
-        self, scatter: _Scatter, answers: dict[int, GroupAnswer | LimpethollowError]
+        self,
+        scatter: _Scatter,
+        answers: dict[int, GroupAnswer | LimpethollowError],
+        absent: dict[int, str],
     ) -> SearchAnswer:
         errors = [a for a in answers.values() if isinstance(a, LimpethollowError)]
         for error in errors:
-            if isinstance(error, VersionGone) or len(errors) == len(answers):
+            may_restart = isinstance(error, VersionGone) and not scatter.is_last
+            if may_restart or len(errors) == len(answers):
                 raise error
-        coverage, parts = merge_answers(scatter.wanted, answers)
+        coverage, parts = merge_answers(scatter.wanted, answers, absent)
         if coverage.share < scatter.spec.objective.coverage_floor:
             raise CoverageTooLow(
                 f"Only {len(coverage.covered)} of {coverage.wanted} shards answered.",
-                retry_after=_RETRY_AFTER,
+                retry_after=max([RETRY_AFTER, *(e.retry_after or 0.0 for e in errors)]),
+                details={
+                    "covered": list(coverage.covered),
+                    "missing": {str(m.shard): m.reason for m in coverage.missing},
+                },
             )
         self._metrics.count("searches", "complete" if coverage.complete else "partial")
         return SearchAnswer(scatter.request_id, scatter.record.name, coverage, parts)
 
-    def _run_local(self, record: ServiceRecord, index: int, search: Search) -> Any:
-        group = self._groups.get(record, index)
-        future = group.search(search)
-        left = search.deadline - time.monotonic() + _GRACE_SECONDS
-        try:
-            return future.result(max(left, 0.0))
-        except CancelledError:
-            raise Unavailable(
-                "The instance exits and gave the search up.", retry_after=_RETRY_AFTER
-            ) from None
-        except FutureTimeout:
-            group.abandon(search.id)
-            raise DeadlinePassed(
-                "The owner gave no answer by the deadline.", retry_after=_RETRY_AFTER
-            ) from None
-
-    def _same_record(self, service: str, version: int) -> ServiceRecord:
-        """Return the record that the coordinator used, or make it start over with the newer one."""
-        record = self._configs.require(service)
-        if record.version != version:
-            raise VersionGone(
-                f"The owner has version {record.version} of '{service}' in force, not {version}."
-            )
-        return record
-
 
 def _wanted_shards(spec: ServiceSpec, request: SearchRequest) -> frozenset[int]:
     everything = frozenset(range(spec.shards))
@@ -310,8 +296,8 @@
     return budget
 
 
-def _result_of(future: Future[T]) -> T | LimpethollowError:
+def _result_of(ask: Callable[[int], T], index: int) -> T | LimpethollowError:
     try:
-        return future.result()
+        return ask(index)
     except LimpethollowError as error:
         return error
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/answers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/answers.py
@@ -39,7 +39,7 @@
             return Refuse(search.id, self._no_snapshot(gather, now))
         if search.pinned is not None and "version_gone" in gather.failures.values():
             return Refuse(search.id, VersionGone(f"Version {search.pinned} is gone from a shard."))
-        if gather.meets_floor:
+        if gather.is_answerable:
             return Complete(search.id, gather.answer(reason))
         return Refuse(search.id, self._too_little(gather, reason, now))
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -40,9 +40,11 @@
         deadline: Monotonic second at which the caller stops waiting.
         min_version: Lowest index version allowed.
         pinned: Index version to use, None to let the group choose.
-        floor: Coverage below which there is no answer, None for the service's own; 0 for a part of
-            a larger search, which the coordinator judges as a whole.
+        floor: Coverage below which there is an error in place of an answer, None for the service's
+            own; 0 for a part of a larger search, which the coordinator judges as a whole.
         versions_only: Whether only the servable versions are wanted.
+        answer_in: Seconds from arrival until an answer is due that meets the floor, None for the
+            service's own latency objective.
     """
 
     id: str
@@ -54,6 +56,7 @@
     pinned: int | None = None
     floor: float | None = None
     versions_only: bool = False
+    answer_in: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_floor",
         "_parts",
+        "_refusal_floor",
         "answer_at",
         "arrived",
         "ask_again_at",
@@ -76,7 +77,8 @@
         self.asked_shards: set[int] = set()
         self.ask_again_at = now
         self.ask_pause = 0.0
-        self._floor = objective.coverage_floor if search.floor is None else search.floor
+        self._floor = objective.coverage_floor
+        self._refusal_floor = objective.coverage_floor if search.floor is None else search.floor
         self._parts: dict[int, list[Any]] = {}
 
     @property
@@ -101,18 +103,18 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether so many shards were given up on that the floor can't be met any more."""
-        return self._is_below_floor(len(self.search.shards) - len(self.failures))
+        """Whether so many shards were given up on that there can't be an answer any more."""
+        return self._share(len(self.search.shards) - len(self.failures)) < self._refusal_floor
 
     @property
     def meets_floor(self) -> bool:
-        """Whether enough shards are covered for an answer."""
-        return not self._is_below_floor(len(self._parts))
+        """Whether enough shards are covered to answer before the deadline."""
+        return self._share(len(self._parts)) >= self._floor
 
     @property
-    def covered_count(self) -> int:
-        """Number of shards covered."""
-        return len(self._parts)
+    def is_answerable(self) -> bool:
+        """Whether enough shards are covered for an answer rather than an error."""
+        return self._share(len(self._parts)) >= self._refusal_floor
 
     def horizon(self) -> float:
         """Return the monotonic second until which waiting can still help."""
@@ -189,11 +191,12 @@
             return self.failures[shard]
         return reason if shard in self.asked_shards else "no_slot"
 
-    def _is_below_floor(self, shards: int) -> bool:
-        return shards / len(self.search.shards) < self._floor
+    def _share(self, shards: int) -> float:
+        return shards / len(self.search.shards)
 
 
 def _answer_time(search: Search, objective: Objective, now: float) -> float:
-    if objective.mode == "latency":
-        return min(now + objective.latency, search.deadline)
-    return search.deadline
+    if objective.mode != "latency":
+        return search.deadline
+    latency = objective.latency if search.answer_in is None else search.answer_in
+    return min(now + latency, search.deadline)
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/groups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/groups.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from limpethollow_wire.services import SearcherSpec, ServiceSpec
+from limpethollow_wire.services import SearcherSpec, ServiceRecord, ServiceSpec
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,6 +20,23 @@
     searchers: tuple[SearcherSpec, ...]
 
 
+class GroupCuts:
+    """Remembers how services are cut, so that a search does not cut its service anew."""
+
+    __slots__ = ("_cuts",)
+
+    def __init__(self) -> None:
+        self._cuts: dict[str, tuple[int, tuple[Group, ...]]] = {}
+
+    def of(self, record: ServiceRecord) -> tuple[Group, ...]:
+        """Return the groups of a record, none for a tombstone."""
+        version, cut = self._cuts.get(record.name, (-1, ()))
+        if version != record.version:
+            cut = cut_groups(record.spec) if record.spec else ()
+            self._cuts[record.name] = (record.version, cut)
+        return cut
+
+
 def cut_groups(spec: ServiceSpec) -> tuple[Group, ...]:
     """Cut a service into groups.
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/searches.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/searches.py
@@ -33,8 +33,11 @@
 
     Attributes:
         shard: Number of the shard.
-        reason: `deadline`, `objective`, `no_replica`, `version_gone`, `shed`, `failed`
-            or `owner_unreachable`.
+        reason: `deadline` or `objective`: a call was on its way when the answer was due;
+            `no_slot`: the shard was never asked, because no slot became free; `no_replica`: no
+            searcher that holds it can be used; `version_gone`: none keeps the snapshot;
+            `refused`, `shed`, `timeout`, `broken`, `mismatched`, `failed`: the last try ended so
+            and no other was allowed; the code of an error: the shard's whole group gave it.
     """
 
     shard: int
@@ -93,6 +96,8 @@
         min_version: Lowest index version allowed.
         pinned: Index version to use, None to let the owner choose.
         floor: Coverage below which the owner gives no answer, None for the service's own.
+        epoch: Partition epoch that the coordinator used.
+        answer_in: Seconds left until the service's latency objective, None where it has none.
     """
 
     request_id: str
@@ -106,6 +111,20 @@
     min_version: int = 0
     pinned: int | None = None
     floor: float | None = None
+    epoch: int = 0
+    answer_in: float | None = None
+
+
+class GroupAbandon(msgspec.Struct, frozen=True):
+    """Tells a group's owner that nobody waits any more for what a request asked of it."""
+
+    request_id: str
+
+
+class RecordQuestion(msgspec.Struct, frozen=True):
+    """Asks an instance for the configuration of a service that it has in force."""
+
+    service: str
 
 
 class GroupAnswer(msgspec.Struct, frozen=True):
@@ -124,6 +143,8 @@
     shards: tuple[int, ...]
     budget: float
     min_version: int = 0
+    epoch: int = 0
+    request_id: str = ""
 
 
 class ServableVersions(msgspec.Struct, frozen=True):
