--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -180,7 +180,7 @@
         self._drop_hopeless(gather, now)
         is_over = gather.is_pinned and (gather.is_finished or gather.is_lost)
         if is_over and gather.search.id in self._active:
-            self._conclude(gather, "failed", now)
+            self._conclude(gather, "floor_missed", now)
 
     # Admission
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/searches.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/searches.py
@@ -34,6 +34,7 @@
     Attributes:
         shard: Number of the shard.
         reason: `deadline` or `objective`: a call was on its way when the answer was due;
+            `floor_missed`: its call was cut off because too many others were lost for an answer;
             `no_slot`: the shard was never asked, because no slot became free; `no_replica`: no
             searcher that holds it can be used; `version_gone`: none keeps the snapshot;
             `refused`, `shed`, `timeout`, `broken`, `mismatched`, `failed`: the last try ended so
--- a/tests/unit/search/drivers.py
+++ b/tests/unit/search/drivers.py
@@ -80,8 +80,8 @@
     def abandon(self, search_id: str) -> None:
         self.carry(self.scheduler.search_abandoned(search_id, self.now))
 
-    def book(self, request_id: str, shard: int = 0, within: float = 1.0) -> None:
-        request = SlotRequest(request_id, shard, self.now + within)
+    def book(self, request_id: str, shard: int = 0, within: float = 1.0, **fields: Any) -> None:
+        request = SlotRequest(request_id, shard, self.now + within, **fields)
         self.carry(self.scheduler.slot_wanted(request, self.now))
 
     def release(self, request_id: str, failure: Failure | None = None) -> None:
