--- a/benchmarks/loads.py
+++ b/benchmarks/loads.py
@@ -2,7 +2,8 @@
 
 Arrivals are drawn beforehand from a Poisson process with a fixed seed, and each latency is counted
 from the second its search was due. A system that stalls is therefore charged for every search that
-should have been sent meanwhile: coordinated omission can't occur.
+should have been sent meanwhile: coordinated omission can't occur. No two queries are the same, so
+that no answer is taken from another's.
 """
 
 import json
@@ -178,7 +179,8 @@
 
     def _search(self, session: Session, when: float, stream: Stream) -> Sample:
         try:
-            answer = session.search(self._plan.service, {}, deadline=self._plan.deadline)
+            query = {"driver": f"{self._plan.seed}-{when}"}
+            answer = session.search(self._plan.service, query, deadline=self._plan.deadline)
         except LimpethollowError as error:
             latency = time.monotonic() - self._plan.start_at - when
             retry_after = error.retry_after or 0.0
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
-from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
+from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
@@ -26,6 +27,7 @@
     incarnation: str
     configs: ConfigKeeper
     members: MemberKeeper
+    routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
 
@@ -34,9 +36,15 @@
 def route(context: CallerContext, request: HttpRequest) -> HttpReply:
     """Say which instances a caller should use for a service."""
     spec, _ = _admit(context, request)
-    live = context.members.routable()
+    live = context.routes.answer(spec.route_ttl)
     instances = tuple(
-        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id))
+        RouteInstance(
+            i.id,
+            i.address,
+            i.failure_domain,
+            _incarnation(context, i.id),
+            _token_prefix(context, spec.name, i.id),
+        )
         for i in owner_order(group_key(spec.name, 0), live)
     )
     return HttpReply(Route(spec.name, spec.route_ttl, instances))
@@ -82,3 +90,17 @@
     if instance_id == context.own_id:
         return context.incarnation
     return context.members.incarnation(instance_id)
+
+
+def _token_prefix(context: CallerContext, service: str, instance_id: str) -> str:
+    """Return the first parts of an instance's tokens, empty where its run is not known."""
+    bookings = context.bookings
+    incarnation = _incarnation(context, instance_id)
+    if instance_id == context.own_id:
+        age: float | None = bookings.age
+    else:
+        age = context.members.age(instance_id, incarnation)
+    if not incarnation or age is None:
+        return ""
+    record = context.configs.require(service)
+    return bookings.token_prefix(record, instance_id, incarnation, age)
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -5,15 +5,22 @@
 from typing import Any
 
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
+from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.bookings import ForwardedBooking, OutcomeQuestion
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Records
-from limpethollow_wire.searches import GroupSearch, GroupVersions
+from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Leaving, Records, RouteHeld
+from limpethollow_wire.searches import (
+    GroupAbandon,
+    GroupSearch,
+    GroupVersions,
+    RecordQuestion,
+)
 
 PeerHandler = Callable[["PeerContext", Any], Any]
 
@@ -26,6 +33,7 @@
 
     configs: ConfigKeeper
     members: MemberKeeper
+    routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
     status: Callable[[], InstanceStatus]
@@ -58,12 +66,24 @@
 
 @peer_request("group.search", GroupSearch)
 def _search(context: PeerContext, body: GroupSearch) -> Any:
-    return context.coordinator.search_group(body)
+    return context.coordinator.parts.search(body)
 
 
 @peer_request("group.versions", GroupVersions)
 def _versions(context: PeerContext, body: GroupVersions) -> Any:
-    return context.coordinator.group_versions(body)
+    return context.coordinator.parts.versions(body)
+
+
+@peer_request("group.abandon", GroupAbandon)
+def _abandon(context: PeerContext, body: GroupAbandon) -> Any:
+    context.coordinator.parts.abandon(body.request_id)
+    return Acknowledgement()
+
+
+@peer_request("group.record", RecordQuestion)
+def _record(context: PeerContext, body: RecordQuestion) -> Any:
+    record = context.coordinator.parts.record(body.service)
+    return Records(() if record is None else (record,))
 
 
 @peer_request("booking.run", ForwardedBooking)
@@ -88,10 +108,16 @@
 
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    context.members.heard(body.instance, body.incarnation, body.state == "leaving")
+    leaving = body.state in LEAVING_STATES
+    context.members.heard(body.instance, body.incarnation, leaving, body.age)
     return Acknowledgement()
 
 
+@peer_request("instance.leaving", Leaving)
+def _leaving(context: PeerContext, body: Leaving) -> Any:
+    return RouteHeld(context.routes.peer_leaves(body.instance, body.incarnation))
+
+
 @peer_request("instance.status", type(None))
 def _status(context: PeerContext, body: None) -> Any:
     return context.status()
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -6,11 +6,13 @@
 
 from limpethollow_policy.connection.budgets import slots_per_owner
 from limpethollow_policy.connection.searchers import SearcherState
-from limpethollow_policy.process.choices import find_choice
-from limpethollow_policy.request.gathers import Gather
+from limpethollow_policy.process.choices import Candidate, find_choice
+from limpethollow_policy.request.gathers import Gather, Snapshot
 from limpethollow_policy.request.snapshots import Inventory, choose_version, servable_versions
 from limpethollow_policy.version.groups import Group
-from limpethollow_wire.services import ServiceSpec
+from limpethollow_wire.services import SearcherSpec, ServiceSpec
+
+_STRAGGLER_FACTOR = 5.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,20 +29,16 @@
     Args:
         spec: The service.
         group: The group.
-        rng: Source for jitter.
+        rng: Source for jitter and for the choice among equals.
     """
 
-    __slots__ = ("_max_age", "_rng", "_score", "_searchers", "epoch")
+    __slots__ = ("_max_age", "_removed", "_rng", "_score", "_searchers", "epoch", "shards")
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
-        self.epoch = spec.epoch
-        self._max_age = spec.inventory_max_age
         self._rng = rng
-        self._score = find_choice(spec.replica_choice)
-        self._searchers = {
-            searcher.id: SearcherState(searcher, slots_per_owner(searcher, spec.owners), rng)
-            for searcher in group.searchers
-        }
+        self._searchers: dict[str, SearcherState] = {}
+        self._removed: list[SearcherState] = []
+        self.reconfigure(spec, group)
 
     def __iter__(self) -> Iterator[SearcherState]:
         return iter(self._searchers.values())
@@ -48,6 +46,30 @@
     def __getitem__(self, searcher_id: str) -> SearcherState:
         return self._searchers[searcher_id]
 
+    def reconfigure(self, spec: ServiceSpec, group: Group) -> None:
+        """Take in a new configuration.
+
+        A searcher that stays keeps its evidence and its open calls, so that its slots are not used
+        twice over. One that was removed with calls open is remembered until they end, in case that
+        the next configuration names it again.
+        """
+        known = [*self._searchers.values(), *self._removed]
+        self.epoch = spec.epoch
+        self.shards = group.shards
+        self._max_age = spec.inventory_max_age
+        self._score = find_choice(spec.replica_choice)
+        self._searchers = {}
+        for searcher in group.searchers:
+            slots = slots_per_owner(searcher, spec.owners)
+            state = next((s for s in known if _is_same(s, searcher)), None)
+            if state is None:
+                state = SearcherState(searcher, slots, self._rng)
+            state.spec = searcher
+            state.slots = slots
+            self._searchers[searcher.id] = state
+        kept = self._searchers.values()
+        self._removed = [s for s in known if s.in_flight and s not in kept]
+
     def holders(self, shard: int) -> list[SearcherState]:
         """Return the searchers that hold a shard by configuration."""
         return [searcher for searcher in self if shard in searcher.spec.shards]
@@ -60,14 +82,21 @@
         """Return whether some usable searcher can take one more call."""
         return any(searcher.has_free_slot for searcher in self.usable(now))
 
+    def free_share(self, now: float) -> float:
+        """Return the share of the usable searchers' slots that is free, 0 to 1."""
+        usable = self.usable(now)
+        slots = sum(searcher.slots for searcher in usable)
+        used = sum(min(searcher.in_flight, searcher.slots) for searcher in usable)
+        return 1.0 - used / slots if slots else 0.0
+
+    def usable_holders(self, shards: frozenset[int], now: float) -> list[SearcherState]:
+        """Return the usable searchers that hold one of the shards by configuration."""
+        return [s for s in self.usable(now) if not shards.isdisjoint(s.spec.shards)]
+
     def stale(self, shards: frozenset[int], now: float) -> list[SearcherState]:
         """Return the usable holders whose list of versions is too old to pin by."""
-        return [
-            searcher
-            for searcher in self.usable(now)
-            if not shards.isdisjoint(searcher.spec.shards)
-            and not searcher.inventory_is_fresh(now, self._max_age)
-        ]
+        holders = self.usable_holders(shards, now)
+        return [s for s in holders if not s.inventory_is_fresh(now, self._max_age)]
 
     def servable(self, shards: frozenset[int], min_version: int, now: float) -> tuple[int, ...]:
         """Return the versions that fresh, usable replicas serve on every shard, newest first."""
@@ -78,31 +107,41 @@
         return choose_version(self._inventories(now), shards, min_version)
 
     def choose(
-        self, gather: Gather, shards: frozenset[int], now: float, exclude: str = ""
+        self,
+        gather: Gather,
+        shards: frozenset[int],
+        now: float,
+        *,
+        exclude: SearcherState | None = None,
+        patient: bool = False,
     ) -> Choice | None:
-        """Choose the searcher for a call.
-
-        The service's replica choice ranks them. By default the one that serves most of the shards
-        wins, so that a search takes few calls; among equals the one with the shortest expected
-        wait. A replica that failed this search before comes last.
+        """Choose the searcher for a call by the service's replica choice.
 
         Args:
             gather: The search, pinned.
             shards: Shards that need a call.
             now: Monotonic second.
             exclude: A searcher that must not be chosen.
+            patient: Whether the call may wait for a slot of another searcher.
         """
+        able = [
+            (searcher, self.serves(searcher, gather, shards))
+            for searcher in self.usable(now)
+            if searcher is not exclude
+        ]
+        able = [(searcher, serves) for searcher, serves in able if serves]
+        shortest = min((searcher.expected_wait(now) for searcher, _ in able), default=0.0)
         best: Choice | None = None
-        best_score: tuple[float, ...] | None = None
-        for searcher in self.usable(now):
-            if searcher.spec.id == exclude or not searcher.has_free_slot:
-                continue
-            serves = self._serves(searcher, gather, shards)
-            if not serves:
+        best_score: tuple[float, ...] = ()
+        for searcher, serves in able:
+            if not searcher.has_free_slot:
                 continue
+            wait = searcher.expected_wait(now)
             fresh = sum((shard, searcher.spec.id) not in gather.failed_at for shard in serves)
-            score = self._score(fresh, len(serves), searcher, now, self._rng)
-            if best_score is None or score > best_score:
+            straggles = wait > shortest * _STRAGGLER_FACTOR
+            candidate = Candidate(fresh, len(serves), wait, straggles, patient)
+            score = self._score(candidate, self._rng)
+            if score is not None and (best is None or score > best_score):
                 best, best_score = Choice(searcher, serves), score
         return best
 
@@ -115,15 +154,18 @@
         ]
         return min(paused, default=None)
 
-    def serves_somewhere(self, shard: int, version: int, now: float) -> bool:
-        """Return whether a usable replica keeps this version of the shard, busy or not."""
-        return any(s.can_serve(shard, self.epoch, version) for s in self.usable(now))
+    def serves_somewhere(self, shard: int, snapshot: Snapshot, now: float) -> bool:
+        """Return whether a usable replica keeps this snapshot of the shard, busy or not."""
+        return any(s.can_serve(shard, snapshot.epoch, snapshot.version) for s in self.usable(now))
 
-    def _serves(
+    def serves(
         self, searcher: SearcherState, gather: Gather, shards: frozenset[int]
     ) -> frozenset[int]:
-        version = gather.version or 0
-        return frozenset(s for s in shards if searcher.can_serve(s, gather.epoch, version))
+        """Return those of the shards that a searcher keeps at the search's snapshot."""
+        if gather.snapshot is None:
+            return frozenset()
+        epoch, version = gather.snapshot
+        return frozenset(s for s in shards if searcher.can_serve(s, epoch, version))
 
     def _inventories(self, now: float) -> list[Inventory]:
         return [
@@ -131,3 +173,7 @@
             for searcher in self.usable(now)
             if searcher.inventory_is_fresh(now, self._max_age)
         ]
+
+
+def _is_same(state: SearcherState, spec: SearcherSpec) -> bool:
+    return (state.spec.id, state.spec.address) == (spec.id, spec.address)
--- a/tests/unit/admission/test_baselines.py
+++ b/tests/unit/admission/test_baselines.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limpethollow_policy.process.choices import find_choice
+from limpethollow_policy.process.choices import Candidate, find_choice
 from limpethollow_policy.process.dispatches import find_dispatch
 from limpethollow_policy.version.checks import check_policies
 from limpethollow_wire.exceptions import BadRequest
@@ -34,7 +34,8 @@
 class TestReplicaChoice:
     def test_random_choice_ignores_the_evidence(self):
         score, rng = find_choice("random"), Random(7)
-        wins = sum(score(1, 1, None, 0.0, rng) > score(0, 9, None, 0.0, rng) for _ in range(1000))
+        good, bad = Candidate(9, 9, 0.0), Candidate(0, 1, 9.0, straggles=True, may_wait=True)
+        wins = sum(score(good, rng) > score(bad, rng) for _ in range(1000))
         assert 400 < wins < 600
 
 
