--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -1,6 +1,6 @@
 """What a group's scheduler is told and what it asks to be done."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
@@ -40,9 +40,11 @@
         deadline: Monotonic second at which the caller stops waiting.
         min_version: Lowest index version allowed.
         pinned: Index version to use, None to let the group choose.
-        floor: Coverage below which there is no answer, None for the service's own; 0 for a part of
-            a larger search, which the coordinator judges as a whole.
+        floor: Coverage below which there is an error in place of an answer, None for the service's
+            own; 0 for a part of a larger search, which the coordinator judges as a whole.
         versions_only: Whether only the servable versions are wanted.
+        answer_in: Seconds from arrival until an answer is due that meets the floor, None for the
+            service's own latency objective.
     """
 
     id: str
@@ -54,6 +56,7 @@
     pinned: int | None = None
     floor: float | None = None
     versions_only: bool = False
+    answer_in: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,12 +111,14 @@
         shard: Shard that holds what is booked.
         deadline: Monotonic second at which the caller stops waiting.
         exclude: Searchers that are proved not to have run it, tried last.
+        holders: Ids and addresses of the searchers that may be granted, empty for all holders.
     """
 
     id: str
     shard: int
     deadline: float
     exclude: frozenset[str] = frozenset()
+    holders: frozenset[tuple[str, str]] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
@@ -150,35 +155,3 @@
 Action = (
     StartCall | CancelCall | Complete | Servable | Refuse | GrantSlot | DenySlot | WakeAt | Count
 )
-
-
-@dataclass(slots=True)
-class OpenCall:
-    """A call on its way, as the scheduler remembers it.
-
-    Attributes:
-        id: Name of the call.
-        searcher_id: Where it went.
-        started: Monotonic second it was sent.
-        timeout: Seconds it may take.
-        version: Index version asked for; 0 for an inventory call.
-        shards: Shards asked for, by search.
-        hedge: Whether it repeats work that another call is still doing.
-        hedged: Whether another call repeats its work.
-        cancelled: Whether its cancellation was asked for.
-    """
-
-    id: str
-    searcher_id: str
-    started: float
-    timeout: float
-    version: int
-    shards: dict[str, frozenset[int]] = field(default_factory=dict)
-    hedge: bool = False
-    hedged: bool = False
-    cancelled: bool = False
-
-    @property
-    def is_inventory(self) -> bool:
-        """Whether the call asks only for the searcher's index versions."""
-        return not self.shards
