--- a/packages/limpethollow-node/src/limpethollow_node/request/parts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/parts.py
@@ -12,7 +12,7 @@
 from limpethollow_node.process.groups import LocalGroup, LocalGroups
 from limpethollow_policy.request.events import Search
 from limpethollow_policy.version.groups import GroupCuts
-from limpethollow_wire.exceptions import DeadlinePassed, Unavailable, VersionGone
+from limpethollow_wire.exceptions import DeadlinePassed, LimpethollowError, Unavailable, VersionGone
 from limpethollow_wire.searches import GroupAnswer, GroupSearch, GroupVersions, ServableVersions
 from limpethollow_wire.services import ServiceRecord
 
@@ -92,6 +92,9 @@
         left = search.deadline - time.monotonic() + GRACE_SECONDS
         try:
             return running.future.result(max(left, 0.0))
+        except LimpethollowError:
+            # Some typed errors are also a built-in TimeoutError, which means something else below.
+            raise
         except CancelledError:
             message = "The search was given up: nobody waits for it, or the instance exits."
             raise Unavailable(message, retry_after=RETRY_AFTER) from None
