--- a/packages/limpethollow-node/src/limpethollow_node/request/parts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/parts.py
@@ -12,12 +12,7 @@
 from limpethollow_node.process.groups import LocalGroup, LocalGroups
 from limpethollow_policy.request.events import Search
 from limpethollow_policy.version.groups import GroupCuts
-from limpethollow_wire.exceptions import (
-    DeadlinePassed,
-    LimpethollowError,
-    Unavailable,
-    VersionGone,
-)
+from limpethollow_wire.exceptions import DeadlinePassed, LimpethollowError, Unavailable, VersionGone
 from limpethollow_wire.searches import GroupAnswer, GroupSearch, GroupVersions, ServableVersions
 from limpethollow_wire.services import ServiceRecord
 
