--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -24,7 +24,7 @@
 from limpethollow_node.version.planners import Planner
 from limpethollow_policy.process.shutdowns import OpenWork
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Hello, Leaving, RouteHeld
+from limpethollow_wire.peers import Acknowledgement, Hello, Leaving, RouteHeld
 from limpethollow_wire.settings import NodeSettings
 
 _OPERATOR_THREADS = 4
@@ -137,6 +137,7 @@
             self._routes,
             coordinator,
             self._bookings,
+            self._greet,
         )
         operator_context = OperatorContext(
             keys.operator, self._configs, self._members, planner, metrics, self.status
@@ -196,6 +197,12 @@
         reply = self._links.request(peer_id, "instance.leaving", message, RouteHeld, _PEER_TIMEOUT)
         return reply.seconds
 
+    def _greet(self, peer_id: str) -> None:
+        """Exchange hellos with a peer, which opens the link where there is none."""
+        self._links.request(
+            peer_id, "instance.hello", self._hello(), Acknowledgement, _PEER_TIMEOUT
+        )
+
     def _longest_ttl(self) -> float:
         return max((r.spec.route_ttl for r in self._configs.records if r.spec), default=0.0)
 
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -1,5 +1,6 @@
 """The callers' HTTP API."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
@@ -10,14 +11,16 @@
 from limpethollow_node.request.searches import Coordinator
 from limpethollow_policy.process.owners import group_key, owner_order
 from limpethollow_wire.bookings import BookingRequest, OutcomeQuestion
-from limpethollow_wire.exceptions import Unauthorized
-from limpethollow_wire.instances import Route, RouteInstance
+from limpethollow_wire.exceptions import LimpethollowError, Unauthorized
+from limpethollow_wire.instances import InstanceInfo, Route, RouteInstance
 from limpethollow_wire.keys import bearer_key, key_digest, keys_equal
 from limpethollow_wire.searches import SearchRequest
 from limpethollow_wire.services import ServiceSpec
 
 ROUTES = Routes()
 
+_GREETINGS = 2
+
 
 @dataclass(slots=True)
 class CallerContext:
@@ -30,6 +33,7 @@
     routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
+    greet: Callable[[str], None]
 
 
 @ROUTES.add("GET", "/v1/services/{service}/route")
@@ -37,9 +41,10 @@
     """Say which instances a caller should use for a service."""
     spec, _ = _admit(context, request)
     live = context.routes.answer(spec.route_ttl)
+    order = owner_order(group_key(spec.name, 0), live)
+    _learn_incarnation(context, order)
     instances = tuple(
-        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id))
-        for i in owner_order(group_key(spec.name, 0), live)
+        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id)) for i in order
     )
     return HttpReply(Route(spec.name, spec.route_ttl, instances))
 
@@ -80,6 +85,22 @@
     return spec, firms[0]
 
 
+def _learn_incarnation(context: CallerContext, order: list[InstanceInfo]) -> None:
+    """Make sure that the answer names a run that can execute bookings, best the first owner's.
+
+    Instances link when one first needs the other. A leaving instance names itself no more, and may
+    never have met the fresh ones; its callers would then hold a route by which nobody can book.
+    """
+    for instance in order[:_GREETINGS]:
+        if _incarnation(context, instance.id):
+            return
+        try:
+            context.greet(instance.id)
+            return
+        except LimpethollowError:
+            continue
+
+
 def _incarnation(context: CallerContext, instance_id: str) -> str:
     if instance_id == context.own_id:
         return context.incarnation
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shutdowns.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shutdowns.py
@@ -143,6 +143,7 @@
         "_held_until",
         "_known_peers",
         "_linger",
+        "_reason",
         "_state",
         "_state_since",
         "_untold",
@@ -154,6 +155,7 @@
         self._bound = bound
         self._state = InstanceState.STARTING
         self._state_since = 0.0
+        self._reason = ExitReason.DRAINED
         self._held_until = 0.0
         self._abort_at = float("inf")
         self._untold: set[str] = set()
@@ -250,7 +252,7 @@
             return self._give_up(ExitReason.BOUND, now)
         if self._state is InstanceState.GIVEN_UP and self._gave_up_long_enough(work, now):
             self._enter(InstanceState.EXITED, now)
-            return [Exit(ExitReason.BOUND)]
+            return [Exit(self._reason)]
         return []
 
     def _is_drained(self, work: OpenWork, now: float) -> bool:
@@ -271,6 +273,7 @@
         if self._state in (InstanceState.GIVEN_UP, InstanceState.EXITED):
             return []
         self._enter(InstanceState.GIVEN_UP, now)
+        self._reason = reason
         return [GiveUp(reason)]
 
     def _enter(self, state: InstanceState, now: float) -> None:
--- /dev/null
+++ b/tests/system/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Shutdowns, drains and connections of real processes."""
--- /dev/null
+++ b/tests/unit/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on shutdowns, drains and connections."""
