--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -22,7 +22,7 @@
 from limpethollow_policy.request.events import Failure, Search, SlotRequest
 from limpethollow_policy.version.groups import Group, cut_groups
 from limpethollow_wire.exceptions import Unavailable
-from limpethollow_wire.services import ServiceRecord
+from limpethollow_wire.services import SearcherSpec, ServiceRecord
 
 _RETRY_AFTER = 0.1
 
@@ -120,6 +120,10 @@
             group.retire()
         self._pools.close()
 
+    def client(self, searcher: SearcherSpec) -> SearcherClient:
+        """Return a client of any searcher, within this instance's budget of connections."""
+        return SearcherClient(self._pools, searcher, self._timers, self._metrics)
+
     def give_up(self) -> None:
         """End everything that is open because the process is about to exit."""
         self._gave_up = True
--- a/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
@@ -1,12 +1,15 @@
 """The states of one run of an instance, and the graceful shutdown carried out."""
 
 import os
+import select
+import signal
+import socket
 import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 
 from limpethollow_node.process import events
 from limpethollow_node.process.members import MemberKeeper
@@ -30,6 +33,7 @@
 
 _POLL_SECONDS = 0.02
 _TELL_WORKERS = 8
+_WAKEUP_BYTES = 64
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +59,46 @@
     give_up: Callable[[], None]
 
 
+class SignalQueue:
+    """Brings signals from their handlers to the main thread that waits for them.
+
+    Two failures are guarded against, both of which show as a signal without effect. A handler runs
+    between two steps of the main thread, which may hold the lock of an `Event` just then, so that
+    `Event.set` would wait for itself; the put of a `SimpleQueue` is reentrant. And a signal that
+    is delivered to another thread, or just before the main thread blocks, only leaves a mark which
+    a blocked main thread never looks at; the wake-up descriptor is written by the interpreter in
+    whatever thread it is, and ends the `select`.
+    """
+
+    def __init__(self) -> None:
+        self._queue: SimpleQueue[None] = SimpleQueue()
+        self._reader, self._writer = socket.socketpair()
+        self._reader.setblocking(False)
+        self._writer.setblocking(False)
+
+    def __enter__(self) -> "SignalQueue":
+        self._before = signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        signal.set_wakeup_fd(self._before)
+
+    def put(self) -> None:
+        """Note a signal; safe in signal handlers."""
+        self._queue.put(None)
+
+    def wait(self, seconds: float | None) -> bool:
+        """Wait for a signal, in the main thread; false where none came in time."""
+        while self._queue.empty():
+            readable, _, _ = select.select([self._reader], [], [], seconds)
+            if readable:
+                self._reader.recv(_WAKEUP_BYTES)
+            elif seconds is not None:
+                return False
+        self._queue.get()
+        return True
+
+
 class Lifecycle:
     """Holds the state of the run and carries the shutdown's actions out.
 
@@ -67,10 +111,7 @@
         self._bound = bound
         self._shutdown = Shutdown(linger, bound)
         self._lock = threading.Lock()
-        # A signal handler runs between two steps of the main thread, which may hold the lock of an
-        # `Event` at that moment: `Event.set` would then wait for itself for ever. The put of a
-        # `SimpleQueue` is reentrant.
-        self._signals: SimpleQueue[None] = SimpleQueue()
+        self._signals = SignalQueue()
 
     @property
     def state(self) -> InstanceState:
@@ -89,28 +130,25 @@
 
     def ask_to_leave(self) -> None:
         """Begin the graceful shutdown; a second call ends its waiting. Safe in signal handlers."""
-        self._signals.put(None)
+        self._signals.put()
 
     def run(self, hooks: ShutdownHooks) -> None:
         """Block until the shutdown was asked for, then until the instance may close."""
-        self._signals.get()
+        with self._signals:
+            self._signals.wait(None)
+            self._shut_down(hooks)
+
+    def _shut_down(self, hooks: ShutdownHooks) -> None:
         events.STOPPING.log()
         _force_exit_after(self._bound + FORCED_EXIT_SECONDS)
         with ThreadPoolExecutor(_TELL_WORKERS, thread_name_prefix="tell-peer") as tellers:
             self._carry_out(self._asked(hooks), hooks, tellers)
             while self.state is not InstanceState.EXITED:
-                if self._wait_for_signal():
+                if self._signals.wait(_POLL_SECONDS):
                     _force_exit_after(ABORT_RESERVE_SECONDS + FORCED_EXIT_SECONDS)
                     self._carry_out(self._asked(hooks), hooks, tellers)
                 self._carry_out(self._tick(hooks), hooks, tellers)
 
-    def _wait_for_signal(self) -> bool:
-        try:
-            self._signals.get(timeout=_POLL_SECONDS)
-        except Empty:
-            return False
-        return True
-
     def _asked(self, hooks: ShutdownHooks) -> list[ShutdownAction]:
         held, ttl, peers = hooks.held(), hooks.longest_ttl(), hooks.peers()
         with self._lock:
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -81,7 +81,8 @@
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
-        self._members.heard(hello.instance, hello.incarnation, hello.state in LEAVING_STATES)
+        leaving = hello.state in LEAVING_STATES
+        self._members.heard(hello.instance, hello.incarnation, leaving, hello.age)
 
     def _drop(self, peer_id: str) -> None:
         """Close a link that gave no reply: it may be silent for good while a new one works."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -158,6 +158,7 @@
             callers.ROUTES,
             caller_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._operators = Listener(
@@ -167,12 +168,14 @@
             operators.ROUTES,
             operator_context,
             self._lifecycle,
+            timers,
             metrics,
         )
         self._parts = (
             platform,
             timers,
             groups,
+            self._bookings,
             self._links,
             self._members,
             self._configs,
@@ -187,6 +190,7 @@
             self._incarnation,
             self._settings.instance.failure_domain,
             self._lifecycle.state,
+            self._bookings.age,
         )
 
     def _refuse_tokens(self) -> None:
@@ -213,4 +217,5 @@
 
     def _give_up(self) -> None:
         self._groups.give_up()
+        self._bookings.give_up()
         self._links.give_up()
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limpethollow_node.connection.listeners import HttpReply, HttpRequest, Routes
+from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
@@ -44,7 +44,14 @@
     order = owner_order(group_key(spec.name, 0), live)
     _learn_incarnation(context, order)
     instances = tuple(
-        RouteInstance(i.id, i.address, i.failure_domain, _incarnation(context, i.id)) for i in order
+        RouteInstance(
+            i.id,
+            i.address,
+            i.failure_domain,
+            _incarnation(context, i.id),
+            _token_prefix(context, spec.name, i.id),
+        )
+        for i in order
     )
     return HttpReply(Route(spec.name, spec.route_ttl, instances))
 
@@ -105,3 +112,17 @@
     if instance_id == context.own_id:
         return context.incarnation
     return context.members.incarnation(instance_id)
+
+
+def _token_prefix(context: CallerContext, service: str, instance_id: str) -> str:
+    """Return the first parts of an instance's tokens, empty where its run is not known."""
+    bookings = context.bookings
+    incarnation = _incarnation(context, instance_id)
+    if instance_id == context.own_id:
+        age: float | None = bookings.age
+    else:
+        age = context.members.age(instance_id, incarnation)
+    if not incarnation or age is None:
+        return ""
+    record = context.configs.require(service)
+    return bookings.token_prefix(record, instance_id, incarnation, age)
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -116,6 +116,20 @@
     remedy = "Send less in one request."
 
 
+@error_kind("bad_framing", 400)
+class BadFraming(BadRequest):
+    """The length of the body can't be told; the request was not run."""
+
+    remedy = "Send the body with a Content-Length in digits."
+
+
+@error_kind("slow_sender", 408)
+class SlowSender(BadRequest, TimeoutError):
+    """The request's bytes came too slowly; it was not run."""
+
+    remedy = "Send the whole request within a few seconds."
+
+
 @error_kind("unauthorized", 401)
 class Unauthorized(LimpethollowError, PermissionError):
     """The key is missing or wrong; the request was not run."""
@@ -137,6 +151,11 @@
     remedy = "Check the name and the path."
 
 
+@error_kind("method_not_allowed", 405)
+class MethodNotAllowed(BadRequest):
+    """The path can't be used with this method; the request was not run."""
+
+
 @error_kind("deadline_passed", 408)
 class DeadlinePassed(LimpethollowError, TimeoutError):
     """The deadline passed before the request could be run; it was not run."""
@@ -151,6 +170,13 @@
     remedy = "Come back after retry_after seconds."
 
 
+@error_kind("instance_busy", 503)
+class InstanceBusy(LimpethollowError, ConnectionError):
+    """This one instance has no room; the request was not run, and another instance may take it."""
+
+    remedy = "Send it to another instance, or come back after retry_after seconds."
+
+
 @error_kind("unavailable", 503)
 class Unavailable(LimpethollowError, ConnectionError):
     """Nothing that could serve the request can be reached; it was not run."""
@@ -179,6 +205,13 @@
     remedy = "Book again with a new token."
 
 
+@error_kind("token_reused", 409)
+class TokenReused(LimpethollowError, ValueError):
+    """The token belongs to another booking; this request was not run."""
+
+    remedy = "Make a new token for each booking."
+
+
 @error_kind("outcome_unknown", 504)
 class OutcomeUnknown(LimpethollowError, TimeoutError):
     """The booking may or may not have been run."""
