--- a/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
@@ -26,7 +26,6 @@
     ShutdownAction,
     TellPeer,
 )
-from limpethollow_wire.exceptions import LimpethollowError
 from limpethollow_wire.instances import InstanceInfo
 
 EXIT_FORCED = 4
@@ -182,8 +181,9 @@
         while again:
             try:
                 held = hooks.tell_peer(peer_id)
-            except LimpethollowError as error:
-                events.PEER_NOT_TOLD.log(peer=peer_id, error=error.code)
+            except Exception as error:
+                # Whatever it was: a teller that ends unseen would hold the exit until the bound.
+                events.PEER_NOT_TOLD.log(peer=peer_id, error=repr(error))
                 with self._lock:
                     again = bool(self._shutdown.peer_not_told(peer_id, time.monotonic()))
                 time.sleep(_POLL_SECONDS)
--- a/tests/support/clusters.py
+++ b/tests/support/clusters.py
@@ -1,6 +1,7 @@
 """A whole system on loopback: platform, searchers, instances."""
 
 import json
+import os
 import tempfile
 from contextlib import ExitStack
 from pathlib import Path
@@ -14,7 +15,9 @@
 from tests.support.processes import Process, StandIn, post, wait_for
 
 OPERATOR_KEY = "operator-key-for-tests"
-PEER_KEY = "peer-key-for-all-tests"
+# One key for each test worker: an instance of another worker's system, which looks for a dead peer
+# at a port that is in use here by now, would otherwise be taken for the peer of the same name.
+PEER_KEY = f"peer-key-for-tests-{os.getpid()}"
 CALLER_KEY = "caller-key"
 FIRM = "tasfreight"
 DOMAINS = ("lton-a", "lton-b", "dvpt-a", "burnie-a")
