--- /dev/null
+++ b/tests/system/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of configuration, membership and platform outages by real processes."""
