--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -198,6 +198,10 @@
             group.retire()
         self._pools.close()
 
+    def client(self, searcher: SearcherSpec) -> SearcherClient:
+        """Return a client of any searcher, within this instance's budget of connections."""
+        return SearcherClient(self._pools, searcher, self._timers, self._metrics)
+
     def give_up(self) -> None:
         """End everything that is open because the process is about to exit."""
         self._gave_up = True
