--- /dev/null
+++ b/tests/system/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bookings over real processes."""
