--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -117,6 +117,10 @@
         try:
             self._socket.send(to_cbor(Frame(number, kind, body)))
             return future.result(timeout)
+        except LimpethollowError:
+            # Some typed errors are also built-in OSError or TimeoutError; the peer's own refusal
+            # must not be taken for a lost link.
+            raise
         except (FutureTimeout, ConnectionClosed, OSError):
             raise PeerLost("The peer gave no reply in time.", retry_after=_RETRY_AFTER) from None
         finally:
@@ -179,6 +183,8 @@
         self._answer = answer
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer-request")
+        self._open = 0
+        self._open_lock = threading.Lock()
         self._server = serve(
             self._handle,
             host,
@@ -208,6 +214,11 @@
         host, port = self._server.socket.getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def open_requests(self) -> int:
+        """Requests of peers that have no answer yet, those waiting for a thread included."""
+        return self._open
+
     def _check_key(self, connection: ServerConnection, request: Request) -> Response | None:
         try:
             given = bearer_key(request.headers.get("Authorization"))
@@ -227,6 +238,7 @@
             events.PEER_LINKED.log(peer=hello.instance)
             for data in socket:
                 frame = convert(from_cbor(_frame_bytes(data)), Frame)
+                self._opened(1)
                 self._workers.submit(self._reply, socket, hello.instance, frame)
         except BadRequest as error:
             self._metrics.count("peers_refused", "bad_frame")
@@ -248,6 +260,12 @@
             socket.send(to_cbor(reply))
         except (WebSocketException, OSError):
             return
+        finally:
+            self._opened(-1)
+
+    def _opened(self, change: int) -> None:
+        with self._open_lock:
+            self._open += change
 
 
 def _frame_bytes(data: str | bytes) -> bytes:
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -53,6 +53,9 @@
 STOPPED = _event(102, logging.INFO, "instance stopped")
 BOUND_REACHED = _event(103, logging.WARNING, "shutdown bound reached with requests still open")
 DEFECT = _event(104, logging.ERROR, "unexpected error; this is a defect")
+DRAINED = _event(110, logging.INFO, "waiting before the exit ended")
+PEER_NOT_TOLD = _event(111, logging.WARNING, "a peer could not be told that this instance leaves")
+EXIT_FORCED = _event(112, logging.ERROR, "exit forced because closing hung")
 
 # 200: configuration and platform
 RECORDS_APPLIED = _event(200, logging.INFO, "configuration records came into force")
@@ -61,6 +64,11 @@
 PLAN_MADE = _event(203, logging.INFO, "plan made")
 PLAN_CONFIRMED = _event(204, logging.INFO, "plan confirmed")
 PLAN_CONFLICT = _event(205, logging.WARNING, "plan refused because its base is stale")
+RECORD_UNREADABLE = _event(206, logging.ERROR, "a configuration object can't be read")
+PLATFORM_CALL_REFUSED = _event(207, logging.WARNING, "own call budget for the platform is spent")
+WORK_REFUSED = _event(208, logging.WARNING, "new work is refused; what is in force is not known")
+WORK_RESUMED = _event(209, logging.INFO, "what is in force is known again")
+SEED_FAILED = _event(210, logging.INFO, "a seed address did not answer")
 
 # 300: instances
 PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
@@ -69,6 +77,7 @@
 MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
 
 # 400: searchers
+CONNECTION_CONDEMNED = _event(450, logging.DEBUG, "connection to a searcher closed after a fault")
 SEARCHER_CALL_FAILED = _event(400, logging.DEBUG, "a call to a searcher failed")
 
 # 500: requests
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -4,6 +4,7 @@
 
 from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
@@ -26,6 +27,7 @@
     incarnation: str
     configs: ConfigKeeper
     members: MemberKeeper
+    routes: RouteBook
     coordinator: Coordinator
     bookings: BookingExecutor
 
@@ -34,7 +36,7 @@
 def route(context: CallerContext, request: HttpRequest) -> HttpReply:
     """Say which instances a caller should use for a service."""
     spec, _ = _admit(context, request)
-    live = context.members.routable()
+    live = context.routes.answer(spec.route_ttl)
     instances = tuple(
         RouteInstance(
             i.id,
@@ -67,14 +69,17 @@
 @ROUTES.add("GET", "/v1/services/{service}/bookings/{token}")
 def look_up(context: CallerContext, request: HttpRequest) -> HttpReply:
     """Say what became of a booking."""
-    spec, firm = _admit(context, request)
+    spec, firm = _admit(context, request, new_work=False)
     question = OutcomeQuestion(spec.name, firm, request.names["token"])
     return HttpReply(context.bookings.look_up(question))
 
 
-def _admit(context: CallerContext, request: HttpRequest) -> tuple[ServiceSpec, str]:
+def _admit(
+    context: CallerContext, request: HttpRequest, new_work: bool = True
+) -> tuple[ServiceSpec, str]:
     """Return the service and the firm whose key the caller holds."""
-    record = context.configs.require(request.names["service"])
+    find = context.configs.admit if new_work else context.configs.require
+    record = find(request.names["service"])
     spec = record.spec
     assert spec is not None
     digest = key_digest(bearer_key(request.authorization))
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from limpethollow_policy.connection.searchers import SearcherState
-from limpethollow_policy.process.admissions import make_queue
+from limpethollow_policy.process.admissions import AdmissionLimits, make_queue
 from limpethollow_policy.process.replicas import Choice, ReplicaSet
 from limpethollow_policy.request.events import (
     Action,
@@ -43,8 +43,11 @@
 _PIN_PATIENCE_SHARE = 0.25
 _ASK_AGAIN_SECONDS = 0.02
 _SMALLEST_RETRY_AFTER = 0.05
-_FIRST_SERVICE_TIME = 0.005
-_SMOOTHING = 0.1
+_REFUSALS = {
+    "queue_full": "The queue is full.",
+    "gave_way": "The queue is full and the search gave way to a firm that uses less of its share.",
+    "waited_out": "The search waited out its deadline.",
+}
 
 
 class GroupScheduler:
@@ -64,7 +67,8 @@
         self._spec = spec
         self._replicas = ReplicaSet(spec, group, rng)
         shares = {caller.firm: caller.share for caller in spec.callers}
-        self._queue = make_queue(spec.admission.policy, spec.admission.max_queue, shares)
+        limits = AdmissionLimits(spec.admission.max_queue, shares)
+        self._queue = make_queue(spec.admission.policy, limits)
         self._active: dict[str, Gather] = {}
         self._calls: dict[str, OpenCall] = {}
         self._slot_requests: dict[str, SlotRequest] = {}
@@ -73,7 +77,6 @@
         self._latencies = LatencyWindow()
         self._hedges = ShareBudget(spec.hedge.budget, _HEDGE_RESERVE)
         self._retries = ShareBudget(_RETRY_SHARE, _RETRY_RESERVE)
-        self._service_time = _FIRST_SERVICE_TIME
         self._actions: list[Action] = []
 
     @property
@@ -95,8 +98,8 @@
             self._refuse(gather, error)
         elif search.versions_only:
             self._start(gather)
-        elif not self._queue.offer(gather):
-            self._refuse(gather, self._overloaded(now, "The queue is full."))
+        else:
+            self._let_wait(gather, now)
         return self._pump(now)
 
     def search_abandoned(self, search_id: str, now: float) -> list[Action]:
@@ -118,7 +121,6 @@
         searcher.answered(reply, None if call.is_inventory else latency, now)
         if not call.is_inventory:
             self._latencies.add(latency)
-            self._service_time += _SMOOTHING * (latency - self._service_time)
         self._take_parts(call, reply)
         self._take_errors(call, reply)
         return self._pump(now)
@@ -167,7 +169,7 @@
         for gather in tuple(self._active.values()):
             self._advance(gather, now)
         while len(self._queue) and self._may_start(now):
-            gather = self._queue.pop()
+            gather = self._queue.pop(now)
             if gather is None:
                 break
             self._start(gather)
@@ -184,7 +186,6 @@
 
     def _start(self, gather: Gather) -> None:
         self._active[gather.search.id] = gather
-        self._queue.started(gather.search.firm)
 
     def _advance(self, gather: Gather, now: float) -> None:
         if not gather.is_pinned:
@@ -453,7 +454,7 @@
         for gather in tuple(self._queue):
             if now >= gather.search.deadline:
                 self._queue.remove(gather)
-                self._refuse(gather, self._overloaded(now, "The search waited out its deadline."))
+                self._refuse_waiting(gather, "waited_out", now)
 
     def _conclude(self, gather: Gather, reason: str, now: float) -> None:
         """Give a search its final answer, or the typed error that says why there is none."""
@@ -498,29 +499,43 @@
         self._actions.append(Count("searches_refused", error.code))
 
     def _finish(self, search_id: str) -> None:
-        gather = self._active.pop(search_id, None)
-        if gather:
-            self._queue.finished(gather.search.firm)
+        self._active.pop(search_id, None)
 
     # Admission and timing
 
     def _admission_error(self, gather: Gather, now: float) -> LimpethollowError | None:
+        firm = gather.search.firm
         if gather.search.deadline <= now:
+            self._count_refusal(firm, "deadline_passed")
             return DeadlinePassed("The deadline has passed; the search was not run.")
-        if self._estimated_wait() > gather.search.deadline - now:
-            return self._overloaded(now, "The wait would be longer than the deadline.")
+        if self._estimated_wait(firm, now) > gather.search.deadline - now:
+            self._count_refusal(firm, "wait_too_long")
+            return self._overloaded(now, "The wait would be longer than the deadline.", firm)
         return None
 
-    def _estimated_wait(self) -> float:
-        slots = sum(searcher.slots for searcher in self._replicas)
-        return len(self._queue) * self._service_time / max(slots, 1)
+    def _let_wait(self, gather: Gather, now: float) -> None:
+        out = self._queue.offer(gather)
+        if out is not None:
+            self._refuse_waiting(out, "queue_full" if out is gather else "gave_way", now)
+
+    def _refuse_waiting(self, gather: Gather, reason: str, now: float) -> None:
+        firm = gather.search.firm
+        self._count_refusal(firm, reason)
+        self._refuse(gather, self._overloaded(now, _REFUSALS[reason], firm))
+
+    def _count_refusal(self, firm: str, reason: str) -> None:
+        self._actions.append(Count("admissions_refused", f"{firm}/{reason}"))
+
+    def _estimated_wait(self, firm: str, now: float) -> float:
+        return self._queue.wait(firm, now)
 
-    def _overloaded(self, now: float, message: str) -> LimpethollowError:
-        return Overloaded(message, retry_after=self._retry_after(now))
+    def _overloaded(self, now: float, message: str, firm: str = "") -> LimpethollowError:
+        return Overloaded(message, retry_after=self._retry_after(now, firm))
 
-    def _retry_after(self, now: float) -> float:
+    def _retry_after(self, now: float, firm: str = "") -> float:
         paused = [s.down_until - now for s in self._replicas if s.down_until > now]
-        return max(self._estimated_wait(), min(paused, default=0.0), _SMALLEST_RETRY_AFTER)
+        wait = self._estimated_wait(firm, now)
+        return max(wait, min(paused, default=0.0), _SMALLEST_RETRY_AFTER)
 
     def _wake(self, now: float) -> None:
         times = [*self._gather_times(now), *self._call_times()]
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform: object API with versions, conditional writes and watches.
 
 The list of instances lags by `list_lag` seconds. `POST /control` makes it `down`, slow (`delay`
-seconds a call), or lose the replies of the next `lose_replies` writes after they took effect.
+seconds a call), or lose the replies of the next `lose_replies` writes after they took effect, or
+send `garble_replies` of them so that nobody can read them. Stats give the calls by kind and the
+writes that took effect by object.
 """
 
 import sys
@@ -28,6 +30,8 @@
         self.down = False
         self.delay = 0.0
         self.lose_replies = 0
+        self.garble_replies = 0
+        self.writes: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
         self.handlers = {
             ("GET", "objects"): self.read,
@@ -65,10 +69,14 @@
                 "value": body["value"],
             }
             self.objects[kind, name] = stored
+            self.writes[f"{kind}/{name}"] += 1
             self.changed.notify_all()
             if self.lose_replies > 0:
                 self.lose_replies -= 1
                 raise DropConnection
+            if self.garble_replies > 0:
+                self.garble_replies -= 1
+                return 200, {"kind": 7}
         return 200, stored
 
     def watch(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
@@ -129,7 +137,9 @@
 
     def stats(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
         with self.lock:
-            return 200, {"calls": dict(self.calls), "total": sum(self.calls.values())}
+            calls = {"calls": dict(self.calls), "total": sum(self.calls.values())}
+        with self.changed:
+            return 200, {**calls, "writes": dict(self.writes)}
 
 
 if __name__ == "__main__":
