Load generator: queries differ between runs too, and its own lag is shown

Cause: runs with one seed sent the same queries, and the group had kept their answers: a search of 80 ms was answered in 28. Searchers can charge each query of a call, or calls with several queries absorb a flood at no cost and hide the admission policy.

--- a/benchmarks/loads.py
+++ b/benchmarks/loads.py
@@ -48,6 +48,7 @@
         streams: The firms' searches.
         seconds: How long to send.
         seed: Seed of the arrivals.
+        run: Makes the queries unlike those of any other run.
         threads: Searches that may be open at once.
         deadline: Seconds each caller waits.
         spread: Whether threads spread over all instances and not only ask the owner.
@@ -59,6 +60,7 @@
     streams: tuple[Stream, ...]
     seconds: float
     seed: int
+    run: str
     threads: int
     deadline: float
     spread: bool
@@ -76,6 +78,7 @@
         label: `true`, `mislabelled` or `mixed`; empty without an answer.
         coverage: Share of the shards covered.
         retry_after: What a refusal said, 0 where it said nothing.
+        lag: Seconds from when it was due until it was sent; high where the generator is too slow.
     """
 
     firm: str
@@ -85,6 +88,7 @@
     label: str = ""
     coverage: float = 0.0
     retry_after: float = 0.0
+    lag: float = 0.0
 
 
 class RoutedSession(Session):
@@ -178,16 +182,20 @@
         adapter.close()
 
     def _search(self, session: Session, when: float, stream: Stream) -> Sample:
+        lag = self._since(when)
         try:
-            query = {"driver": f"{self._plan.seed}-{when}"}
+            query = {"driver": f"{self._plan.run}-{when}"}
             answer = session.search(self._plan.service, query, deadline=self._plan.deadline)
         except LimpethollowError as error:
-            latency = time.monotonic() - self._plan.start_at - when
             retry_after = error.retry_after or 0.0
-            return Sample(stream.firm, when, latency, error.code, retry_after=retry_after)
-        latency = time.monotonic() - self._plan.start_at - when
-        label = label_of(answer)
-        return Sample(stream.firm, when, latency, "answered", label, answer.coverage.share)
+            latency = self._since(when)
+            return Sample(stream.firm, when, latency, error.code, retry_after=retry_after, lag=lag)
+        latency = self._since(when)
+        label, share = label_of(answer), answer.coverage.share
+        return Sample(stream.firm, when, latency, "answered", label, share, lag=lag)
+
+    def _since(self, when: float) -> float:
+        return time.monotonic() - self._plan.start_at - when
 
 
 def main() -> None:
--- a/benchmarks/search/beds.py
+++ b/benchmarks/search/beds.py
@@ -24,9 +24,9 @@
 SERVICE = "driver-finder"
 INSTANCES = 4
 LOAD_PROCESSES = 2
-LOAD_THREADS = 48
+LOAD_THREADS = 96
 WARM_UP_SECONDS = 1.0
-LISTENER_THREADS = 64
+LISTENER_THREADS = 96
 ROUTE_TTL = 5.0
 _START_SECONDS = 0.8
 _RETURN_SECONDS = 30.0
@@ -170,6 +170,7 @@
             streams=streams,
             seconds=WARM_UP_SECONDS + leg.seconds,
             seed=leg.seed * LOAD_PROCESSES + number,
+            run=str(self._runs),
             threads=LOAD_THREADS,
             deadline=1.0,
             spread=leg.fields.get("dispatch") == "direct",
--- a/benchmarks/search/floods.py
+++ b/benchmarks/search/floods.py
@@ -8,20 +8,22 @@
 from benchmarks.registry import benchmark
 from benchmarks.search.beds import COVERAGE, Layout, Leg
 from benchmarks.search.comparisons import interleaved
-from benchmarks.search.results import LegRun, quantile_ms, searcher_columns
+from benchmarks.search.results import LegRun, common_columns, quantile_ms
 from limpethollow_policy.process.admissions import policy_names
 from limpethollow_wire.services import AdmissionPolicy
 
 CALM_FIRMS = ("calm-a", "calm-b", "calm-c")
 FLOODING_FIRM = "flooding"
-CALM_RATE = 12.0
-# Two searchers of two slots at 50 ms a search run 80 searches a second, 20 for each of four firms.
-FLOOD_RATE = 200.0
+CALM_RATE = 6.0
+# Two searchers of two slots at 100 ms a search run 40 searches a second, 10 for each of four firms.
+FLOOD_RATE = 100.0
+SECONDS = 4.0
 MAX_QUEUE = 16
 
 NARROW = Layout(
     shards=[[0, 1, 2, 3], [0, 1, 2, 3]],
-    options={"service_time": 0.04, "jitter": 0.02, "connect_cost": 0.006},
+    # A searcher that gains nothing by several queries in a call, so that calls can't absorb a flood.
+    options={"service_time": 0.08, "jitter": 0.04, "query_cost": 1.0, "connect_cost": 0.006},
     firms=(*CALM_FIRMS, FLOODING_FIRM),
 )
 
@@ -39,7 +41,7 @@
 def _leg(name: str, policy: str, flood_rate: float) -> Leg:
     admission = AdmissionPolicy(policy=policy, max_queue=MAX_QUEUE)
     rates = {**dict.fromkeys(CALM_FIRMS, CALM_RATE), FLOODING_FIRM: flood_rate}
-    return Leg(name, {"objective": COVERAGE, "admission": admission}, rates)
+    return Leg(name, {"objective": COVERAGE, "admission": admission}, rates, SECONDS)
 
 
 def _row(name: str, runs: Sequence[LegRun], calm_p99: float) -> dict[str, Any]:
@@ -61,7 +63,7 @@
         "answered a second": sum(s.code == "answered" for s in samples) / seconds,
         "slowest refusal ms": 1000 * max((s.latency for s in samples if s.retry_after), default=0),
         "retry_after": _retry_after(samples),
-        **searcher_columns(runs),
+        **common_columns(runs),
     }
 
 
--- a/benchmarks/search/results.py
+++ b/benchmarks/search/results.py
@@ -126,13 +126,13 @@
         "not complete in 500 ms": not_prompt(samples),
         "refused": " ".join(f"{code}={count}" for code, count in refused.items()) or "0",
         "extra calls": f"{sum(run.extra_calls() for run in runs) / len(runs):+.1%}",
-        **searcher_columns(runs),
+        **common_columns(runs),
         **sum((Counter(run.notes) for run in runs), Counter()),
     }
 
 
-def searcher_columns(runs: Sequence[LegRun]) -> dict[str, Any]:
-    """Return what the searchers counted, their highest peaks in any run."""
+def common_columns(runs: Sequence[LegRun]) -> dict[str, Any]:
+    """Return what the searchers counted and how busy the processes were, the peaks of any run."""
     counts = [run.searchers for run in runs]
     return {
         "shed": sum(one.shed for one in counts),
@@ -141,4 +141,5 @@
         "peak running": max(one.peak_running for one in counts),
         "peak open": max(one.peak_open for one in counts),
         "cores": max(run.cores for run in runs),
+        "generator lag ms": 1000 * max((s.lag for run in runs for s in run.samples), default=0.0),
     }
--- a/tests/standins/searcher.py
+++ b/tests/standins/searcher.py
@@ -2,9 +2,10 @@
 
 It holds shards in several index versions, runs `slots` requests at once, lets `backlog` more wait
 and sheds the rest, refuses connections over its limit, and pays `connect_cost` seconds for each new
-one. It keeps bookings by token and counts how often each was run. `POST /control` changes any field
-of its state, and with `{"reset": true}` clears its counts and peaks; `GET /control/stats` shows
-what it counted. Its health and load endpoints lag.
+one. Each further query of a call adds `query_cost` of the time that a call with one query takes.
+It keeps bookings by token and counts how often each was run. `POST /control` changes any field of
+its state; `{"reset": true}` clears its counts and peaks, `GET /control/stats` shows what it
+counted. Its health and load endpoints lag.
 """
 
 import argparse
@@ -39,6 +40,7 @@
         self.connect_cost = 0.0
         self.service_time = 0.001
         self.jitter = 0.0
+        self.query_cost = 0.0
         self.straggle_share = 0.0
         self.straggle_time = 0.0
         self.cold_start = 0.0
@@ -93,7 +95,7 @@
         if not self.take_slot(body["request_id"], body["timeout"]):
             return 503, {"code": "shed", "retry_after": 0.01}
         try:
-            cancelled = self.work(body["request_id"], body["timeout"])
+            cancelled = self.work(body["request_id"], body["timeout"], len(body["queries"]))
         finally:
             self.give_slot(body["request_id"])
         if cancelled:
@@ -177,9 +179,10 @@
             self.cancelled.discard(request_id)
             self.free.notify_all()
 
-    def work(self, request_id: str, timeout: float) -> bool:
+    def work(self, request_id: str, timeout: float, queries: int = 1) -> bool:
         """Take as long as a request takes; true where it was cancelled on the way."""
         seconds = self.service_time + self.rng.random() * self.jitter
+        seconds *= 1 + self.query_cost * (queries - 1)
         if self.rng.random() < self.straggle_share:
             seconds += self.straggle_time
         if time.monotonic() - self.started < self.cold_start:
