--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -7,7 +7,6 @@
 from limpethollow_node.connection.peers import PeerLink, PeerLost, PeerUnreachable
 from limpethollow_node.process import events
 from limpethollow_node.process.members import MemberKeeper
-from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.peers import Hello
 
@@ -77,12 +76,15 @@
         info = self._members.get(peer_id)
         if info is None:
             raise PeerUnreachable(f"No instance '{peer_id}' is listed.")
-        return PeerLink(info.peer_address, self._key, self._hello(), self.greeted)
+        return PeerLink(info.peer_address, self._key, self._hello(), self._dialled)
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
-        leaving = hello.state in LEAVING_STATES
-        self._members.heard(hello.instance, hello.incarnation, leaving, hello.age)
+        self._members.greeted(hello)
+
+    def _dialled(self, hello: Hello) -> None:
+        """Take in the word of whoever answers at a peer's address: its current run."""
+        self._members.greeted(hello, dialled=True)
 
     def _drop(self, peer_id: str) -> None:
         """Close a link that gave no reply: it may be silent for good while a new one works."""
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -7,14 +7,14 @@
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.process.relays import PeerSync
 from limpethollow_node.request.bookings import BookingExecutor
 from limpethollow_node.request.searches import Coordinator
-from limpethollow_policy.process.shutdowns import LEAVING_STATES
 from limpethollow_wire.bookings import ForwardedBooking, OutcomeQuestion
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Digest, Hello, Leaving, Records, RouteHeld
+from limpethollow_wire.peers import Acknowledgement, Hello, Leaving, Records, RouteHeld
 from limpethollow_wire.searches import (
     GroupAbandon,
     GroupSearch,
@@ -37,6 +37,7 @@
     coordinator: Coordinator
     bookings: BookingExecutor
     status: Callable[[], InstanceStatus]
+    sync: PeerSync
 
 
 def peer_request(kind: str, body: type) -> Callable[[PeerHandler], PeerHandler]:
@@ -66,11 +67,13 @@
 
 @peer_request("group.search", GroupSearch)
 def _search(context: PeerContext, body: GroupSearch) -> Any:
+    context.configs.check_current()
     return context.coordinator.parts.search(body)
 
 
 @peer_request("group.versions", GroupVersions)
 def _versions(context: PeerContext, body: GroupVersions) -> Any:
+    context.configs.check_current()
     return context.coordinator.parts.versions(body)
 
 
@@ -88,6 +91,7 @@
 
 @peer_request("booking.run", ForwardedBooking)
 def _book(context: PeerContext, body: ForwardedBooking) -> Any:
+    context.configs.check_current()
     return context.bookings.run_forwarded(body)
 
 
@@ -96,20 +100,9 @@
     return context.bookings.look_up_here(body)
 
 
-@peer_request("config.push", Records)
-def _push(context: PeerContext, body: Records) -> Any:
-    return Acknowledgement(len(context.configs.merge(body.records)))
-
-
-@peer_request("config.pull", Digest)
-def _pull(context: PeerContext, body: Digest) -> Any:
-    return Records(context.configs.newer_than(body.versions))
-
-
 @peer_request("instance.hello", Hello)
 def _hello(context: PeerContext, body: Hello) -> Any:
-    leaving = body.state in LEAVING_STATES
-    context.members.heard(body.instance, body.incarnation, leaving, body.age)
+    context.members.greeted(body)
     return Acknowledgement()
 
 
