--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,11 +5,10 @@
 
 import sys
 import threading
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-from limpethollow import OutcomeState, SearchAnswer
+from limpethollow import OutcomeState, SearchAnswer, Session
 from limpethollow.exceptions import Conflict
 from limpethollow.models import Intent
 from limpethollow_wire.codecs import convert
@@ -157,15 +156,16 @@
     """A searcher is killed while searches run; every label stays true."""
     answers: list[SearchAnswer | Exception] = []
 
-    def search() -> None:
+    def search(driver: int) -> None:
+        # Queries differ, since identical ones on one snapshot are run only once.
         with cluster.session() as session:
-            for _ in range(SEARCHES_PER_THREAD):
-                answers.append(_attempt(lambda: session.search(SERVICE, {}, deadline=5.0)))
+            for number in range(SEARCHES_PER_THREAD):
+                answers.append(_attempt(session, {"driver": driver, "number": number}))
 
     victim = cluster.searchers[f"{SERVICE}-s0"]
     for number in range(FINDER.searchers):
         cluster.searchers[f"{SERVICE}-s{number}"].control(service_time=SLOW_SERVICE_TIME)
-    threads = [threading.Thread(target=search) for _ in range(SEARCH_THREADS)]
+    threads = [threading.Thread(target=search, args=[n]) for n in range(SEARCH_THREADS)]
     for thread in threads:
         thread.start()
     wait_for(lambda: victim.stats()["running"] > 0, "a search on the searcher to kill")
@@ -186,9 +186,9 @@
         return session.search(SERVICE, {}, deadline=5.0).coverage.complete
 
 
-def _attempt(search: Callable[[], SearchAnswer]) -> SearchAnswer | Exception:
+def _attempt(session: Session, query: dict[str, Any]) -> SearchAnswer | Exception:
     try:
-        return search()
+        return session.search(SERVICE, query, deadline=5.0)
     except Exception as error:
         return error
 
