--- a/packages/limpethollow-node/src/limpethollow_node/request/booking_drivers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/booking_drivers.py
@@ -100,6 +100,10 @@
         """Wait until something can be told, at most so long."""
         self._told.wait(seconds)
 
+    def give_up(self) -> None:
+        """Let all that wait go on with what is known, because the process is about to exit."""
+        self._told.set()
+
     def ask(self) -> None:
         """Look for a lost outcome at once."""
         with self._lock:
--- a/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
@@ -68,7 +68,7 @@
         self._drivers: dict[str, BookingDriver] = {}
         self._placements = Placements()
         self._timers = Timers()
-        self._resolver = BookingResolver(metrics)
+        self._resolver = BookingResolver(groups.client, metrics)
         self._background = ThreadPoolExecutor(
             _BACKGROUND_WORKERS, thread_name_prefix="booking-background"
         )
@@ -103,6 +103,13 @@
         with self._lock:
             self._ledger.leave()
 
+    def give_up(self) -> None:
+        """Tell all callers now what is known, because the process is about to exit."""
+        with self._lock:
+            drivers = tuple(self._drivers.values())
+        for driver in drivers:
+            driver.give_up()
+
     def token_prefix(
         self, record: ServiceRecord, instance_id: str, incarnation: str, age: float
     ) -> str:
