--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -114,7 +114,10 @@
         """Take one retry from the budget; false where none is left."""
         with self._lock:
             allowed = self._retries.take()
-        self._metrics.count("platform_retries" if allowed else "platform_retries_refused", call)
+        if allowed:
+            self._metrics.count("platform_retries", call)
+        else:
+            self._metrics.count("platform_retries_refused", call)
         return allowed
 
     def _call(
