--- a/tests/system/configuration/systems.py
+++ b/tests/system/configuration/systems.py
@@ -55,7 +55,9 @@
         for name, proxy in self.peer_proxies.items():
             other = FAR if name in NEAR else NEAR
             proxy.control(blocked=[self.instances[i].pid for i in other])
-        self.platforms[FAR].control(refuse=True, cut=True)
+        # Refuse first: an instance opens a new connection as soon as its old one is cut.
+        self.platforms[FAR].control(refuse=True)
+        self.platforms[FAR].control(cut=True)
 
     def join_halves(self) -> None:
         for proxy in self.peer_proxies.values():
