--- a/benchmarks/search/floods.py
+++ b/benchmarks/search/floods.py
@@ -22,7 +22,7 @@
 
 NARROW = Layout(
     shards=[[0, 1, 2, 3], [0, 1, 2, 3]],
-    # A searcher that gains nothing by several queries in a call, so that calls can't absorb a flood.
+    # A searcher that gains nothing by several queries in a call, so no call can absorb the flood.
     options={"service_time": 0.08, "jitter": 0.04, "query_cost": 1.0, "connect_cost": 0.006},
     firms=(*CALM_FIRMS, FLOODING_FIRM),
 )
