--- a/packages/limpethollow-node/src/limpethollow_node/request/booking_resolvers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/booking_resolvers.py
@@ -1,5 +1,6 @@
 """Asks searchers what became of booking tokens."""
 
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor, wait
 
 from limpethollow_node.connection.searchers import CallFailed, SearcherClient
@@ -16,16 +17,19 @@
 
 
 class BookingResolver:
-    """Looks tokens up at searchers, each call on a connection of its own.
+    """Looks tokens up at searchers, within the instance's budget of connections.
 
-    The connections of a group may be taken, silent or closed with it just when an outcome is
-    lost on them; one short connection per look-up does not depend on any of these.
+    The connections of a group may be taken or silent just when an outcome is lost on them. A
+    look-up does not depend on these: one connection of the budget is kept for control calls, and
+    siblings of a silent connection that were not proved to work are closed with it.
 
     Args:
+        client: Returns a client of a searcher.
         metrics: Where look-ups are counted.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, client: Callable[[SearcherSpec], SearcherClient], metrics: Metrics) -> None:
+        self._client = client
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(_WORKERS, thread_name_prefix="booking-look-up")
 
@@ -41,7 +45,7 @@
         """Ask one searcher."""
         self._metrics.count("searcher_calls", "booking_look_up")
         try:
-            with SearcherClient(searcher) as client:
+            with self._client(searcher) as client:
                 reply = client.look_up(token, void=look_up.void)
         except CallFailed as error:
             return LookUpFailed(searcher.id, error.failure)
