Searches no longer pass the admission queue eight at a time; queries per call are configured

Cause: up to eight started searches could lack a call, and started ones get slots in order of start, so a flood went round the admission policy; a call then took eight queries, which pays only where the searcher runs them together. Ruled out: the policy (fifo and least_usage sank alike), processor time (0.36 cores). Change: queries_per_call in the service's configuration, 1 by default; no more searches may lack a call than the next free slots can take.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -32,7 +32,16 @@
         rng: Source for jitter and for the choice among equals.
     """
 
-    __slots__ = ("_max_age", "_removed", "_rng", "_score", "_searchers", "epoch", "shards")
+    __slots__ = (
+        "_max_age",
+        "_removed",
+        "_rng",
+        "_score",
+        "_searchers",
+        "epoch",
+        "queries_per_call",
+        "shards",
+    )
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self._rng = rng
@@ -56,6 +65,7 @@
         known = [*self._searchers.values(), *self._removed]
         self.epoch = spec.epoch
         self.shards = group.shards
+        self.queries_per_call = spec.queries_per_call
         self._max_age = spec.inventory_max_age
         self._score = find_choice(spec.replica_choice)
         self._searchers = {}
@@ -78,6 +88,12 @@
         """Return the searchers that may get new work."""
         return [searcher for searcher in self if searcher.is_usable(now)]
 
+    @property
+    def calls_per_search(self) -> float:
+        """Calls that a search of all shards takes on average."""
+        held = sum(len(searcher.spec.shards) for searcher in self)
+        return len(self.shards) * len(self._searchers) / max(held, 1)
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether some usable searcher can take one more call."""
         return any(searcher.has_free_slot for searcher in self.usable(now))
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -33,7 +33,7 @@
 from limpethollow_wire.searches import SearcherReply, ServableVersions
 from limpethollow_wire.services import ServiceSpec
 
-_MAX_HUNGRY = 8
+_MAX_UNPINNED = 8
 _REFUSALS = {
     "wait_too_long": "The wait would be longer than the deadline.",
     "queue_full": "The queue is full.",
@@ -202,7 +202,17 @@
             return True
         if not self._replicas.has_free_slot(now):
             return False
-        return sum(map(self._sender.is_hungry, self._active)) < _MAX_HUNGRY
+        unpinned = sum(not gather.is_pinned for gather in self._active)
+        lacking = sum(map(self._sender.lacks_call, self._active))
+        return unpinned < _MAX_UNPINNED and lacking < self._most_lacking()
+
+    def _most_lacking(self) -> float:
+        """Return how many started searches may lack a call.
+
+        They get slots in the order they were started, whatever the admission policy says of those
+        that come after them, so no more are started than the next free slots can take.
+        """
+        return self._replicas.queries_per_call * max(1.0, self._replicas.calls_per_search)
 
     def _needs_no_call(self, gather: Gather, now: float) -> bool:
         """Return whether kept answers and open calls will bring all that a search wants."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
@@ -11,7 +11,6 @@
 from limpethollow_policy.request.outboxes import Outbox
 from limpethollow_wire.searches import CallQuery, SearcherReply
 
-_MAX_QUERIES_PER_CALL = 8
 _INVENTORY_TIMEOUT = 0.25
 _UNNAMED = "failed"
 _VERSION_GONE = "version_gone"
@@ -55,9 +54,9 @@
             return frozenset()
         return gather.open_shards - self._calls.busy_shards(gather.key, gather.snapshot)
 
-    def is_hungry(self, gather: Gather) -> bool:
-        """Return whether a search still has to get its snapshot or a call."""
-        return not gather.is_pinned or bool(self.idle_shards(gather))
+    def lacks_call(self, gather: Gather) -> bool:
+        """Return whether a search has its snapshot and still has to get a call."""
+        return gather.is_pinned and bool(self.idle_shards(gather))
 
     def will_bring_all(self, gather: Gather, version: int) -> bool:
         """Return whether a search needs no call of its own at a version."""
@@ -199,7 +198,7 @@
         for other in self._active:
             if other is first or other.snapshot != first.snapshot:
                 continue
-            if other.key not in work and len(work) >= _MAX_QUERIES_PER_CALL:
+            if other.key not in work and len(work) >= self._replicas.queries_per_call:
                 continue
             shards = self._replicas.serves(choice.searcher, other, self.idle_shards(other))
             shards -= {s for s in shards if (s, choice.searcher.spec.id) in other.failed_at}
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -96,6 +96,8 @@
         route_ttl: Seconds for which callers keep a route answer.
         inventory_max_age: Seconds for which a searcher's list of index versions is believed.
         searchers_per_group: Searchers that one group may hold at most.
+        queries_per_call: Searches that one call to a busy searcher may carry; above 1 it pays only
+            where a searcher runs several in much less time than one after the other.
         replica_choice: Name of a registered replica choice.
         dispatch: Name of a registered dispatch policy: `owner` sends a group's calls from its
             owner, `direct` from any instance (a baseline for measurements).
@@ -113,6 +115,7 @@
     route_ttl: float = 5.0
     inventory_max_age: float = 1.0
     searchers_per_group: int = 16
+    queries_per_call: int = 1
     replica_choice: str = "shortest_wait"
     dispatch: str = "owner"
 
@@ -151,6 +154,7 @@
             (self.route_ttl > 0, "'route_ttl' must be above 0"),
             (self.inventory_max_age > 0, "'inventory_max_age' must be above 0"),
             (self.searchers_per_group > 0, "'searchers_per_group' must be above 0"),
+            (0 < self.queries_per_call <= 64, "'queries_per_call' must be 1 to 64"),
             (all(c.share > 0 for c in self.callers), "'share' must be above 0"),
         ]
 
