Leaving searchers: evidence with an order, notices between owners, probes only with traffic

Cause: a searcher that once said 'draining' was never asked again, so one that returned got no work for ever; other owners learned only from their own replies; bookings went out by evidence of any age.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
@@ -78,7 +78,6 @@
         searcher: The searcher.
         timers: Where the end of calls without a cancel is set.
         metrics: Where cancels are counted.
-        heard: Told of `draining` in each reply.
     """
 
     def __init__(
@@ -87,13 +86,11 @@
         searcher: SearcherSpec,
         timers: Timers,
         metrics: Metrics,
-        heard: Callable[[bool], None] = lambda draining: None,
     ) -> None:
         self._pools = pools
         self._pool = pools.acquire(searcher)
         self._timers = timers
         self._metrics = metrics
-        self._heard = heard
         self._calls: dict[str, _OpenCall] = {}
 
     def __enter__(self) -> "SearcherClient":
@@ -115,7 +112,7 @@
         open_call = self._calls[call.request_id] = _OpenCall()
         control = not call.queries
         try:
-            reply = self._post(
+            return self._post(
                 "/search", call, SearcherReply, call.timeout, echoes, open_call, control=control
             )
         except CallFailed:
@@ -125,8 +122,6 @@
         finally:
             open_call.ended.set()
             self._calls.pop(call.request_id, None)
-        self._heard(reply.draining)
-        return reply
 
     def cancel(self, request_id: str) -> None:
         """Tell the searcher that nobody wants a call any more; failures don't matter.
--- a/packages/limpethollow-node/src/limpethollow_node/process/actors.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/actors.py
@@ -27,6 +27,7 @@
     Servable,
     SlotRequest,
     StartCall,
+    TellDrain,
     WakeAt,
 )
 from limpethollow_policy.version.groups import Group
@@ -83,6 +84,16 @@
     retry_after: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class DrainMessage:
+    """Another instance heard that a searcher is leaving or back, or the platform lists it so."""
+
+    searcher_id: str
+    draining: bool
+    said_at: float
+    listed: bool
+
+
 @dataclass(slots=True, frozen=True)
 class TickMessage:
     """The time the scheduler asked to be woken at has come."""
@@ -103,6 +114,7 @@
         timers: Where wake-ups are set.
         metrics: Where counters are kept.
         prefix: Makes the ids of calls unique among all instances and runs.
+        tell_drain: Tells other owners of the group that a searcher is leaving or back.
     """
 
     use_daemon_thread = True
@@ -115,6 +127,7 @@
         timers: Timers,
         metrics: Metrics,
         prefix: str,
+        tell_drain: Callable[[str, bool], None] = lambda searcher_id, draining: None,
     ) -> None:
         super().__init__()
         self._service = spec.name
@@ -123,6 +136,7 @@
         self._metrics = metrics
         self._scheduler = GroupScheduler(spec, group, Random())
         self._clients = clients
+        self._tell_drain = tell_drain
         self._calls: dict[str, str] = {}
         self._futures: dict[str, Future[Any]] = {}
         self._slots: dict[str, Future[str]] = {}
@@ -168,6 +182,8 @@
                 return self._scheduler.slot_wanted(request, now)
             case ReleaseMessage(request_id, failure, retry_after):
                 return self._scheduler.slot_released(request_id, failure, retry_after, now)
+            case DrainMessage(searcher_id, draining, said_at, listed):
+                return self._scheduler.drain_noted(searcher_id, draining, said_at, listed, now)
             case RetireMessage():
                 self._retiring = True
                 return []
@@ -195,6 +211,8 @@
                 self._slots.pop(request_id).set_exception(error)
             case Count(name, reason):
                 self._metrics.count(name, reason)
+            case TellDrain(searcher_id, draining):
+                self._tell_drain(searcher_id, draining)
             case WakeAt(when):
                 self._set_wake(when)
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -77,6 +77,7 @@
 MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
 
 # 400: searchers
+SEARCHER_DRAINS = _event(451, logging.INFO, "searcher is leaving, or is back")
 CONNECTION_CONDEMNED = _event(450, logging.DEBUG, "connection to a searcher closed after a fault")
 SEARCHER_CALL_FAILED = _event(400, logging.DEBUG, "a call to a searcher failed")
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -2,7 +2,10 @@
 
 import itertools
 import threading
+import time
+from collections.abc import Callable
 from concurrent.futures import Future
+from functools import partial
 from typing import Any
 
 import pykka
@@ -11,6 +14,7 @@
 from limpethollow_node.connection.searchers import SearcherClient
 from limpethollow_node.process.actors import (
     AbandonMessage,
+    DrainMessage,
     GroupActor,
     ReleaseMessage,
     RetireMessage,
@@ -22,6 +26,7 @@
 from limpethollow_policy.request.events import Failure, Search, SlotRequest
 from limpethollow_policy.version.groups import Group, cut_groups
 from limpethollow_wire.exceptions import Unavailable
+from limpethollow_wire.peers import DrainNotice
 from limpethollow_wire.services import SearcherSpec, ServiceRecord
 
 _RETRY_AFTER = 0.1
@@ -39,6 +44,7 @@
         timers: Timers,
         metrics: Metrics,
         prefix: str,
+        tell_drain: Callable[[str, bool], None],
     ) -> None:
         assert record.spec is not None
         self.version = record.version
@@ -47,7 +53,9 @@
             for searcher in group.searchers
         }
         self._waiting = waiting
-        self._ref = GroupActor.start(record.spec, group, self._clients, timers, metrics, prefix)
+        self._ref = GroupActor.start(
+            record.spec, group, self._clients, timers, metrics, prefix, tell_drain
+        )
 
     def search(self, search: Search) -> Future[Any]:
         """Start a search; the future gets a `GroupAnswer`, `ServableVersions` or a typed error."""
@@ -77,6 +85,12 @@
         """Return the client of one searcher."""
         return self._clients[searcher_id]
 
+    def drain_noted(self, notice: DrainNotice) -> None:
+        """Take in what is known elsewhere of a leaving or returning searcher."""
+        said_at = time.monotonic() - notice.age
+        message = DrainMessage(notice.searcher, notice.draining, said_at, notice.listed)
+        self._tell(message, None)
+
     def retire(self) -> None:
         """End the actor once nothing is open, so that a new version cuts off no request."""
         self._tell(RetireMessage(), None)
@@ -109,6 +123,7 @@
         self._pools = ConnectionPools(timers, metrics)
         self._waiting: set[Future[Any]] = set()
         self._gave_up = False
+        self._drain_listeners: list[Callable[[DrainNotice], None]] = []
 
     def __enter__(self) -> "LocalGroups":
         return self
@@ -120,6 +135,17 @@
             group.retire()
         self._pools.close()
 
+    def listen_for_drains(self, listener: Callable[[DrainNotice], None]) -> None:
+        """Have a callable told of searchers that said that they are leaving or back."""
+        self._drain_listeners.append(listener)
+
+    def drain_noted(self, notice: DrainNotice) -> None:
+        """Take in what is known elsewhere of a searcher, if its group runs here."""
+        with self._lock:
+            group = self._groups.get((notice.service, notice.group))
+        if group is not None:
+            group.drain_noted(notice)
+
     def client(self, searcher: SearcherSpec) -> SearcherClient:
         """Return a client of any searcher, within this instance's budget of connections."""
         return SearcherClient(self._pools, searcher, self._timers, self._metrics)
@@ -151,10 +177,15 @@
                     self._timers,
                     self._metrics,
                     prefix,
+                    partial(self._drain_heard, record.name, index),
                 )
                 self._groups[record.name, index] = group
             return group
 
+    def _drain_heard(self, service: str, index: int, searcher_id: str, draining: bool) -> None:
+        for listener in self._drain_listeners:
+            listener(DrainNotice(service, index, searcher_id, draining, age=0.0))
+
     def records_applied(self, records: tuple[ServiceRecord, ...]) -> None:
         """End the groups of services that changed; they start anew with the next request."""
         with self._lock:
--- a/packages/limpethollow-node/src/limpethollow_node/process/members.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/members.py
@@ -11,7 +11,7 @@
 from limpethollow_policy.process.members import WHOLE_LIST, Membership
 from limpethollow_policy.process.relays import WatchDuty, relays_of
 from limpethollow_wire.exceptions import LimpethollowError
-from limpethollow_wire.instances import InstanceInfo
+from limpethollow_wire.instances import InstanceInfo, SearcherListing
 from limpethollow_wire.peers import Hello, ListChange
 
 _FIRST_PAUSE = 0.1
@@ -41,6 +41,7 @@
         self._began: dict[str, tuple[str, float]] = {}
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._listeners: list[Callable[[], None]] = []
+        self._searcher_listeners: list[Callable[[tuple[SearcherListing, ...]], None]] = []
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._follow, name="members", daemon=True)
 
@@ -72,6 +73,10 @@
         """Have a callable told that the list changed."""
         self._listeners.append(listener)
 
+    def listen_for_searchers(self, listener: Callable[[tuple[SearcherListing, ...]], None]) -> None:
+        """Have a callable told of the searchers in each list that is read here."""
+        self._searcher_listeners.append(listener)
+
     def listed(self, change: ListChange) -> None:
         """Take in the list or a change of it, from the platform or from a peer."""
         with self._lock:
@@ -197,3 +202,5 @@
                 continue
             self._backoff.succeeded()
             self.listed(ListChange(WHOLE_LIST, answer.revision, answer.instances))
+            for listener in self._searcher_listeners:
+                listener(answer.searchers)
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -8,6 +8,7 @@
 from limpethollow_node.connection.peers import PeerListener
 from limpethollow_node.process import events
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.drains import DrainTeller
 from limpethollow_node.process.groups import LocalGroups
 from limpethollow_node.process.lifecycles import Lifecycle, RouteBook, ShutdownHooks
 from limpethollow_node.process.links import PeerLinks
@@ -147,7 +148,11 @@
             self._bookings,
             self.status,
             sync,
+            groups,
         )
+        drains = DrainTeller(self._members, self._configs, self._links, groups, metrics)
+        groups.listen_for_drains(drains.heard)
+        self._members.listen_for_searchers(drains.listed)
         caller_context = CallerContext(
             self._id,
             self._incarnation,
@@ -195,6 +200,7 @@
             timers,
             groups,
             self._bookings,
+            drains,
             self._links,
             self._members,
             self._configs,
--- a/packages/limpethollow-node/src/limpethollow_node/request/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/peers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from limpethollow_node.process.configs import ConfigKeeper
+from limpethollow_node.process.groups import LocalGroups
 from limpethollow_node.process.lifecycles import RouteBook
 from limpethollow_node.process.members import MemberKeeper
 from limpethollow_node.process.relays import PeerSync
@@ -14,7 +15,7 @@
 from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.instances import InstanceStatus
-from limpethollow_wire.peers import Acknowledgement, Hello, Leaving, RouteHeld
+from limpethollow_wire.peers import Acknowledgement, DrainNotice, Hello, Leaving, RouteHeld
 from limpethollow_wire.searches import GroupSearch, GroupVersions
 
 PeerHandler = Callable[["PeerContext", Any], Any]
@@ -33,6 +34,7 @@
     bookings: BookingExecutor
     status: Callable[[], InstanceStatus]
     sync: PeerSync
+    groups: LocalGroups
 
 
 def peer_request(kind: str, body: type) -> Callable[[PeerHandler], PeerHandler]:
@@ -94,6 +96,12 @@
     return RouteHeld(context.routes.peer_leaves(body.instance, body.incarnation))
 
 
+@peer_request("searcher.drain", DrainNotice)
+def _drain(context: PeerContext, body: DrainNotice) -> Any:
+    context.groups.drain_noted(body)
+    return Acknowledgement()
+
+
 @peer_request("instance.status", type(None))
 def _status(context: PeerContext, body: None) -> Any:
     return context.status()
--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from limpethollow_policy.connection.drains import DrainEvidence
 from limpethollow_policy.request.events import Failure
 from limpethollow_policy.request.snapshots import Inventory
 from limpethollow_wire.searches import SearcherReply
@@ -26,6 +27,7 @@
 
     __slots__ = (
         "_down_until",
+        "_drain",
         "_failures",
         "_in_flight",
         "_inventory_at",
@@ -33,7 +35,6 @@
         "_latency_at",
         "_pause",
         "_rng",
-        "draining",
         "epoch",
         "slots",
         "spec",
@@ -43,7 +44,7 @@
     def __init__(self, spec: SearcherSpec, slots: int, rng: Random) -> None:
         self.spec = spec
         self.slots = slots
-        self.draining = False
+        self._drain = DrainEvidence(spec.draining)
         self.epoch = 0
         self.versions: dict[int, frozenset[int]] = {}
         self._rng = rng
@@ -55,6 +56,11 @@
         self._pause = _FIRST_PAUSE
         self._failures = 0
 
+    @property
+    def draining(self) -> bool:
+        """Whether it is leaving, by all evidence."""
+        return self._drain.is_leaving()
+
     @property
     def in_flight(self) -> int:
         """Calls on their way that take a slot."""
@@ -107,15 +113,30 @@
         """Give the call's slot back."""
         self._in_flight.pop(call_id, None)
 
-    def answered(self, reply: SearcherReply, latency: float | None, now: float) -> None:
+    def drain_noted(self, draining: bool, said_at: float) -> None:
+        """Take in what another instance heard from the searcher."""
+        self._drain.said(draining, said_at)
+
+    def drain_listed(self, draining: bool, now: float) -> None:
+        """Take in what the platform's list says."""
+        self._drain.listed(draining, now)
+
+    def wants_probe(self, now: float) -> bool:
+        """Return whether traffic should ask a leaving searcher if it is back."""
+        return now >= self._down_until and self._drain.wants_probe(now)
+
+    def answered(self, reply: SearcherReply, latency: float | None, now: float) -> bool:
         """Take in a reply, the best evidence there is.
 
         Args:
             reply: The reply.
             latency: Seconds the call took, None for an inventory call.
             now: Monotonic second.
+
+        Returns:
+            Whether other instances should hear of a change in `draining`.
         """
-        self.draining = reply.draining
+        news = self._drain.said(reply.draining, now)
         self.epoch = reply.epoch
         self.versions = {
             int(shard): frozenset(versions)
@@ -129,6 +150,7 @@
         if latency is not None:
             self._latency += _SMOOTHING * (latency - self._latency)
             self._latency_at = now
+        return news
 
     def failed(self, failure: Failure, retry_after: float | None, now: float) -> None:
         """Take in a failed call.
@@ -140,6 +162,8 @@
         """
         if failure is Failure.CANCELLED:
             return
+        if failure is Failure.REFUSED:
+            self._drain.refused()
         self._failures += 1
         if failure is Failure.SHED and retry_after is not None:
             self._down_until = now + retry_after
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -45,6 +45,9 @@
     def __iter__(self) -> Iterator[SearcherState]:
         return iter(self._searchers.values())
 
+    def __contains__(self, searcher_id: str) -> bool:
+        return searcher_id in self._searchers
+
     def __getitem__(self, searcher_id: str) -> SearcherState:
         return self._searchers[searcher_id]
 
@@ -69,6 +72,10 @@
             and not searcher.inventory_is_fresh(now, self._max_age)
         ]
 
+    def fresh(self, searchers: list[SearcherState], now: float) -> list[SearcherState]:
+        """Return those whose last word is young enough to send work by."""
+        return [s for s in searchers if s.inventory_is_fresh(now, self._max_age)]
+
     def servable(self, shards: frozenset[int], min_version: int, now: float) -> tuple[int, ...]:
         """Return the versions that fresh, usable replicas serve on every shard, newest first."""
         return servable_versions(self._inventories(now), shards, min_version)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -19,6 +19,7 @@
     Servable,
     SlotRequest,
     StartCall,
+    TellDrain,
     WakeAt,
 )
 from limpethollow_policy.request.gathers import Gather
@@ -92,6 +93,7 @@
 
     def search_arrived(self, search: Search, now: float) -> list[Action]:
         """Take in a search; it is answered by `Complete`, `Servable` or `Refuse`, exactly once."""
+        self._probe_leaving(now)
         gather = Gather(search, self._spec.objective, now)
         error = self._admission_error(gather, now)
         if error:
@@ -118,7 +120,9 @@
             return []
         searcher = self._replicas[call.searcher_id]
         latency = now - call.started
-        searcher.answered(reply, None if call.is_inventory else latency, now)
+        if searcher.answered(reply, None if call.is_inventory else latency, now):
+            self._actions.append(TellDrain(call.searcher_id, reply.draining))
+            self._actions.append(Count("searcher_drains", "left" if reply.draining else "back"))
         if not call.is_inventory:
             self._latencies.add(latency)
         self._take_parts(call, reply)
@@ -143,6 +147,7 @@
 
     def slot_wanted(self, request: SlotRequest, now: float) -> list[Action]:
         """Take in a booking's wish; it is answered by `GrantSlot` or `DenySlot`, exactly once."""
+        self._probe_leaving(now)
         self._slot_requests[request.id] = request
         return self._pump(now)
 
@@ -158,6 +163,17 @@
                 searcher.failed(failure, retry_after, now)
         return self._pump(now)
 
+    def drain_noted(
+        self, searcher_id: str, draining: bool, said_at: float, listed: bool, now: float
+    ) -> list[Action]:
+        """Take in what another instance heard of a searcher, or what the platform's list says."""
+        if searcher_id in self._replicas:
+            if listed:
+                self._replicas[searcher_id].drain_listed(draining, now)
+            else:
+                self._replicas[searcher_id].drain_noted(draining, said_at)
+        return self._pump(now)
+
     def tick(self, now: float) -> list[Action]:
         """Act on the passage of time."""
         return self._pump(now)
@@ -180,6 +196,17 @@
         actions, self._actions = self._actions, []
         return actions
 
+    def _probe_leaving(self, now: float) -> None:
+        """Ask leaving searchers whether they are back, once a while and only with traffic.
+
+        The answer takes no slot and comes from the searcher itself. Without it a searcher whose
+        drain was called off, or that was restarted, would never get work again.
+        """
+        for searcher in self._replicas:
+            if searcher.wants_probe(now):
+                self._actions.append(Count("searcher_probes"))
+                self._start_call(searcher, {}, 0, _INVENTORY_TIMEOUT, now)
+
     def _may_start(self, now: float) -> bool:
         """Return whether a waiting search can use a slot, or learn at once that none is left."""
         return self._replicas.has_free_slot(now) or not self._replicas.usable(now)
@@ -197,9 +224,17 @@
             self._conclude(gather, "failed", now)
 
     def _grant_slot(self, request: SlotRequest, now: float) -> None:
-        """Give a booking a slot, bookings before searches, or say at once that there is none."""
+        """Give a booking a slot, bookings before searches, or say at once that there is none.
+
+        Only a searcher that was heard of lately gets a booking. After a quiet hour, one that left
+        long ago would get new work, and a connection that went silent would leave the outcome
+        unknown; the inventory call tells both before the booking is sent.
+        """
         holders = [s for s in self._replicas.holders(request.shard) if s.is_usable(now)]
-        free = [s for s in holders if s.has_free_slot]
+        fresh = self._replicas.fresh(holders, now)
+        if not fresh:
+            self._ask_inventories(frozenset((request.shard,)), now)
+        free = [s for s in fresh if s.has_free_slot]
         if free:
             best = min(free, key=lambda s: (s.spec.id in request.exclude, s.expected_wait(now)))
             best.call_started(request.id, now)
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -132,6 +132,14 @@
     error: LimpethollowError
 
 
+@dataclass(slots=True, frozen=True)
+class TellDrain:
+    """Tell the other owners of the group that a searcher is leaving, or is back."""
+
+    searcher_id: str
+    draining: bool
+
+
 @dataclass(slots=True, frozen=True)
 class WakeAt:
     """Call `tick` at this monotonic second."""
@@ -148,7 +156,16 @@
 
 
 Action = (
-    StartCall | CancelCall | Complete | Servable | Refuse | GrantSlot | DenySlot | WakeAt | Count
+    StartCall
+    | CancelCall
+    | Complete
+    | Servable
+    | Refuse
+    | GrantSlot
+    | DenySlot
+    | TellDrain
+    | WakeAt
+    | Count
 )
 
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/instances.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/instances.py
@@ -23,11 +23,19 @@
     state: str = "live"
 
 
+class SearcherListing(msgspec.Struct, frozen=True):
+    """One searcher in the platform's lagging list: `live` or `leaving`."""
+
+    address: str
+    state: str = "live"
+
+
 class InstanceList(msgspec.Struct, frozen=True):
-    """The platform's list of instances."""
+    """The platform's list of instances; searchers are in it where the platform runs them."""
 
     revision: int
     instances: tuple[InstanceInfo, ...]
+    searchers: tuple[SearcherListing, ...] = ()
 
 
 class RouteInstance(msgspec.Struct, frozen=True):
--- a/packages/limpethollow-wire/src/limpethollow_wire/peers.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/peers.py
@@ -39,6 +39,26 @@
     incarnation: str
 
 
+class DrainNotice(msgspec.Struct, frozen=True):
+    """Tells another owner of a group what is known of a leaving or returning searcher.
+
+    Attributes:
+        service: Name of the service.
+        group: Index of the group.
+        searcher: Id of the searcher.
+        draining: Whether it is leaving.
+        age: Seconds since that was said, so that a late notice does not beat newer evidence.
+        listed: Whether the platform's list says it, and not the searcher itself.
+    """
+
+    service: str
+    group: int
+    searcher: str
+    draining: bool
+    age: float
+    listed: bool = False
+
+
 class RouteHeld(msgspec.Struct, frozen=True):
     """For how many seconds callers may still hold the leaving instance's address."""
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -18,6 +18,7 @@
         failure_domain: Where it runs.
         slots: Requests it runs at once.
         connections: Connections it accepts in total, from all instances together.
+        draining: Whether it gets no new work, whatever it says itself.
     """
 
     id: str
@@ -26,6 +27,7 @@
     failure_domain: str = ""
     slots: int = 2
     connections: int = 25
+    draining: bool = False
 
 
 class Objective(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -24,6 +24,7 @@
         self.revision = 0
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.instances: list[dict[str, Any]] = []
+        self.searchers: list[dict[str, Any]] = []
         self.shown: list[dict[str, Any]] = []
         self.list_revision = 0
         self.list_lag = 0.0
@@ -102,7 +103,11 @@
             )
             if self.down:
                 raise DropConnection
-            return 200, {"revision": self.list_revision, "instances": self.shown}
+            return 200, {
+                "revision": self.list_revision,
+                "instances": self.shown,
+                "searchers": self.searchers,
+            }
 
     def meet(self, call: str) -> None:
         """Count a call and act out the faults that are set."""
