--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -168,6 +168,7 @@
     ) -> list[Action]:
         """Take in what another instance heard of a searcher, or what the platform's list says."""
         if searcher_id in self._replicas:
+            self._actions.append(Count("searcher_drain_notices", "list" if listed else "peer"))
             if listed:
                 self._replicas[searcher_id].drain_listed(draining, now)
             else:
