--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -59,6 +59,7 @@
     @property
     def draining(self) -> bool:
         """Whether it is leaving, by all evidence."""
+        self._drain.configured = self.spec.draining
         return self._drain.is_leaving()
 
     @property
@@ -123,7 +124,7 @@
 
     def wants_probe(self, now: float) -> bool:
         """Return whether traffic should ask a leaving searcher if it is back."""
-        return now >= self._down_until and self._drain.wants_probe(now)
+        return now >= self._down_until and self.draining and self._drain.wants_probe(now)
 
     def answered(self, reply: SearcherReply, latency: float | None, now: float) -> bool:
         """Take in a reply, the best evidence there is.
