--- a/tests/system/lifecycle/callers.py
+++ b/tests/system/lifecycle/callers.py
@@ -1,5 +1,6 @@
 """Real callers over HTTP that keep their addresses and connections, and note every failure."""
 
+import itertools
 import json
 import threading
 from collections import Counter
@@ -12,9 +13,15 @@
 from limpethollow.exceptions import LimpethollowError, NoReply, NotConnected, NotRun
 from tests.support.clusters import CALLER_KEY, Cluster
 
+_NUMBERS = itertools.count()
 HEADERS = {"Authorization": f"Bearer {CALLER_KEY}"}
 
 
+def new_query() -> dict[str, int]:
+    """Return a query that nobody sent before: equal ones on one snapshot are run only once."""
+    return {"number": next(_NUMBERS)}
+
+
 class NotingAdapter(HttpAdapter):
     """Notes requests that were cut off, which a session may hide by its next try.
 
@@ -68,7 +75,7 @@
         with self._session() as session:
             while not self._stopped.is_set():
                 try:
-                    answer = session.search(self._service, {}, deadline=10.0)
+                    answer = session.search(self._service, new_query(), deadline=10.0)
                     self.done["complete" if answer.coverage.complete else "partial"] += 1
                 except LimpethollowError as error:
                     self.failures.append(repr(error))
@@ -119,7 +126,7 @@
         return reply.status, json.loads(reply.data)
 
     def search(self, service: str, deadline: float = 20.0) -> tuple[int, Any]:
-        body = {"query": {}, "deadline": deadline}
+        body = {"query": new_query(), "deadline": deadline}
         return self.send("POST", f"/v1/services/{service}/search", body)
 
     def book(self, service: str, token: str, deadline: float = 20.0) -> tuple[int, Any]:
--- a/tests/system/lifecycle/test_connections.py
+++ b/tests/system/lifecycle/test_connections.py
@@ -16,7 +16,7 @@
 from limpethollow_wire.services import SearcherSpec
 from tests.support.clusters import Cluster
 from tests.support.processes import wait_for
-from tests.system.lifecycle.callers import Background
+from tests.system.lifecycle.callers import Background, new_query
 
 SERVICE = "driver-finder"
 LIMIT = 25
@@ -133,9 +133,9 @@
         cluster.put_service(SERVICE, behind)
         with cluster.session() as session:
             for _ in range(50):
-                assert session.search(SERVICE, {}, deadline=5.0).coverage.complete
+                assert session.search(SERVICE, new_query(), deadline=5.0).coverage.complete
             proxies[0].control(freeze=True)
-            answers = [session.search(SERVICE, {}, deadline=5.0) for _ in range(20)]
+            answers = [session.search(SERVICE, new_query(), deadline=5.0) for _ in range(20)]
         assert all(answer.coverage.complete for answer in answers)
 
 
--- a/tests/system/lifecycle/test_drains.py
+++ b/tests/system/lifecycle/test_drains.py
@@ -5,7 +5,7 @@
 from limpethollow_wire.services import SearcherSpec
 from tests.support.clusters import Cluster
 from tests.support.processes import wait_for
-from tests.system.lifecycle.callers import Background, KeptConnection
+from tests.system.lifecycle.callers import Background, KeptConnection, new_query
 
 SERVICE = "driver-finder"
 LEFT = 'searcher_drains_total{reason="left"}'
@@ -34,7 +34,7 @@
 def search(cluster: Cluster, times: int = 1) -> None:
     with cluster.session() as session:
         for _ in range(times):
-            assert session.search(SERVICE, {}, deadline=5.0).coverage.complete
+            assert session.search(SERVICE, new_query(), deadline=5.0).coverage.complete
 
 
 def book_at_each(cluster: Cluster) -> None:
