--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -1,39 +1,37 @@
 """Websocket links between instances: many requests at once over one connection each way."""
 
 import itertools
+import math
+import socket
+import struct
 import threading
+import time
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from typing import Any
 
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, WebSocketException
-from websockets.http11 import Request, Response
 from websockets.sync.client import connect
-from websockets.sync.server import ServerConnection, serve
 
-from limpethollow_node.process import events
-from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.connection.links import LinkHealth
 from limpethollow_wire.codecs import convert, from_cbor, to_cbor
 from limpethollow_wire.exceptions import (
     BadRequest,
     DeadlinePassed,
-    InternalError,
     LimpethollowError,
-    Unauthorized,
     Unavailable,
     error_from_body,
 )
-from limpethollow_wire.keys import bearer_key, keys_equal
 from limpethollow_wire.limits import MAX_FRAME_BYTES
 from limpethollow_wire.peers import Frame, Hello
 
-_OPEN_TIMEOUT = 0.5
-_PING_SECONDS = 5.0
-_WORKERS = 64
-_RETRY_AFTER = 0.5
+OPEN_TIMEOUT = 0.5
+PING_SECONDS = 5.0
 
-Answer = Callable[[str, str, Any], Any]
+_RETRY_AFTER = 0.5
+_SMALLEST_TIMEOUT = 0.001
+_TIMEVAL = struct.Struct("ll")
 
 
 class PeerUnreachable(Unavailable):
@@ -41,7 +39,13 @@
 
 
 class PeerLost(Unavailable):
-    """The link broke or went silent after the request was sent; it may have been handled."""
+    """The link broke or went silent after the request was sent; it may have been handled.
+
+    Attributes:
+        is_slow: Whether the link works, and only this request got no reply in time.
+    """
+
+    is_slow = False
 
 
 class PeerLink:
@@ -52,29 +56,37 @@
         key: The peers' shared key.
         hello: Who we are.
         greeted: Told of the peer's own hello.
+        peer_id: Who must answer at the address; anybody where left out.
     """
 
     def __init__(
-        self, address: str, key: str, hello: Hello, greeted: Callable[[Hello], None]
+        self,
+        address: str,
+        key: str,
+        hello: Hello,
+        greeted: Callable[[Hello], None],
+        peer_id: str = "",
     ) -> None:
         self._ids = itertools.count(1)
         self._waiting: dict[int, Future[Any]] = {}
         self._lock = threading.Lock()
+        self._sending = threading.Lock()
+        self._health = LinkHealth()
+        self._retired = False
         self._closed = False
         try:
             self._socket = connect(
                 f"ws://{address}/",
                 additional_headers={"Authorization": f"Bearer {key}"},
-                open_timeout=_OPEN_TIMEOUT,
-                close_timeout=_OPEN_TIMEOUT,
-                ping_interval=_PING_SECONDS,
-                ping_timeout=_PING_SECONDS,
+                open_timeout=OPEN_TIMEOUT,
+                close_timeout=OPEN_TIMEOUT,
+                ping_interval=PING_SECONDS,
+                ping_timeout=PING_SECONDS,
                 max_size=MAX_FRAME_BYTES,
                 compression=None,
                 proxy=None,
             )
-            self._socket.send(to_cbor(hello))
-            greeted(convert(from_cbor(self._socket.recv(_OPEN_TIMEOUT)), Hello))
+            greeted(self._exchange_hellos(hello, peer_id))
         except (OSError, InvalidHandshake, WebSocketException, BadRequest, EOFError) as error:
             raise PeerUnreachable(
                 f"The peer at {address} can't be reached ({type(error).__name__}).",
@@ -92,6 +104,14 @@
         """Close the link; requests still open on it fail."""
         self._socket.close()
 
+    def retire(self) -> None:
+        """Close the link once nothing is open on it; new requests go over another one."""
+        with self._lock:
+            self._retired = True
+            is_idle = not self._waiting
+        if is_idle:
+            self._close_later()
+
     def request(self, kind: str, body: Any, timeout: float) -> Any:
         """Send a request and wait for its reply.
 
@@ -108,6 +128,7 @@
             PeerLost: No reply came; the peer may have handled the request.
             LimpethollowError: The peer answered with a typed error.
         """
+        deadline = time.monotonic() + timeout
         number = next(self._ids)
         future: Future[Any] = Future()
         with self._lock:
@@ -115,22 +136,71 @@
                 raise PeerUnreachable("The link is closed.", retry_after=_RETRY_AFTER)
             self._waiting[number] = future
         try:
-            self._socket.send(to_cbor(Frame(number, kind, body)))
-            return future.result(timeout)
+            self._send(to_cbor(Frame(number, kind, body)), deadline)
+            return self._wait(future, deadline)
+        finally:
+            self._ended(number)
+
+    def _exchange_hellos(self, hello: Hello, peer_id: str) -> Hello:
+        """Say who we are, and check that the right peer answers.
+
+        The address of an instance that is gone may belong to another one by now. Bookings that
+        name the first would go to the second, and its word on them would be worth nothing.
+        """
+        self._socket.send(to_cbor(hello))
+        theirs = convert(from_cbor(_bytes(self._socket.recv(OPEN_TIMEOUT))), Hello)
+        if peer_id and theirs.instance != peer_id:
+            self._socket.close()
+            raise BadRequest(f"Instance '{theirs.instance}' answers there, not '{peer_id}'.")
+        return theirs
+
+    def _send(self, data: bytes, deadline: float) -> None:
+        """Send one frame within the deadline.
+
+        A peer that is frozen reads nothing, so a send blocks once the buffers between us are full,
+        and all senders behind it. Each waits for its own deadline only: for its turn by the lock's
+        timeout, and in the kernel by the socket's.
+        """
+        if not self._sending.acquire(timeout=max(deadline - time.monotonic(), 0.0)):
+            raise PeerUnreachable("The link takes no more requests.", retry_after=_RETRY_AFTER)
+        try:
+            limit_send(self._socket.socket, max(deadline - time.monotonic(), _SMALLEST_TIMEOUT))
+            self._socket.send(data)
+        except (ConnectionClosed, OSError):
+            raise PeerLost("The link to the peer broke.", retry_after=_RETRY_AFTER) from None
+        finally:
+            self._sending.release()
+
+    def _wait(self, future: Future[Any], deadline: float) -> Any:
+        sent_at = time.monotonic()
+        try:
+            return future.result(max(deadline - sent_at, 0.0))
         except LimpethollowError:
             # Some typed errors are also built-in OSError or TimeoutError; the peer's own refusal
             # must not be taken for a lost link.
             raise
-        except (FutureTimeout, ConnectionClosed, OSError):
-            raise PeerLost("The peer gave no reply in time.", retry_after=_RETRY_AFTER) from None
-        finally:
+        except FutureTimeout:
+            lost = PeerLost("The peer gave no reply in time.", retry_after=_RETRY_AFTER)
+            lost.is_slow = not self._health.is_silent(sent_at)
+            raise lost from None
+
+    def _ended(self, number: int) -> None:
+        with self._lock:
             self._waiting.pop(number, None)
+            is_over = self._retired and not self._waiting
+        if is_over:
+            self._close_later()
+
+    def _close_later(self) -> None:
+        """Close in a thread of its own: a silent peer keeps the closing handshake waiting."""
+        threading.Thread(target=self._socket.close, name="peer-link-close", daemon=True).start()
 
     def _read(self) -> None:
         try:
             for data in self._socket:
-                self._take(convert(from_cbor(data), Frame))
-        except (WebSocketException, BadRequest, OSError, TypeError):
+                self._health.heard(time.monotonic())
+                self._take(convert(from_cbor(_bytes(data)), Frame))
+        except (WebSocketException, BadRequest, OSError):
             self._socket.close()
         finally:
             self._fail_all()
@@ -154,121 +224,14 @@
             future.set_exception(lost)
 
 
-class PeerListener:
-    """Answers the requests of other instances.
-
-    Args:
-        host: IP number to bind.
-        port: Port, 0 for a free one.
-        key: The peers' shared key.
-        hello: Returns who we are, current at each new link.
-        greeted: Told of each peer's hello.
-        answer: Called with peer id, kind and plain body; returns the reply's message.
-        metrics: Where refusals are counted.
-    """
-
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        key: str,
-        hello: Callable[[], Hello],
-        greeted: Callable[[Hello], None],
-        answer: Answer,
-        metrics: Metrics,
-    ) -> None:
-        self._key = key
-        self._hello = hello
-        self._greeted = greeted
-        self._answer = answer
-        self._metrics = metrics
-        self._workers = ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer-request")
-        self._open = 0
-        self._open_lock = threading.Lock()
-        self._server = serve(
-            self._handle,
-            host,
-            port,
-            process_request=self._check_key,
-            ping_interval=_PING_SECONDS,
-            ping_timeout=_PING_SECONDS,
-            close_timeout=_OPEN_TIMEOUT,
-            max_size=MAX_FRAME_BYTES,
-            compression=None,
-        )
-        self._thread = threading.Thread(
-            target=self._server.serve_forever, name="peer-listener", daemon=True
-        )
-
-    def __enter__(self) -> "PeerListener":
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._server.shutdown()
-        self._workers.shutdown(wait=False, cancel_futures=True)
-
-    @property
-    def address(self) -> str:
-        """`host:port` that was bound."""
-        host, port = self._server.socket.getsockname()[:2]
-        return f"{host}:{port}"
-
-    @property
-    def open_requests(self) -> int:
-        """Requests of peers that have no answer yet, those waiting for a thread included."""
-        return self._open
-
-    def _check_key(self, connection: ServerConnection, request: Request) -> Response | None:
-        try:
-            given = bearer_key(request.headers.get("Authorization"))
-        except Unauthorized:
-            given = ""
-        if keys_equal(given, self._key):
-            return None
-        self._metrics.count("peers_refused", "unauthorized")
-        events.PEER_REFUSED.log(reason="unauthorized")
-        return connection.respond(401, "The peers' key is missing or wrong.\n")
-
-    def _handle(self, socket: ServerConnection) -> None:
-        try:
-            hello = convert(from_cbor(_frame_bytes(socket.recv(_OPEN_TIMEOUT))), Hello)
-            socket.send(to_cbor(self._hello()))
-            self._greeted(hello)
-            events.PEER_LINKED.log(peer=hello.instance)
-            for data in socket:
-                frame = convert(from_cbor(_frame_bytes(data)), Frame)
-                self._opened(1)
-                self._workers.submit(self._reply, socket, hello.instance, frame)
-        except BadRequest as error:
-            self._metrics.count("peers_refused", "bad_frame")
-            events.PEER_REFUSED.log(reason="bad_frame", error=str(error))
-        except (WebSocketException, TimeoutError, OSError, RuntimeError):
-            return
-
-    def _reply(self, socket: ServerConnection, peer: str, frame: Frame) -> None:
-        try:
-            reply = Frame(frame.id, body=self._answer(peer, frame.kind, frame.body))
-        except LimpethollowError as error:
-            reply = Frame(frame.id, error=error.to_body())
-        except Exception as error:
-            events.DEFECT.log(
-                where="peer request", kind=frame.kind, error=repr(error), exc_info=True
-            )
-            reply = Frame(frame.id, error=InternalError("The peer has a defect.").to_body())
-        try:
-            socket.send(to_cbor(reply))
-        except (WebSocketException, OSError):
-            return
-        finally:
-            self._opened(-1)
-
-    def _opened(self, change: int) -> None:
-        with self._open_lock:
-            self._open += change
+def limit_send(sock: socket.socket, seconds: float) -> None:
+    """Have the kernel end a send that makes no progress for so long."""
+    fraction, whole = math.modf(seconds)
+    value = _TIMEVAL.pack(int(whole), int(fraction * 1_000_000))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
 
 
-def _frame_bytes(data: str | bytes) -> bytes:
+def _bytes(data: str | bytes) -> bytes:
     if isinstance(data, str):
         raise BadRequest("A text frame came where CBOR was expected.")
     return data
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -1,17 +1,24 @@
 """The links to all peers, opened when first needed."""
 
 import threading
+import time
 from collections.abc import Callable
+from random import Random
 from typing import Any, TypeVar
 
 from limpethollow_node.connection.peers import PeerLink, PeerLost, PeerUnreachable
 from limpethollow_node.process import events
 from limpethollow_node.process.members import MemberKeeper
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.connection.links import Dialling
 from limpethollow_wire.codecs import convert
+from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.peers import Hello
 
 T = TypeVar("T")
 
+_RETRY_AFTER = 0.1
+
 
 class PeerLinks:
     """Sends requests to peers by their id.
@@ -20,16 +27,26 @@
         members: Where peers' addresses come from.
         key: The peers' shared key.
         hello: Returns who we are.
+        rng: Source for jitter.
+        metrics: Where lost requests are counted.
     """
 
-    def __init__(self, members: MemberKeeper, key: str, hello: Callable[[], Hello]) -> None:
+    def __init__(
+        self,
+        members: MemberKeeper,
+        key: str,
+        hello: Callable[[], Hello],
+        rng: Random,
+        metrics: Metrics,
+    ) -> None:
         self._members = members
         self._key = key
         self._hello = hello
         self._lock = threading.Lock()
         self._closed = False
-        self._links: dict[str, PeerLink] = {}
-        self._opening: dict[str, threading.Lock] = {}
+        self._rng = rng
+        self._metrics = metrics
+        self._lines: dict[str, _Line] = {}
 
     def __enter__(self) -> "PeerLinks":
         return self
@@ -41,9 +58,10 @@
         """Close all links and open none any more; requests that still wait on them fail typed."""
         with self._lock:
             self._closed = True
-            links = tuple(self._links.values())
+            links = tuple(line.link for line in self._lines.values())
         for link in links:
-            link.close()
+            if link is not None:
+                link.close()
 
     def request(self, peer_id: str, kind: str, body: Any, reply: type[T], timeout: float) -> T:
         """Send a request to a peer and wait for its typed reply.
@@ -53,30 +71,65 @@
             PeerLost: The peer may have handled the request.
             LimpethollowError: The peer answered with a typed error.
         """
+        deadline = time.monotonic() + timeout
+        try:
+            link = self._link(peer_id, deadline)
+        except PeerUnreachable:
+            self._failed(peer_id, "unreachable")
+            raise
         try:
-            return convert(self._link(peer_id).request(kind, body, timeout), reply)
-        except (PeerUnreachable, PeerLost):
-            self._members.unreachable(peer_id)
-            self._drop(peer_id)
+            answer = link.request(kind, body, max(deadline - time.monotonic(), 0.0))
+        except PeerLost as error:
+            if error.is_slow:
+                self._metrics.count("peer_requests_lost", "slow")
+                raise
+            self._failed(peer_id, "lost")
+            self._drop(peer_id, link)
+            raise
+        except PeerUnreachable:
+            self._failed(peer_id, "closed")
+            self._drop(peer_id, link)
             raise
+        return self._typed(peer_id, answer, reply)
 
-    def _link(self, peer_id: str) -> PeerLink:
+    def _typed(self, peer_id: str, answer: Any, reply: type[T]) -> T:
+        """Read a reply; one that can't be read says nothing of what the peer did."""
+        try:
+            return convert(answer, reply)
+        except BadRequest as error:
+            self._metrics.count("peer_requests_lost", "bad_reply")
+            raise PeerLost(f"The reply of '{peer_id}' can't be read: {error.message}") from None
+
+    def _failed(self, peer_id: str, reason: str) -> None:
+        self._metrics.count("peer_requests_lost", reason)
+        self._members.unreachable(peer_id)
+
+    def _link(self, peer_id: str, deadline: float) -> PeerLink:
         with self._lock:
-            opening = self._opening.setdefault(peer_id, threading.Lock())
-        with opening:
-            link = self._links.get(peer_id)
-            if link is None or not link.is_open:
-                link = self._open(peer_id)
-                self._links[peer_id] = link
-            return link
-
-    def _open(self, peer_id: str) -> PeerLink:
-        if self._closed:
-            raise PeerUnreachable("This instance is leaving.")
+            line = self._lines.setdefault(peer_id, _Line(self._rng))
+        if not line.lock.acquire(timeout=max(deadline - time.monotonic(), 0.0)):
+            raise PeerUnreachable("The peer is being dialled.", retry_after=_RETRY_AFTER)
+        try:
+            if line.link is None or not line.link.is_open:
+                line.link = self._dial(peer_id, line.dialling)
+            return line.link
+        finally:
+            line.lock.release()
+
+    def _dial(self, peer_id: str, dialling: Dialling) -> PeerLink:
+        wait = dialling.wait(time.monotonic())
+        if wait > 0:
+            raise PeerUnreachable("The peer did not answer just now.", retry_after=wait)
         info = self._members.get(peer_id)
-        if info is None:
-            raise PeerUnreachable(f"No instance '{peer_id}' is listed.")
-        return PeerLink(info.peer_address, self._key, self._hello(), self._dialled)
+        if self._closed or info is None:
+            raise PeerUnreachable(f"No instance '{peer_id}' is listed, or this one is leaving.")
+        try:
+            link = PeerLink(info.peer_address, self._key, self._hello(), self._dialled, peer_id)
+        except PeerUnreachable:
+            dialling.failed(time.monotonic())
+            raise
+        dialling.succeeded()
+        return link
 
     def greeted(self, hello: Hello) -> None:
         """Take in a peer's word on itself."""
@@ -86,10 +139,23 @@
         """Take in the word of whoever answers at a peer's address: its current run."""
         self._members.greeted(hello, dialled=True)
 
-    def _drop(self, peer_id: str) -> None:
-        """Close a link that gave no reply: it may be silent for good while a new one works."""
+    def _drop(self, peer_id: str, link: PeerLink) -> None:
+        """Use a link no more: it may be silent for good while a new one works.
+
+        It is closed once nothing is open on it, so that what still waits there keeps its chance.
+        """
         with self._lock:
-            link = self._links.pop(peer_id, None)
-        if link is not None:
-            events.PEER_LOST.log(peer=peer_id)
-            link.close()
+            line = self._lines.get(peer_id)
+            if line is not None and line.link is link:
+                line.link = None
+                events.PEER_LOST.log(peer=peer_id)
+        link.retire()
+
+
+class _Line:
+    """The link to one peer and the history of dialling it."""
+
+    def __init__(self, rng: Random) -> None:
+        self.lock = threading.Lock()
+        self.dialling = Dialling(rng)
+        self.link: PeerLink | None = None
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from limpethollow_node.connection.listeners import Listener
-from limpethollow_node.connection.peers import PeerListener
+from limpethollow_node.connection.peer_listeners import PeerListener
 from limpethollow_node.process import events
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.drains import DrainTeller
@@ -119,7 +119,7 @@
         )
         self._routes = RouteBook(self._members)
         self._configs = ConfigKeeper(platform, self._members, metrics, self._rng)
-        self._links = PeerLinks(self._members, keys.peer, self._hello)
+        self._links = PeerLinks(self._members, keys.peer, self._hello, self._rng, metrics)
         self._groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
         groups = self._groups
         self._configs.listen(groups.records_applied)
