--- a/tests/system/lifecycle/callers.py
+++ b/tests/system/lifecycle/callers.py
@@ -151,6 +151,10 @@
         except Exception as error:
             self._result = error
 
+    @property
+    def is_running(self) -> bool:
+        return self._thread.is_alive()
+
     def result(self) -> Any:
         self._thread.join()
         if isinstance(self._result, Exception):
