--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/drains.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/drains.py
@@ -38,10 +38,10 @@
         configured: Whether the service's configuration says that it is leaving.
     """
 
-    __slots__ = ("_configured", "_listed_at", "_probed_at", "_was_away", "_word")
+    __slots__ = ("_listed_at", "_probed_at", "_was_away", "_word", "configured")
 
     def __init__(self, configured: bool) -> None:
-        self._configured = configured
+        self.configured = configured
         self._word = DrainWord(False, float("-inf"))
         self._listed_at: float | None = None
         self._was_away = False
@@ -54,7 +54,7 @@
 
     def is_leaving(self) -> bool:
         """Return whether no new work may go to the searcher."""
-        return self._configured or self._word.draining or self._listed_at is not None
+        return self.configured or self._word.draining or self._listed_at is not None
 
     def said(self, draining: bool, said_at: float) -> bool:
         """Take in the searcher's word, from its own reply or a notice.
@@ -86,7 +86,7 @@
 
     def wants_probe(self, now: float) -> bool:
         """Return whether traffic should ask the searcher if it is back; true once a while."""
-        if self._configured or not self.is_leaving() or now < self._probed_at + PROBE_SECONDS:
+        if self.configured or not self.is_leaving() or now < self._probed_at + PROBE_SECONDS:
             return False
         self._probed_at = now
         return True
