--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -19,6 +19,7 @@
     Search,
     Servable,
     SlotRequest,
+    TellDrain,
     WakeAt,
 )
 from limpethollow_policy.request.gathers import Gather
@@ -33,7 +34,7 @@
 from limpethollow_wire.searches import SearcherReply, ServableVersions
 from limpethollow_wire.services import ServiceSpec
 
-_MAX_HUNGRY = 8
+_MAX_UNPINNED = 8
 _REFUSALS = {
     "wait_too_long": "The wait would be longer than the deadline.",
     "queue_full": "The queue is full.",
@@ -64,10 +65,12 @@
         self._active = ActiveSearches()
         self._calls = CallTable()
         self._repeats = Repeats(spec.hedge)
-        self._slots = SlotDesk(self._replicas, self._waits, self._outbox)
         self._sender = CallSender(
             self._replicas, self._active, self._calls, self._repeats, self._outbox
         )
+        self._slots = SlotDesk(
+            self._replicas, self._waits, self._outbox, self._calls, self._sender.ask_inventory
+        )
         self._pinner = Pinner(self._replicas, self._calls, self._sender.ask_inventory)
         self._verdicts = Verdicts(self._replicas, self._waits)
 
@@ -96,6 +99,7 @@
     def search_arrived(self, search: Search, now: float) -> list[Action]:
         """Take in a search; it is answered by `Complete`, `Servable` or `Refuse`, exactly once."""
         gather = Gather(search, self._spec.objective, now)
+        self._probe_leaving(now)
         if search.deadline <= now:
             message = "The deadline has passed; the search was not run."
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
@@ -121,7 +125,9 @@
         if call is None:
             return []
         latency = now - call.started
-        call.searcher.answered(reply, None if call.is_inventory else latency, now)
+        if call.searcher.answered(reply, None if call.is_inventory else latency, now):
+            self._outbox.add(TellDrain(call.searcher.spec.id, reply.draining))
+            self._outbox.count("searcher_drains", "left" if reply.draining else "back")
         if call.cancelled:
             self._repeats.call_cut_short(latency)
         elif not call.is_inventory:
@@ -144,6 +150,7 @@
 
     def slot_wanted(self, request: SlotRequest, now: float) -> list[Action]:
         """Take in a booking's wish; it is answered by `GrantSlot` or `DenySlot`, exactly once."""
+        self._probe_leaving(now)
         self._slots.wanted(request)
         return self._pump(now)
 
@@ -154,6 +161,18 @@
         self._slots.released(request_id, failure, retry_after, now)
         return self._pump(now)
 
+    def drain_noted(
+        self, searcher_id: str, draining: bool, said_at: float, listed: bool, now: float
+    ) -> list[Action]:
+        """Take in what another instance heard of a searcher, or what the platform's list says."""
+        if searcher_id in self._replicas:
+            self._outbox.count("searcher_drain_notices", "list" if listed else "peer")
+            if listed:
+                self._replicas[searcher_id].drain_listed(draining, now)
+            else:
+                self._replicas[searcher_id].drain_noted(draining, said_at)
+        return self._pump(now)
+
     def tick(self, now: float) -> list[Action]:
         """Act on the passage of time."""
         return self._pump(now)
@@ -182,6 +201,17 @@
         if is_over and gather.search.id in self._active:
             self._conclude(gather, "floor_missed", now)
 
+    def _probe_leaving(self, now: float) -> None:
+        """Ask leaving searchers whether they are back, once a while and only with traffic.
+
+        The answer takes no slot and comes from the searcher itself. Without it a searcher whose
+        drain was called off, or that was restarted, would never get work again.
+        """
+        for searcher in self._replicas:
+            if searcher.wants_probe(now):
+                self._outbox.count("searcher_probes")
+                self._sender.ask_inventory(searcher, now)
+
     # Admission
 
     def _admit(self, now: float) -> None:
@@ -202,7 +232,17 @@
             return True
         if not self._replicas.has_free_slot(now):
             return False
-        return sum(map(self._sender.is_hungry, self._active)) < _MAX_HUNGRY
+        unpinned = sum(not gather.is_pinned for gather in self._active)
+        lacking = sum(map(self._sender.lacks_call, self._active))
+        return unpinned < _MAX_UNPINNED and lacking < self._most_lacking()
+
+    def _most_lacking(self) -> float:
+        """Return how many started searches may lack a call.
+
+        They get slots in the order they were started, whatever the admission policy says of those
+        that come after them, so no more are started than the next free slots can take.
+        """
+        return self._replicas.queries_per_call * max(1.0, self._replicas.calls_per_search)
 
     def _needs_no_call(self, gather: Gather, now: float) -> bool:
         """Return whether kept answers and open calls will bring all that a search wants."""
