Platform client: idle connections are condemned together, reads are tried once more

Cause: after all open connections went silent, each idle one in the pool cost a call its time-out (seen as a plan refused with ReadTimeoutError in the outline, after 'watches silent for good'). Change: a failed call gives up the pool; a read is repeated once on a new connection, within the retry budget.

--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -25,6 +25,10 @@
 _MAX_ANSWER_BYTES = 256 * 1024 * 1024
 
 
+class CallBudgetSpent(Unavailable):
+    """This instance's own budget of calls is spent; nothing was sent."""
+
+
 class PlatformObject(msgspec.Struct, frozen=True):
     """One object with its version, which rises with every write."""
 
@@ -56,10 +60,7 @@
         self._budget = CallBudget(DEFAULT_RATES)
         self._retries = RetryBudget(_RETRY_SHARE, _RETRY_LIMIT)
         self._is_failing = False
-        host, _, port = settings.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=_MAX_CONNECTIONS, retries=False
-        )
+        self._pool = self._new_pool()
 
     def __enter__(self) -> "PlatformClient":
         return self
@@ -74,7 +75,15 @@
             NotFound: There is none of this name.
             Unavailable: The platform gave no usable answer.
         """
-        return self._call("read", "GET", f"/objects/{kind}/{name}", PlatformObject)
+        path = f"/objects/{kind}/{name}"
+        try:
+            return self._call("read", "GET", path, PlatformObject)
+        except CallBudgetSpent:
+            raise
+        except Unavailable:
+            if not self.may_retry("read"):
+                raise
+            return self._call("read", "GET", path, PlatformObject)
 
     def write(
         self, kind: str, name: str, value: dict[str, Any], if_version: int | None = None
@@ -132,11 +141,13 @@
         self._take_budget(call)
         self._metrics.count("platform_calls", call)
         deadline = time.monotonic() + self._settings.timeout + patience
+        pool = self._pool
         try:
-            status, data = self._exchange(method, path, body, deadline)
+            status, data = self._exchange(pool, method, path, body, deadline)
             answer = _read_reply(status, data, kind)
         except (urllib3.exceptions.HTTPError, Unavailable) as error:
             self._failed(call, error)
+            self._condemn(pool)
             raise Unavailable(
                 f"The platform gave no usable answer ({type(error).__name__}).",
                 retry_after=_RETRY_AFTER,
@@ -145,7 +156,12 @@
         return answer
 
     def _exchange(
-        self, method: str, path: str, body: bytes | None, deadline: float
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        method: str,
+        path: str,
+        body: bytes | None,
+        deadline: float,
     ) -> tuple[int, bytes]:
         """Send a request and read the whole reply by the deadline.
 
@@ -154,7 +170,7 @@
         """
         left = deadline - time.monotonic()
         timeout = urllib3.Timeout(connect=self._settings.timeout, read=left)
-        reply = self._pool.urlopen(
+        reply = pool.urlopen(
             method, path, body=body, timeout=timeout, retries=False, preload_content=False
         )
         try:
@@ -170,13 +186,29 @@
         reply.release_conn()
         return reply.status, bytes(data)
 
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self._settings.address.rpartition(":")
+        return urllib3.HTTPConnectionPool(host, int(port), maxsize=_MAX_CONNECTIONS, retries=False)
+
+    def _condemn(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Give up all idle connections after a failure.
+
+        Where something in between lost track of one, it lost track of the others too. Calls would
+        time out one after another, once for each connection in the pool, though a new one works.
+        """
+        with self._lock:
+            if self._pool is not pool:
+                return
+            self._pool = self._new_pool()
+        pool.close()
+
     def _take_budget(self, call: str) -> None:
         with self._lock:
             wait = self._budget.take(call, time.monotonic())
         if wait:
             self._metrics.count("platform_calls_refused", call)
             events.PLATFORM_CALL_REFUSED.log(call=call)
-            raise Unavailable("The budget of calls to the platform is spent.", retry_after=wait)
+            raise CallBudgetSpent("The budget of calls to the platform is spent.", retry_after=wait)
 
     def _failed(self, call: str, error: Exception) -> None:
         self._metrics.count("platform_failures", call)
