--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -200,7 +200,7 @@
 
     def client(self, searcher: SearcherSpec) -> SearcherClient:
         """Return a client of any searcher, within this instance's budget of connections."""
-        return SearcherClient(self._pools, searcher, self._timers, self._metrics)
+        return _client(self._parts, searcher)
 
     def give_up(self) -> None:
         """End everything that is open because the process is about to exit."""
--- a/tests/standins/bookings.py
+++ b/tests/standins/bookings.py
@@ -1,4 +1,9 @@
-"""The bookings of a searcher stand-in: kept by token, with a count of how often each was run."""
+"""The bookings of a searcher stand-in: kept by token, with a count of how often each was run.
+
+`{"hold": step}` on the control listener makes bookings wait at a step until it is set to another:
+`read` (the request's bytes are here, nothing was looked at), `running` (a slot is taken) or
+`executed` (it ran, the reply is not sent). `counts["held_<step>"]` tells how many wait there.
+"""
 
 import threading
 from abc import abstractmethod
@@ -17,6 +22,7 @@
         super().__init__(port)
         self.drop_bookings_before = 0
         self.drop_bookings_after = 0
+        self.hold = ""
         self.free = threading.Condition()
         self.counts: Counter[str] = Counter()
         self.bookings: dict[str, dict[str, Any]] = {}
@@ -47,6 +53,7 @@
         if self.drop_bookings_before > 0:
             self.drop_bookings_before -= 1
             raise DropConnection
+        self.wait_at("read")
         with self.free:
             kept = self.bookings.get(token)
             if kept and kept["state"] == "voided":
@@ -56,8 +63,10 @@
         try:
             if not self.start_booking(token, body):
                 return 200, {"token": token, "state": "voided"}
+            self.wait_at("running")
             self.work(token, body["timeout"])
             outcome = self.run_booking(token, body)
+            self.wait_at("executed")
         finally:
             self.give_slot(token)
         if self.drop_bookings_after > 0:
@@ -65,6 +74,13 @@
             raise DropConnection
         return self.spoil(outcome)
 
+    def wait_at(self, step: str) -> None:
+        """Wait while bookings are held at this step."""
+        with self.free:
+            self.counts[f"held_{step}"] += 1
+            self.free.wait_for(lambda: self.hold != step)
+            self.counts[f"held_{step}"] -= 1
+
     def start_booking(self, token: str, body: dict[str, Any]) -> bool:
         """Mark a booking as running, so that it can't be voided any more."""
         with self.free:
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -3,7 +3,9 @@
 Its control listener takes `POST /control` with one of: `{"cut": true}` closes all open connections;
 `{"freeze": true}` makes the open ones silent for good while new ones work; `{"delay": seconds}`
 holds every chunk back; `{"truncate": bytes}` cuts the next reply after so many bytes;
-`{"refuse": true}` closes new connections at once; `{"silent": true}` makes new ones silent too.
+`{"refuse": true}` closes new connections at once; `{"silent": true}` makes new ones silent too;
+`{"hold_requests": true}` and `{"hold_replies": true}` keep what comes from either side until they
+are set to false.
 """
 
 import argparse
@@ -49,6 +51,10 @@
         self.truncate = 0
         self.refuse = False
         self.silent = False
+        self.hold_requests = False
+        self.hold_replies = False
+        self.held = 0
+        self.released = threading.Condition()
         self.pairs: set[_Pair] = set()
         self.opened = 0
         self.bytes = 0
@@ -93,6 +99,7 @@
                 self.bytes += len(data)
                 if self.delay:
                     time.sleep(self.delay)
+                self.wait_while_held(reply)
                 if pair.frozen.is_set():
                     continue
                 if reply and self.truncate:
@@ -108,6 +115,13 @@
             self.pairs.discard(pair)
         pair.close()
 
+    def wait_while_held(self, reply: bool) -> None:
+        """Keep a chunk while its direction is held; `held` counts the chunks kept now."""
+        with self.released:
+            self.held += 1
+            self.released.wait_for(lambda: not (self.hold_replies if reply else self.hold_requests))
+            self.held -= 1
+
     def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
         with self.lock:
             pairs = tuple(self.pairs)
@@ -117,12 +131,19 @@
         if body.pop("freeze", False):
             for pair in pairs:
                 pair.frozen.set()
-        for field, value in body.items():
-            setattr(self, field, value)
+        with self.released:
+            for field, value in body.items():
+                setattr(self, field, value)
+            self.released.notify_all()
         return 200, {"pairs": len(pairs)}
 
     def stats(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
-        return 200, {"opened": self.opened, "pairs": len(self.pairs), "bytes": self.bytes}
+        return 200, {
+            "opened": self.opened,
+            "pairs": len(self.pairs),
+            "bytes": self.bytes,
+            "held": self.held,
+        }
 
 
 if __name__ == "__main__":
