--- a/tests/unit/bookings/worlds.py
+++ b/tests/unit/bookings/worlds.py
@@ -33,6 +33,7 @@
     OutcomeState,
     SearcherBookingReply,
 )
+from limpethollow_wire.exceptions import BadRequest
 
 OWNER = b"service and firm"
 BOOKING = b"booking"
@@ -117,7 +118,10 @@
     def send(self, token: BookingToken) -> None:
         """Send a booking to the instance, for the first time or again."""
         executor = self.executor
-        verdict = executor.ledger.offer(token, OWNER, BOOKING, self.now + DEADLINE, self.now)
+        try:
+            verdict = executor.ledger.offer(token, OWNER, BOOKING, self.now + DEADLINE, self.now)
+        except BadRequest:
+            return
         if verdict is Verdict.DISPATCH:
             entry = executor.ledger.entry(token)
             executor.runs[str(token)] = entry.run
@@ -126,7 +130,10 @@
             self._answer(verdict, token)
 
     def look_up(self, token: BookingToken) -> None:
-        verdict = self.executor.ledger.look_up(token, OWNER, self.now)
+        try:
+            verdict = self.executor.ledger.look_up(token, OWNER, self.now)
+        except BadRequest:
+            return
         self._answer(verdict, token)
 
     def resolve(self, token: BookingToken) -> None:
