Searches that can't finish in time are refused, not started; an idle queue is none that stands

Cause: under the flood 8 % of the searchers' calls ran for searches that were cut off at their deadline: they had waited nearly all of it. And a firm whose last waiting search had expired was refused minutes later, since the time without any search counted as time that the queue stood still; while a queue stood, the estimate multiplied that time by all who waited (retry_after up to 7 s for a backlog of 0.7 s). Ruled out: setting aside a call's time without bound; a group that turned slow would refuse all its searches and never see that it is fast again (a test shows it).

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_fifo.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_fifo.py
@@ -33,6 +33,8 @@
         """Let a search wait at the end."""
         if len(self._waiting) >= self._limits.max_queue:
             return gather
+        if not self._waiting:
+            self._drain.refilled()
         self._waiting.append(gather)
         return None
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_queues.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_queues.py
@@ -184,10 +184,12 @@
 
     def offer(self, gather: Gather) -> Gather | None:
         """Let a search wait, in place of one of the firm that waits with most for its share."""
+        firm = gather.search.firm
+        if firm in self._drains and not self._waiting.backlog(firm):
+            self._drains[firm].refilled()
         self._waiting.add(gather)
         if len(self._waiting) <= self._limits.max_queue:
             return None
-        firm = gather.search.firm
         heaviest = max(self._waiting.firms, key=lambda other: (self._load(other), other == firm))
         return self._waiting.take_newest(heaviest)
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_waits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/admissions_waits.py
@@ -30,10 +30,17 @@
         self._last = now
         self._others_waited = still_waiting > 0
 
+    def refilled(self) -> None:
+        """Note that a search waits where none did, so that the time without any does not count.
+
+        A queue may empty without a start: searches expire, leave or give way.
+        """
+        self._others_waited = False
+
     def wait(self, ahead: float, now: float) -> float:
         """Return the seconds until a search with so many before it would start.
 
-        A queue that has stood still for longer than usual counts with the time it stood.
+        A queue that has stood still is expected to stand as long again.
         """
-        stood = now - self._last if self._others_waited else 0.0
-        return ahead * max(self._interval, stood)
+        stood = now - self._last if ahead and self._others_waited else 0.0
+        return max(ahead * self._interval, stood)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
@@ -11,6 +11,7 @@
 _ATTEMPT_SLOWEST = 2.0
 _SHORTEST_ATTEMPT = 0.05
 _STRAGGLED_DECAY = 0.98
+_MEDIAN = 0.5
 
 
 class Repeats:
@@ -94,6 +95,10 @@
         limit = max(usual * _ATTEMPT_HEDGE_DELAYS, slowest * _ATTEMPT_SLOWEST, _SHORTEST_ATTEMPT)
         return min(left, limit)
 
+    def call_takes(self) -> float:
+        """Return the seconds that a call usually takes, 0 while too few were seen."""
+        return self._latencies.quantile(_MEDIAN) or 0.0
+
     def restart_takes(self) -> float:
         """Return the seconds that starting over at another snapshot is expected to take."""
         return self._usual_limit() or 0.0
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -101,7 +101,7 @@
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
         elif search.versions_only or self._needs_no_call(gather, now):
             self._start(gather)
-        elif self._waits.estimate(search.firm, now) > search.deadline - now:
+        elif now + self._waits.estimate(search.firm, now) > self._latest_start(gather):
             self._refuse_overload(gather, "wait_too_long", now)
         else:
             self._let_wait(gather, now)
@@ -221,6 +221,15 @@
         version = servable[0] if search.pinned is None and servable else search.pinned
         return version is not None and self._sender.will_bring_all(gather, version)
 
+    def _latest_start(self, gather: Gather) -> float:
+        """Return the second after which a search would use slots and still come too late.
+
+        At most half of its time is set aside, so that a group whose calls have become slow goes on
+        making some and learns when they are fast again.
+        """
+        deadline = gather.search.deadline
+        return deadline - min(self._repeats.call_takes(), (deadline - gather.arrived) / 2)
+
     def _let_wait(self, gather: Gather, now: float) -> None:
         out = self._queue.offer(gather)
         if out is not None:
@@ -327,7 +336,7 @@
             elif now >= gather.answer_at and gather.is_pinned and gather.meets_floor:
                 self._conclude(gather, "objective", now)
         for gather in tuple(self._queue):
-            if now >= gather.search.deadline:
+            if now >= self._latest_start(gather):
                 self._queue.remove(gather)
                 self._refuse_overload(gather, "waited_out", now)
 
@@ -364,7 +373,7 @@
             self._outbox.add(WakeAt(min(later)))
 
     def _search_times(self, now: float) -> list[float]:
-        times = [gather.search.deadline for gather in self._queue]
+        times = [self._latest_start(gather) for gather in self._queue]
         for gather in self._active:
             times += [gather.search.deadline, gather.answer_at]
             if not gather.is_pinned:
