--- a/tests/standins/partition.py
+++ b/tests/standins/partition.py
@@ -43,17 +43,21 @@
         if not self.blocked:
             return False
         try:
-            inode = _inode(near.getpeername()[1])
+            inode = _inode(near.getpeername()[1], self.entry.getsockname()[1])
         except OSError:
             return True
         return any(inode in _sockets(pid) for pid in self.blocked)
 
 
-def _inode(port: int) -> str:
-    """Return the inode of the loopback socket with a local port."""
+def _inode(local: int, remote: int) -> str:
+    """Return the inode of the loopback socket between two ports.
+
+    One port alone names no socket: the system uses it again towards other targets.
+    """
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if int(fields[1].rpartition(":")[2], 16) == port and fields[9] != "0":
+        ports = [int(field.rpartition(":")[2], 16) for field in fields[1:3]]
+        if ports == [local, remote] and fields[9] != "0":
             return fields[9]
     return ""
 
--- a/tests/system/configuration/systems.py
+++ b/tests/system/configuration/systems.py
@@ -87,10 +87,15 @@
             return error
 
     def wait_in_force(self, service: str, version: int) -> None:
-        wait_for(
-            lambda: all(self.version(i, service) >= version for i in self.listed),
-            f"version {version} of {service} in force everywhere",
-        )
+        try:
+            wait_for(lambda: not self._lacking(service, version), "the version everywhere")
+        except AssertionError:
+            lacking = self._lacking(service, version)
+            logs = {i: self.instances[i].log.read_text()[-2000:] for i in lacking}
+            raise AssertionError(f"{service} is not at {version} at {lacking}: {logs}") from None
+
+    def _lacking(self, service: str, version: int) -> list[str]:
+        return [i for i in self.listed if self.version(i, service) < version]
 
     def writes(self, service: str) -> int:
         return self.platform.stats()["writes"].get(f"service/{service}", 0)
