Scheduler: an event costs what it changes, not a pass over all that is open

Cause: each reply recomputed the open shards of every search, the holders of every shard and the servable versions, so that a wide service (20 searchers) spent its time in the scheduler. Change: searches keep their open and idle shards; holders are indexed; servable versions are kept until some searcher's list changes; a search's calls are chosen in one pass; calls are checked for use only where fewer searches wait for their query.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
@@ -1,6 +1,5 @@
 """When a call is repeated: hedges, attempt timeouts and the budgets that bound both."""
 
-from limpethollow_policy.process.replicas import ReplicaSet
 from limpethollow_policy.request.hedges import LatencyWindow, ShareBudget
 from limpethollow_wire.services import HedgePolicy
 
@@ -39,13 +38,16 @@
         self._policy = policy
         self._hedges.change_share(policy.budget)
 
-    def call_started(self, replicas: ReplicaSet, now: float) -> None:
+    def call_started(self, free_share: float) -> None:
         """Count one first call.
 
         It earns less for hedges the fewer slots are free: hedges of a busy group only lengthen the
         queue that made its calls late.
+
+        Args:
+            free_share: Share of the group's slots that is free, 0 to 1.
         """
-        self._hedges.earn(replicas.free_share(now))
+        self._hedges.earn(free_share)
         self._retries.earn()
 
     def call_answered(self, latency: float) -> None:
@@ -61,9 +63,9 @@
         """
         self._straggled = max(self._straggled, age)
 
-    def spend_hedge(self) -> None:
-        """Take one hedge out of the budget."""
-        self._hedges.spend()
+    def spend_hedge(self) -> bool:
+        """Take one hedge out of the budget; false where it is empty."""
+        return self._hedges.spend()
 
     def spend_retry(self) -> bool:
         """Take one retry out of the budget; false where it is empty."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -1,6 +1,7 @@
 """The searchers of one group: who may serve what, and who should."""
 
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from random import Random
 
@@ -10,10 +11,13 @@
 from limpethollow_policy.request.gathers import Gather, Snapshot
 from limpethollow_policy.request.snapshots import Inventory, choose_version, servable_versions
 from limpethollow_policy.version.groups import Group
+from limpethollow_wire.searches import SearcherReply
 from limpethollow_wire.services import SearcherSpec, ServiceSpec
 
 _STRAGGLER_FACTOR = 5.0
 
+_Option = tuple[SearcherState, float, frozenset[int]]
+
 
 @dataclass(slots=True, frozen=True)
 class Choice:
@@ -32,7 +36,18 @@
         rng: Source for jitter and for the choice among equals.
     """
 
-    __slots__ = ("_max_age", "_removed", "_rng", "_score", "_searchers", "epoch", "shards")
+    __slots__ = (
+        "_held",
+        "_holders",
+        "_known",
+        "_max_age",
+        "_removed",
+        "_rng",
+        "_score",
+        "_searchers",
+        "epoch",
+        "shards",
+    )
 
     def __init__(self, spec: ServiceSpec, group: Group, rng: Random) -> None:
         self._rng = rng
@@ -69,10 +84,15 @@
             self._searchers[searcher.id] = state
         kept = self._searchers.values()
         self._removed = [s for s in known if s.in_flight and s not in kept]
+        self._holders = {
+            shard: [s for s in self if shard in s.spec.shards] for shard in group.shards
+        }
+        self._held = {s.id: frozenset(s.shards) for s in group.searchers}
+        self._known = ((), {})
 
     def holders(self, shard: int) -> list[SearcherState]:
         """Return the searchers that hold a shard by configuration."""
-        return [searcher for searcher in self if shard in searcher.spec.shards]
+        return self._holders.get(shard, [])
 
     def usable(self, now: float) -> list[SearcherState]:
         """Return the searchers that may get new work."""
@@ -91,7 +111,7 @@
 
     def usable_holders(self, shards: frozenset[int], now: float) -> list[SearcherState]:
         """Return the usable searchers that hold one of the shards by configuration."""
-        return [s for s in self.usable(now) if not shards.isdisjoint(s.spec.shards)]
+        return [s for s in self.usable(now) if not shards.isdisjoint(self._held[s.spec.id])]
 
     def stale(self, shards: frozenset[int], now: float) -> list[SearcherState]:
         """Return the usable holders whose list of versions is too old to pin by."""
@@ -100,44 +120,92 @@
 
     def servable(self, shards: frozenset[int], min_version: int, now: float) -> tuple[int, ...]:
         """Return the versions that fresh, usable replicas serve on every shard, newest first."""
-        return servable_versions(self._inventories(now), shards, min_version)
+        evidence = self._evidence(now)
+        if self._known[0] != evidence:
+            self._known = (evidence, {})
+        kept = self._known[1]
+        question = (shards, min_version)
+        if question not in kept:
+            kept[question] = servable_versions(self._inventories(now), shards, min_version)
+        return kept[question]
 
     def best_version(self, shards: frozenset[int], min_version: int, now: float) -> int | None:
         """Return the version to pin, complete or not, None where there is none."""
         return choose_version(self._inventories(now), shards, min_version)
 
+    def answered(
+        self, searcher: SearcherState, reply: SearcherReply, latency: float | None, now: float
+    ) -> None:
+        """Take in a searcher's reply as evidence.
+
+        A list of versions that did not change stays the same object, by which `servable` sees that
+        its last answer still holds.
+        """
+        versions = searcher.versions
+        searcher.answered(reply, latency, now)
+        if searcher.versions == versions:
+            searcher.versions = versions
+
     def choose(
         self,
         gather: Gather,
-        shards: frozenset[int],
+        shards: AbstractSet[int],
         now: float,
         *,
         exclude: SearcherState | None = None,
         patient: bool = False,
-    ) -> Choice | None:
-        """Choose the searcher for a call by the service's replica choice.
+    ) -> list[Choice]:
+        """Choose the searchers for some shards of a search, by the service's replica choice.
+
+        Each choice takes all that its searcher can serve of what the ones before it left, so a
+        searcher gets one call however many shards are wanted from it.
 
         Args:
             gather: The search, pinned.
             shards: Shards that need a call.
             now: Monotonic second.
             exclude: A searcher that must not be chosen.
-            patient: Whether the call may wait for a slot of another searcher.
+            patient: Whether a call may wait for a slot of another searcher.
         """
-        able = [
-            (searcher, self.serves(searcher, gather, shards))
-            for searcher in self.usable(now)
-            if searcher is not exclude
-        ]
-        able = [(searcher, serves) for searcher, serves in able if serves]
-        shortest = min((searcher.expected_wait(now) for searcher, _ in able), default=0.0)
+        able = self._able(gather, shards, exclude, now)
+        choices: list[Choice] = []
+        left = set(shards)
+        while left:
+            choice = self._best(gather, able, patient)
+            if choice is None:
+                break
+            choices.append(choice)
+            left -= choice.shards
+            able = [(s, wait, serves - choice.shards) for s, wait, serves in able]
+            able = [option for option in able if option[2]]
+        return choices
+
+    def _able(
+        self,
+        gather: Gather,
+        shards: AbstractSet[int],
+        exclude: SearcherState | None,
+        now: float,
+    ) -> list[_Option]:
+        """Return the searchers that can serve some of the shards, busy or not."""
+        able = []
+        for searcher in {s: None for shard in shards for s in self.holders(shard)}:
+            if searcher is exclude or not searcher.is_usable(now):
+                continue
+            serves = self.serves(searcher, gather, shards)
+            if serves:
+                able.append((searcher, searcher.expected_wait(now), serves))
+        return able
+
+    def _best(self, gather: Gather, able: list[_Option], patient: bool) -> Choice | None:
+        shortest = min((wait for _, wait, _ in able), default=0.0)
         best: Choice | None = None
         best_score: tuple[float, ...] = ()
-        for searcher, serves in able:
+        for searcher, wait, serves in able:
             if not searcher.has_free_slot:
                 continue
-            wait = searcher.expected_wait(now)
-            fresh = sum((shard, searcher.spec.id) not in gather.failed_at for shard in serves)
+            failed = gather.failed_at
+            fresh = sum((shard, searcher.spec.id) not in failed for shard in serves)
             straggles = wait > shortest * _STRAGGLER_FACTOR
             candidate = Candidate(fresh, len(serves), wait, straggles, patient)
             score = self._score(candidate, self._rng)
@@ -145,6 +213,10 @@
                 best, best_score = Choice(searcher, serves), score
         return best
 
+    def any_paused(self, now: float) -> bool:
+        """Return whether some searcher is paused and will be tried again."""
+        return any(s.down_until > now and not s.draining for s in self._searchers.values())
+
     def comes_back(self, shard: int, now: float) -> float | None:
         """Return when a paused holder of a shard may be tried again, None where none is paused."""
         paused = [
@@ -156,16 +228,30 @@
 
     def serves_somewhere(self, shard: int, snapshot: Snapshot, now: float) -> bool:
         """Return whether a usable replica keeps this snapshot of the shard, busy or not."""
-        return any(s.can_serve(shard, snapshot.epoch, snapshot.version) for s in self.usable(now))
+        epoch, version = snapshot
+        holders = self.holders(shard)
+        return any(s.is_usable(now) and s.can_serve(shard, epoch, version) for s in holders)
 
     def serves(
-        self, searcher: SearcherState, gather: Gather, shards: frozenset[int]
+        self, searcher: SearcherState, gather: Gather, shards: AbstractSet[int]
     ) -> frozenset[int]:
         """Return those of the shards that a searcher keeps at the search's snapshot."""
-        if gather.snapshot is None:
+        held = self._held.get(searcher.spec.id)
+        if gather.snapshot is None or held is None:
             return frozenset()
         epoch, version = gather.snapshot
-        return frozenset(s for s in shards if searcher.can_serve(s, epoch, version))
+        return frozenset(s for s in held & shards if searcher.can_serve(s, epoch, version))
+
+    def _evidence(self, now: float) -> tuple[Hashable, ...]:
+        """Return what `servable` depends on, in a form that is quick to compare."""
+        return tuple(
+            (
+                (id(s.versions), s.epoch)
+                if s.is_usable(now) and s.inventory_is_fresh(now, self._max_age)
+                else None
+            )
+            for s in self._searchers.values()
+        )
 
     def _inventories(self, now: float) -> list[Inventory]:
         return [
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/results.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/results.py
@@ -51,7 +51,7 @@
         if snapshot is None:
             return 0
         filled = 0
-        for shard in gather.open_shards:
+        for shard in tuple(gather.open_shards):
             rows = self._kept.get((gather.key, snapshot, shard))
             if rows is not None and gather.accept(shard, snapshot, rows):
                 self._kept.move_to_end((gather.key, snapshot, shard))
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -121,7 +121,7 @@
         if call is None:
             return []
         latency = now - call.started
-        call.searcher.answered(reply, None if call.is_inventory else latency, now)
+        self._replicas.answered(call.searcher, reply, None if call.is_inventory else latency, now)
         if call.cancelled:
             self._repeats.call_cut_short(latency)
         elif not call.is_inventory:
@@ -162,7 +162,8 @@
         self._expire(now)
         self._slots.serve(now)
         for gather in self._active:
-            self._advance(gather, now)
+            if gather.idle or not gather.is_pinned or gather.is_finished:
+                self._advance(gather, now)
         self._admit(now)
         while self._sender.assign(now, patient=not len(self._queue)):
             self._admit(now)
@@ -174,9 +175,10 @@
 
     def _advance(self, gather: Gather, now: float) -> None:
         """Bring one search as far as it gets without another call."""
-        if not gather.is_pinned and not self._pin(gather, now):
-            return
-        self._sender.fill(gather)
+        if not gather.is_pinned:
+            if not self._pin(gather, now):
+                return
+            self._sender.fill(gather)
         self._drop_hopeless(gather, now)
         is_over = gather.is_pinned and (gather.is_finished or gather.is_lost)
         if is_over and gather.search.id in self._active:
@@ -202,7 +204,8 @@
             return True
         if not self._replicas.has_free_slot(now):
             return False
-        return sum(map(self._sender.is_hungry, self._active)) < _MAX_HUNGRY
+        hungry = (gather for gather in self._active if gather.idle or not gather.is_pinned)
+        return sum(1 for _ in hungry) < _MAX_HUNGRY
 
     def _needs_no_call(self, gather: Gather, now: float) -> bool:
         """Return whether kept answers and open calls will bring all that a search wants."""
@@ -220,7 +223,9 @@
         self._active.add(gather)
 
     def _finish(self, search_id: str) -> None:
-        self._active.remove(search_id)
+        gather = self._active.remove(search_id)
+        if gather is not None:
+            self._sender.wants_less(gather.key)
 
     def _move_queue(self) -> None:
         """Make the queue anew by the new configuration; nobody who waits is refused for that."""
@@ -261,7 +266,7 @@
 
     def _drop_hopeless(self, gather: Gather, now: float) -> None:
         """Stop waiting for shards that no replica will serve before the answer is due."""
-        for shard in self._sender.idle_shards(gather):
+        for shard in tuple(gather.idle):
             assert gather.snapshot is not None
             if self._replicas.serves_somewhere(shard, gather.snapshot, now):
                 continue
@@ -303,6 +308,7 @@
         if better == gather.snapshot.version and not stale:
             return False
         gather.unpin()
+        self._sender.wants_less(gather.key)
         self._outbox.count("search_restarts", "version_gone")
         if self._pin(gather, now):
             self._sender.fill(gather)
@@ -359,10 +365,7 @@
             times += [gather.search.deadline, gather.answer_at]
             if not gather.is_pinned:
                 times += self._pinner.wake_times(gather)
-            for shard in gather.open_shards:
-                back = self._replicas.comes_back(shard, now)
-                times += [] if back is None else [back]
-        if len(self._queue):
+        if self._replicas.any_paused(now):
             times += [s.down_until for s in self._replicas if not s.draining]
         return times
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
@@ -32,7 +32,7 @@
         outbox: Where actions go.
     """
 
-    __slots__ = ("_active", "_calls", "_kept", "_outbox", "_repeats", "_replicas")
+    __slots__ = ("_active", "_calls", "_changed", "_kept", "_outbox", "_repeats", "_replicas")
 
     def __init__(
         self,
@@ -48,16 +48,7 @@
         self._repeats = repeats
         self._outbox = outbox
         self._kept = ResultCache()
-
-    def idle_shards(self, gather: Gather) -> frozenset[int]:
-        """Return the open shards that no call on its way will bring."""
-        if gather.snapshot is None:
-            return frozenset()
-        return gather.open_shards - self._calls.busy_shards(gather.key, gather.snapshot)
-
-    def is_hungry(self, gather: Gather) -> bool:
-        """Return whether a search still has to get its snapshot or a call."""
-        return not gather.is_pinned or bool(self.idle_shards(gather))
+        self._changed: set[str] = set()
 
     def will_bring_all(self, gather: Gather, version: int) -> bool:
         """Return whether a search needs no call of its own at a version."""
@@ -72,10 +63,15 @@
         if gather.snapshot is None:
             return
         joined = gather.open_shards & self._calls.busy_shards(gather.key, gather.snapshot)
-        if joined - gather.asked_shards:
+        gather.idle = gather.open_shards - joined
+        if joined:
             self._outbox.count("shared_answers", "joined")
             gather.asked_shards |= joined
 
+    def wants_less(self, key: str) -> None:
+        """Note that fewer searches wait for a query, so calls for it may be useless now."""
+        self._changed.add(key)
+
     def ask_inventory(self, searcher: SearcherState, now: float) -> None:
         """Ask a searcher for its index versions."""
         self._start(searcher, Snapshot(self._replicas.epoch, 0), {}, _INVENTORY_TIMEOUT, now)
@@ -83,14 +79,11 @@
     def assign(self, now: float, *, patient: bool) -> bool:
         """Make the calls that free slots allow; false where there was none to make."""
         made = False
-        for gather in self._active:
-            shards = self.idle_shards(gather)
-            while shards:
-                choice = self._replicas.choose(gather, shards, now, patient=patient)
-                if choice is None:
-                    break
-                self._call(gather, choice, now)
-                shards -= choice.shards
+        idle = [gather for gather in self._active if gather.idle]
+        free_share = self._replicas.free_share(now) if idle else 0.0
+        for gather in idle:
+            for choice in self._replicas.choose(gather, gather.idle, now, patient=patient):
+                self._call(gather, choice, free_share, now)
                 made = True
         return made
 
@@ -113,8 +106,12 @@
 
     def cancel_useless(self) -> None:
         """Cancel the calls that can bring nothing any more that somebody waits for."""
+        if not self._changed:
+            return
+        changed, self._changed = self._changed, set()
         for call in self._calls:
-            if not (call.is_inventory or call.cancelled or self._is_useful(call)):
+            may_be = not (call.cancelled or changed.isdisjoint(call.work))
+            if may_be and not self._is_useful(call):
                 self._calls.cancel(call)
                 self._outbox.add(CancelCall(call.id))
                 self._outbox.count("searcher_calls_cancelled")
@@ -131,6 +128,7 @@
                 self._hand_out(call, part.id, part.shard, snapshot, part.rows)
         if call.cancelled:
             return
+        self._work_ended(call)
         codes = {(error.id, error.shard): error.code for error in reply.errors}
         for key, shards in call.work.items():
             failed = {shard: codes.get((key, shard), _UNNAMED) for shard in shards}
@@ -138,9 +136,10 @@
 
     def take_failure(self, call: OpenCall, failure: Failure) -> None:
         """Have a failed call's work done again where the budget allows."""
-        if call.cancelled or failure is Failure.CANCELLED:
+        if call.cancelled:
             return
         self._outbox.count("searcher_call_failures", failure)
+        self._work_ended(call)
         for key, shards in call.work.items():
             self._shards_failed(call, key, dict.fromkeys(shards, str(failure)))
 
@@ -153,6 +152,15 @@
         self._kept.keep(key, snapshot, shard, rows)
         for gather in self._active.asking(key):
             gather.accept(shard, snapshot, rows)
+        self._changed.add(key)
+
+    def _work_ended(self, call: OpenCall) -> None:
+        """Make the shards idle that an ended call did not bring and no other will."""
+        for key, shards in call.work.items():
+            lost = shards - self._calls.busy_shards(key, call.snapshot)
+            for gather in self._active.asking(key):
+                if gather.snapshot == call.snapshot:
+                    gather.idle |= lost & gather.open_shards
 
     def _shards_failed(self, call: OpenCall, key: str, failed: dict[int, str]) -> None:
         for gather in self._active.asking(key):
@@ -164,7 +172,7 @@
     def _shard_failed(self, gather: Gather, call: OpenCall, shard: int, reason: str) -> None:
         """Let a shard be tried again, or give it up with its reason."""
         may_retry = gather.failed(shard, call.searcher.spec.id)
-        if shard not in self.idle_shards(gather):
+        if shard not in gather.idle:
             return
         if reason == _VERSION_GONE and not self._claims(call, shard):
             return
@@ -187,21 +195,21 @@
         epoch, version = call.snapshot
         return call.searcher.can_serve(shard, epoch, version)
 
-    def _call(self, gather: Gather, choice: Choice, now: float) -> None:
+    def _call(self, gather: Gather, choice: Choice, free_share: float, now: float) -> None:
         work = self._batch(gather, choice)
         assert gather.snapshot is not None
         self._open(choice.searcher, gather.snapshot, work, now)
-        self._repeats.call_started(self._replicas, now)
+        self._repeats.call_started(free_share)
 
     def _batch(self, first: Gather, choice: Choice) -> dict[str, frozenset[int]]:
         """Return one search's work joined with what others need of the same searcher."""
         work = {first.key: choice.shards}
         for other in self._active:
-            if other is first or other.snapshot != first.snapshot:
+            if other is first or not other.idle or other.snapshot != first.snapshot:
                 continue
             if other.key not in work and len(work) >= _MAX_QUERIES_PER_CALL:
                 continue
-            shards = self._replicas.serves(choice.searcher, other, self.idle_shards(other))
+            shards = self._replicas.serves(choice.searcher, other, other.idle)
             shards -= {s for s in shards if (s, choice.searcher.spec.id) in other.failed_at}
             if shards:
                 work[other.key] = work.get(other.key, frozenset()) | shards
@@ -215,6 +223,7 @@
         call = self._start(searcher, snapshot, work, self._repeats.attempt_timeout(left), now)
         for gather in asking:
             gather.asked_shards |= work[gather.key]
+            gather.idle -= work[gather.key]
         return call
 
     def _start(
@@ -235,15 +244,15 @@
             waiting = [g for g in self._active.asking(key) if g.snapshot == call.snapshot]
             open_shards = frozenset().union(*(g.open_shards for g in waiting))
             wanted = frozenset(s for s in shards & open_shards if (key, s) not in call.hedged)
-            while wanted and self._repeats.may_hedge:
-                choice = self._replicas.choose(waiting[0], wanted, now, exclude=call.searcher)
-                if choice is None:
-                    break
-                self._repeats.spend_hedge()
+            if not (wanted and self._repeats.may_hedge):
+                continue
+            choices = self._replicas.choose(waiting[0], wanted, now, exclude=call.searcher)
+            for choice in choices:
+                if not self._repeats.spend_hedge():
+                    return
                 hedge = self._open(choice.searcher, call.snapshot, {key: choice.shards}, now)
                 hedge.hedge = True
                 call.hedged |= {(key, shard) for shard in choice.shards}
-                wanted -= choice.shards
                 self._outbox.count("hedges")
 
     def _is_useful(self, call: OpenCall) -> bool:
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/gathers.py
@@ -1,6 +1,7 @@
 """One search inside a group, from its arrival to its answer."""
 
 from collections import Counter
+from collections.abc import Set as AbstractSet
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
@@ -40,6 +41,9 @@
     Parts are kept only if they carry the pinned epoch and version, so an answer that mixes
     snapshots can't be built, whatever arrives late, twice or crossed.
 
+    Attributes:
+        idle: Open shards that no call on its way will bring; kept by the sender of calls.
+
     Args:
         search: The search.
         objective: What its service must reach.
@@ -48,6 +52,7 @@
 
     __slots__ = (
         "_floor",
+        "_open",
         "_parts",
         "_refusal_floor",
         "answer_at",
@@ -57,6 +62,7 @@
         "asked_shards",
         "failed_at",
         "failures",
+        "idle",
         "key",
         "restarts",
         "search",
@@ -80,6 +86,8 @@
         self._floor = objective.coverage_floor
         self._refusal_floor = objective.coverage_floor if search.floor is None else search.floor
         self._parts: dict[int, list[Any]] = {}
+        self._open = set(search.shards)
+        self.idle: set[int] = set()
 
     @property
     def is_pinned(self) -> bool:
@@ -92,14 +100,14 @@
         return self.search.shards - self._parts.keys()
 
     @property
-    def open_shards(self) -> frozenset[int]:
+    def open_shards(self) -> AbstractSet[int]:
         """Shards with no part that were not given up on."""
-        return self.uncovered - self.failures.keys()
+        return self._open
 
     @property
     def is_finished(self) -> bool:
         """Whether nothing is left to wait for."""
-        return self.is_pinned and not self.open_shards
+        return self.is_pinned and not self._open
 
     @property
     def is_lost(self) -> bool:
@@ -123,9 +131,7 @@
     def pin(self, snapshot: Snapshot) -> None:
         """Choose the snapshot; all that was collected at another one is dropped."""
         self.snapshot = snapshot
-        self._parts.clear()
-        self.failures.clear()
-        self.asked_shards.clear()
+        self._clear()
 
     def may_restart(self) -> bool:
         """Return whether the search may still start over at another snapshot."""
@@ -135,8 +141,7 @@
         """Drop the snapshot and all that was collected at it."""
         self.restarts += 1
         self.snapshot = None
-        self._parts.clear()
-        self.failures.clear()
+        self._clear()
 
     def accept(self, shard: int, snapshot: Snapshot, rows: list[Any]) -> bool:
         """Keep a part if it is wanted and of the pinned snapshot.
@@ -144,10 +149,12 @@
         Returns:
             Whether it was kept.
         """
-        if shard not in self.uncovered or snapshot != self.snapshot:
+        if snapshot != self.snapshot or shard in self._parts or shard not in self.search.shards:
             return False
         self._parts[shard] = rows
         self.failures.pop(shard, None)
+        self._open.discard(shard)
+        self.idle.discard(shard)
         return True
 
     def failed(self, shard: int, searcher_id: str) -> bool:
@@ -163,6 +170,8 @@
     def give_up(self, shard: int, reason: str) -> None:
         """Stop trying to cover a shard."""
         self.failures[shard] = reason
+        self._open.discard(shard)
+        self.idle.discard(shard)
 
     def answer(self, reason: str) -> GroupAnswer:
         """Build the answer from what has come.
@@ -186,6 +195,13 @@
         parts = tuple(Part(shard, self._parts[shard]) for shard in covered)
         return GroupAnswer(coverage, parts)
 
+    def _clear(self) -> None:
+        self._parts.clear()
+        self.failures.clear()
+        self.asked_shards.clear()
+        self._open = set(self.search.shards)
+        self.idle = set()
+
     def _missing_reason(self, shard: int, reason: str) -> str:
         if shard in self.failures:
             return self.failures[shard]
