--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -46,6 +46,7 @@
         "_score",
         "_searchers",
         "epoch",
+        "queries_per_call",
         "shards",
     )
 
@@ -58,6 +59,9 @@
     def __iter__(self) -> Iterator[SearcherState]:
         return iter(self._searchers.values())
 
+    def __contains__(self, searcher_id: str) -> bool:
+        return searcher_id in self._searchers
+
     def __getitem__(self, searcher_id: str) -> SearcherState:
         return self._searchers[searcher_id]
 
@@ -71,6 +75,7 @@
         known = [*self._searchers.values(), *self._removed]
         self.epoch = spec.epoch
         self.shards = group.shards
+        self.queries_per_call = spec.queries_per_call
         self._max_age = spec.inventory_max_age
         self._score = find_choice(spec.replica_choice)
         self._searchers = {}
@@ -98,6 +103,12 @@
         """Return the searchers that may get new work."""
         return [searcher for searcher in self if searcher.is_usable(now)]
 
+    @property
+    def calls_per_search(self) -> float:
+        """Calls that a search of all shards takes on average."""
+        held = sum(len(searcher.spec.shards) for searcher in self)
+        return len(self.shards) * len(self._searchers) / max(held, 1)
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether some usable searcher can take one more call."""
         return any(searcher.has_free_slot for searcher in self.usable(now))
@@ -118,6 +129,10 @@
         holders = self.usable_holders(shards, now)
         return [s for s in holders if not s.inventory_is_fresh(now, self._max_age)]
 
+    def fresh(self, searchers: list[SearcherState], now: float) -> list[SearcherState]:
+        """Return those whose last word is young enough to send work by."""
+        return [s for s in searchers if s.inventory_is_fresh(now, self._max_age)]
+
     def servable(self, shards: frozenset[int], min_version: int, now: float) -> tuple[int, ...]:
         """Return the versions that fresh, usable replicas serve on every shard, newest first."""
         evidence = self._evidence(now)
@@ -135,16 +150,20 @@
 
     def answered(
         self, searcher: SearcherState, reply: SearcherReply, latency: float | None, now: float
-    ) -> None:
+    ) -> bool:
         """Take in a searcher's reply as evidence.
 
         A list of versions that did not change stays the same object, by which `servable` sees that
         its last answer still holds.
+
+        Returns:
+            Whether other instances should hear of a change in `draining`.
         """
         versions = searcher.versions
-        searcher.answered(reply, latency, now)
+        news = searcher.answered(reply, latency, now)
         if searcher.versions == versions:
             searcher.versions = versions
+        return news
 
     def choose(
         self,
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
@@ -11,7 +11,6 @@
 from limpethollow_policy.request.outboxes import Outbox
 from limpethollow_wire.searches import CallQuery, SearcherReply
 
-_MAX_QUERIES_PER_CALL = 8
 _INVENTORY_TIMEOUT = 0.25
 _UNNAMED = "failed"
 _VERSION_GONE = "version_gone"
@@ -207,7 +206,7 @@
         for other in self._active:
             if other is first or not other.idle or other.snapshot != first.snapshot:
                 continue
-            if other.key not in work and len(work) >= _MAX_QUERIES_PER_CALL:
+            if other.key not in work and len(work) >= self._replicas.queries_per_call:
                 continue
             shards = self._replicas.serves(choice.searcher, other, other.idle)
             shards -= {s for s in shards if (s, choice.searcher.spec.id) in other.failed_at}
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
@@ -1,6 +1,9 @@
 """Slots of searchers for bookings, which come before searches."""
 
+from collections.abc import Callable
+
 from limpethollow_policy.connection.searchers import SearcherState
+from limpethollow_policy.process.calls import CallTable
 from limpethollow_policy.process.replicas import ReplicaSet
 from limpethollow_policy.process.waits import WaitEstimate
 from limpethollow_policy.request.events import DenySlot, Failure, GrantSlot, SlotRequest
@@ -15,11 +18,30 @@
         replicas: The group's searchers.
         waits: How long a refused caller should stay away.
         outbox: Where actions go.
+        calls: The open calls.
+        ask_inventory: Starts an inventory call to a searcher.
     """
 
-    __slots__ = ("_granted", "_outbox", "_replicas", "_waiting", "_waits")
-
-    def __init__(self, replicas: ReplicaSet, waits: WaitEstimate, outbox: Outbox) -> None:
+    __slots__ = (
+        "_ask_inventory",
+        "_calls",
+        "_granted",
+        "_outbox",
+        "_replicas",
+        "_waiting",
+        "_waits",
+    )
+
+    def __init__(
+        self,
+        replicas: ReplicaSet,
+        waits: WaitEstimate,
+        outbox: Outbox,
+        calls: CallTable,
+        ask_inventory: Callable[[SearcherState, float], None],
+    ) -> None:
+        self._calls = calls
+        self._ask_inventory = ask_inventory
         self._replicas = replicas
         self._waits = waits
         self._outbox = outbox
@@ -59,7 +81,8 @@
 
     def _serve(self, request: SlotRequest, now: float) -> bool:
         holders = [s for s in self._holders(request) if s.is_usable(now)]
-        free = [s for s in holders if s.has_free_slot]
+        fresh = self._fresh(holders, now)
+        free = [s for s in fresh if s.has_free_slot]
         if now >= request.deadline:
             self._deny(request, self._overloaded(now))
         elif free:
@@ -71,6 +94,20 @@
             return False
         return True
 
+    def _fresh(self, holders: list[SearcherState], now: float) -> list[SearcherState]:
+        """Return the holders that were heard of lately; where there is none, ask them.
+
+        After a quiet hour, a searcher that left long ago would get new work, and a connection that
+        went silent would leave the booking's outcome unknown. The inventory call tells both before
+        the booking is sent.
+        """
+        fresh = self._replicas.fresh(holders, now)
+        if not fresh:
+            for searcher in holders:
+                if not self._calls.asks_inventory_of(searcher):
+                    self._ask_inventory(searcher, now)
+        return fresh
+
     def _holders(self, request: SlotRequest) -> list[SearcherState]:
         """Return the searchers that may run a booking.
 
