--- a/tests/system/lifecycle/test_drains.py
+++ b/tests/system/lifecycle/test_drains.py
@@ -9,6 +9,7 @@
 
 SERVICE = "driver-finder"
 LEFT = 'searcher_drains_total{reason="left"}'
+NOTICED = 'searcher_drain_notices_total{reason="peer"}'
 LISTED = 'searcher_drain_notices_total{reason="list"}'
 
 
@@ -92,6 +93,7 @@
             cluster.searchers[stayer.id].control(service_time=0.001)
             assert running.result()[0] == 200
         wait_for(lambda: search(cluster) or total(cluster, LEFT), "an owner knows")
+        wait_for(lambda: total(cluster, NOTICED), "the other owners are told")
         check_no_new_work(cluster, leaver)
 
     def test_it_gets_work_again_once_its_drain_is_called_off(self, cluster):
--- a/tests/system/lifecycle/test_shutdown.py
+++ b/tests/system/lifecycle/test_shutdown.py
@@ -11,6 +11,7 @@
 SERVICE = "driver-finder"
 EXIT_SECONDS = 60.0
 LONG = 3.0
+LAST_MOMENT = 0.5
 
 
 @pytest.fixture
@@ -56,6 +57,25 @@
 
 
 class TestCallersThatHoldAnAddress:
+    def test_address_is_served_until_the_last_moment_of_the_route_that_names_it(self, cluster):
+        """A dispatcher books rarely, and keeps the address that a peer of the leaver named.
+
+        The request comes just before the route expires; nothing came meanwhile that could have
+        kept the instance.
+        """
+        cluster.start_instances(2)
+        specs = cluster.start_searchers(SERVICE, [[0, 1], [0, 1]])
+        cluster.put_service(SERVICE, specs, route_ttl=5.0)
+        with cluster.session("n1") as session:
+            route = session.route(SERVICE)
+        expires = time.monotonic() + route.ttl
+        assert "n0" in [instance.id for instance in route.instances]
+        cluster.instances["n0"].terminate()
+        time.sleep(expires - time.monotonic() - LAST_MOMENT)
+        with KeptConnection(address(cluster, "n0")) as caller:
+            assert caller.search(SERVICE)[0] == 200
+        assert cluster.instances["n0"].wait(EXIT_SECONDS) == 0
+
     def test_kept_connection_is_answered_until_the_route_that_names_the_instance_expires(
         self, cluster
     ):
