--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -34,7 +34,7 @@
 from limpethollow_wire.searches import SearcherReply, ServableVersions
 from limpethollow_wire.services import ServiceSpec
 
-_MAX_HUNGRY = 8
+_MAX_UNPINNED = 8
 _REFUSALS = {
     "wait_too_long": "The wait would be longer than the deadline.",
     "queue_full": "The queue is full.",
@@ -105,7 +105,7 @@
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
         elif search.versions_only or self._needs_no_call(gather, now):
             self._start(gather)
-        elif self._waits.estimate(search.firm, now) > search.deadline - now:
+        elif now + self._waits.estimate(search.firm, now) > self._latest_start(gather):
             self._refuse_overload(gather, "wait_too_long", now)
         else:
             self._let_wait(gather, now)
@@ -232,7 +232,17 @@
             return True
         if not self._replicas.has_free_slot(now):
             return False
-        return sum(map(self._sender.is_hungry, self._active)) < _MAX_HUNGRY
+        unpinned = sum(not gather.is_pinned for gather in self._active)
+        lacking = sum(map(self._sender.lacks_call, self._active))
+        return unpinned < _MAX_UNPINNED and lacking < self._most_lacking()
+
+    def _most_lacking(self) -> float:
+        """Return how many started searches may lack a call.
+
+        They get slots in the order they were started, whatever the admission policy says of those
+        that come after them, so no more are started than the next free slots can take.
+        """
+        return self._replicas.queries_per_call * max(1.0, self._replicas.calls_per_search)
 
     def _needs_no_call(self, gather: Gather, now: float) -> bool:
         """Return whether kept answers and open calls will bring all that a search wants."""
@@ -241,6 +251,15 @@
         version = servable[0] if search.pinned is None and servable else search.pinned
         return version is not None and self._sender.will_bring_all(gather, version)
 
+    def _latest_start(self, gather: Gather) -> float:
+        """Return the second after which a search would use slots and still come too late.
+
+        At most half of its time is set aside, so that a group whose calls have become slow goes on
+        making some and learns when they are fast again.
+        """
+        deadline = gather.search.deadline
+        return deadline - min(self._repeats.call_takes(), (deadline - gather.arrived) / 2)
+
     def _let_wait(self, gather: Gather, now: float) -> None:
         out = self._queue.offer(gather)
         if out is not None:
@@ -347,7 +366,7 @@
             elif now >= gather.answer_at and gather.is_pinned and gather.meets_floor:
                 self._conclude(gather, "objective", now)
         for gather in tuple(self._queue):
-            if now >= gather.search.deadline:
+            if now >= self._latest_start(gather):
                 self._queue.remove(gather)
                 self._refuse_overload(gather, "waited_out", now)
 
@@ -384,7 +403,7 @@
             self._outbox.add(WakeAt(min(later)))
 
     def _search_times(self, now: float) -> list[float]:
-        times = [gather.search.deadline for gather in self._queue]
+        times = [self._latest_start(gather) for gather in self._queue]
         for gather in self._active:
             times += [gather.search.deadline, gather.answer_at]
             if not gather.is_pinned:
