--- a/tests/unit/bookings/test_guards.py
+++ b/tests/unit/bookings/test_guards.py
@@ -55,6 +55,22 @@
         check(world, token, 1)
         assert world.told[str(token)][-1].state is OutcomeState.BOOKED
 
+    def test_look_up_that_overtakes_its_request_leaves_nothing_to_run(self):
+        """Two trucks stand at one bay.
+
+        The reply is lost while the request lies in the socket of a paused searcher. It resumes and
+        answers the look-up first: it has no record. The booking goes to another searcher and runs,
+        and then the first one reads the request.
+        """
+        world, token, call = world_with_dispatch()
+        world.fail(call, Failure.TIMEOUT)
+        look_up = world.pending[1]
+        for _ in range(3):
+            world.pick(look_up, 0)
+        world.pick(world.pending[-1], 1)
+        run_all(world)
+        check(world, token, 1)
+
     @pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.SHED])
     def test_proof_of_not_run_lets_another_searcher_run_it(self, failure):
         world, token, call = world_with_dispatch()
