Bookings: ask stale searchers also where the fresh ones are busy

Cause: a booking asked for inventories only where no holder was fresh. Where one holder's inventory call was lost and the other's slots were taken, it waited for its deadline beside an idle searcher. Change: stale holders are asked whenever no fresh one is free. A unit test brings it about; it fails without the change.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
@@ -81,8 +81,7 @@
 
     def _serve(self, request: SlotRequest, now: float) -> bool:
         holders = [s for s in self._holders(request) if s.is_usable(now)]
-        fresh = self._fresh(holders, now)
-        free = [s for s in fresh if s.has_free_slot]
+        free = self._free(holders, now)
         if now >= request.deadline:
             self._deny(request, self._overloaded(now))
         elif free:
@@ -94,19 +93,20 @@
             return False
         return True
 
-    def _fresh(self, holders: list[SearcherState], now: float) -> list[SearcherState]:
-        """Return the holders that were heard of lately; where there is none, ask them.
+    def _free(self, holders: list[SearcherState], now: float) -> list[SearcherState]:
+        """Return the free holders that were heard of lately; where there is none, ask the others.
 
         After a quiet hour, a searcher that left long ago would get new work, and a connection that
         went silent would leave the booking's outcome unknown. The inventory call tells both before
         the booking is sent.
         """
         fresh = self._replicas.fresh(holders, now)
-        if not fresh:
+        free = [s for s in fresh if s.has_free_slot]
+        if not free:
             for searcher in holders:
-                if not self._calls.asks_inventory_of(searcher):
+                if searcher not in fresh and not self._calls.asks_inventory_of(searcher):
                     self._ask_inventory(searcher, now)
-        return fresh
+        return free
 
     def _holders(self, request: SlotRequest) -> list[SearcherState]:
         """Return the searchers that may run a booking.
--- a/tests/unit/lifecycle/test_drains.py
+++ b/tests/unit/lifecycle/test_drains.py
@@ -8,6 +8,7 @@
 from limpethollow_policy.connection.drains import PROBE_SECONDS, DrainEvidence
 from limpethollow_policy.process.schedulers import GroupScheduler
 from limpethollow_policy.request.events import (
+    Failure,
     GrantSlot,
     Search,
     SlotRequest,
@@ -130,6 +131,23 @@
         assert TellDrain("s0", False) in following
         assert not group.replicas["s0"].draining
 
+    def test_booking_asks_the_other_holder_where_the_fresh_one_is_busy(self):
+        """One searcher's inventory call is lost, and the other one's slots are all taken.
+
+        If only bookings without any fresh holder asked, this one would wait for its deadline while
+        a searcher stands idle.
+        """
+        group = scheduler()
+        actions = group.slot_wanted(SlotRequest("a", 0, deadline=5.0), 0.0)
+        calls = {a.searcher_id: a.call_id for a in actions if isinstance(a, StartCall)}
+        group.call_answered(calls["s0"], reply(), 0.1)
+        group.slot_wanted(SlotRequest("b", 0, deadline=5.0), 0.1)
+        group.call_failed(calls["s1"], Failure.TIMEOUT, None, 0.25)
+        actions = group.slot_wanted(SlotRequest("c", 0, deadline=5.0), 0.3)
+        (call,) = [a for a in actions if isinstance(a, StartCall)]
+        following = group.call_answered(call.call_id, reply(), 0.4)
+        assert [a.searcher_id for a in following if isinstance(a, GrantSlot)] == ["s1"]
+
     def test_booking_after_a_quiet_hour_asks_before_it_is_sent(self):
         """A searcher left an hour ago, and nobody asked it since. A dispatcher books.
 
