--- a/packages/limpethollow-policy/src/limpethollow_policy/process/answers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/answers.py
@@ -7,10 +7,18 @@
 from limpethollow_wire.exceptions import (
     CoverageTooLow,
     LimpethollowError,
+    Overloaded,
     Unavailable,
     VersionGone,
 )
 
+_REFUSALS = {
+    "wait_too_long": "The wait would be longer than the deadline.",
+    "queue_full": "The queue is full.",
+    "gave_way": "The queue is full and the search gave way to a firm that uses less of its share.",
+    "waited_out": "The search waited out its deadline.",
+}
+
 
 class Verdicts:
     """Turns what a search has collected into its answer.
@@ -43,6 +51,17 @@
             return Complete(search.id, gather.answer(reason))
         return Refuse(search.id, self._too_little(gather, reason, now))
 
+    def overloaded(self, firm: str, reason: str, now: float) -> Overloaded:
+        """Return the error of a search that was never started.
+
+        Args:
+            firm: Whose search it is.
+            reason: The refusal, as it is counted.
+            now: Monotonic second.
+        """
+        retry_after = self._waits.retry_after(now, firm)
+        return Overloaded(_REFUSALS[reason], retry_after=retry_after)
+
     def _no_snapshot(self, gather: Gather, now: float) -> LimpethollowError:
         retry_after = self._waits.retry_after(now)
         if not self._replicas.usable_holders(gather.search.shards, now):
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
@@ -1,6 +1,5 @@
 """When a call is repeated: hedges, attempt timeouts and the budgets that bound both."""
 
-from limpethollow_policy.process.replicas import ReplicaSet
 from limpethollow_policy.request.hedges import LatencyWindow, ShareBudget
 from limpethollow_wire.services import HedgePolicy
 
@@ -11,6 +10,7 @@
 _ATTEMPT_SLOWEST = 2.0
 _SHORTEST_ATTEMPT = 0.05
 _STRAGGLED_DECAY = 0.98
+_MEDIAN = 0.5
 
 
 class Repeats:
@@ -39,13 +39,16 @@
         self._policy = policy
         self._hedges.change_share(policy.budget)
 
-    def call_started(self, replicas: ReplicaSet, now: float) -> None:
+    def call_started(self, free_share: float) -> None:
         """Count one first call.
 
         It earns less for hedges the fewer slots are free: hedges of a busy group only lengthen the
         queue that made its calls late.
+
+        Args:
+            free_share: Share of the group's slots that is free, 0 to 1.
         """
-        self._hedges.earn(replicas.free_share(now))
+        self._hedges.earn(free_share)
         self._retries.earn()
 
     def call_answered(self, latency: float) -> None:
@@ -61,9 +64,9 @@
         """
         self._straggled = max(self._straggled, age)
 
-    def spend_hedge(self) -> None:
-        """Take one hedge out of the budget."""
-        self._hedges.spend()
+    def spend_hedge(self) -> bool:
+        """Take one hedge out of the budget; false where it is empty."""
+        return self._hedges.spend()
 
     def spend_retry(self) -> bool:
         """Take one retry out of the budget; false where it is empty."""
@@ -94,6 +97,10 @@
         limit = max(usual * _ATTEMPT_HEDGE_DELAYS, slowest * _ATTEMPT_SLOWEST, _SHORTEST_ATTEMPT)
         return min(left, limit)
 
+    def call_takes(self) -> float:
+        """Return the seconds that a call usually takes, 0 while too few were seen."""
+        return self._latencies.quantile(_MEDIAN) or 0.0
+
     def restart_takes(self) -> float:
         """Return the seconds that starting over at another snapshot is expected to take."""
         return self._usual_limit() or 0.0
