--- a/packages/limpethollow-node/src/limpethollow_node/request/booking_drivers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/booking_drivers.py
@@ -4,7 +4,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
-from concurrent.futures import Future
+from concurrent.futures import CancelledError, Future
 from dataclasses import dataclass
 
 from limpethollow_node.connection.searchers import CallFailed
@@ -161,6 +161,9 @@
             searcher_id = future.result(seconds)
         except LimpethollowError as error:
             return SlotDenied(action.attempt, error.code, error.retry_after)
+        except CancelledError:
+            # The instance exits and cancels what waits; nothing was sent and nothing will be.
+            return SlotDenied(action.attempt, "leaving")
         except TimeoutError:
             future.add_done_callback(lambda late: _give_back(group, wish.id, late))
             return SlotDenied(action.attempt, "no_slot_in_time")
--- a/tests/system/bookings/bench.py
+++ b/tests/system/bookings/bench.py
@@ -168,6 +168,7 @@
         host, _, port = self.cluster.listed["executor"]["peer_address"].rpartition(":")
         self.link.control(target=[host, int(port)], cut=True)
         self._publish()
+        wait_for(self._executor_serves, "the new run of the executor serves")
 
     def keep_counts(self, searcher: str) -> None:
         """Remember what a searcher has run, before it is killed."""
@@ -201,6 +202,12 @@
             wait_for(lambda name=name: self._is_idle(name), f"{name} is idle")
         wait_for(self._probe, "a booking runs again")
 
+    def _executor_serves(self) -> bool:
+        try:
+            return bool(self.new_token())
+        except (LimpethollowError, StopIteration):
+            return False
+
     def _is_idle(self, name: str) -> bool:
         return self.cluster.searchers[name].stats()["running"] == 0
 
--- a/tests/system/bookings/faults.py
+++ b/tests/system/bookings/faults.py
@@ -40,6 +40,7 @@
 def _instance_killed(bench: Bench, moment: str, searcher: str):
     bench.cluster.instances["executor"].kill()
     yield
+    bench.restart_executor()
 
 
 @fault("instance frozen")
@@ -57,6 +58,7 @@
     bench.release_holds()
     yield
     wait_for(lambda: not executor.is_running, "the executor has left")
+    bench.restart_executor()
 
 
 @fault("searcher killed")
