--- a/packages/limpethollow-node/src/limpethollow_node/process/actors.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/actors.py
@@ -28,6 +28,7 @@
     Servable,
     SlotRequest,
     StartCall,
+    TellDrain,
     WakeAt,
 )
 from limpethollow_policy.version.groups import Group
@@ -87,6 +88,16 @@
     retry_after: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class DrainMessage:
+    """Another instance heard that a searcher is leaving or back, or the platform lists it so."""
+
+    searcher_id: str
+    draining: bool
+    said_at: float
+    listed: bool
+
+
 @dataclass(slots=True, frozen=True)
 class TickMessage:
     """The time the scheduler asked to be woken at has come."""
@@ -160,6 +171,7 @@
         timers: Where wake-ups are set.
         metrics: Where counters are kept.
         prefix: Makes the ids of calls unique among all instances and runs.
+        tell_drain: Tells other owners of the group that a searcher is leaving or back.
     """
 
     use_daemon_thread = True
@@ -172,6 +184,7 @@
         timers: Timers,
         metrics: Metrics,
         prefix: str,
+        tell_drain: Callable[[str, bool], None] = lambda searcher_id, draining: None,
     ) -> None:
         super().__init__()
         self._service = spec.name
@@ -180,6 +193,7 @@
         self._metrics = metrics
         self._scheduler = GroupScheduler(spec, group, Random())
         self._clients = clients
+        self._tell_drain = tell_drain
         self._calls: dict[str, SearcherClient] = {}
         self._futures: dict[str, Future[Any]] = {}
         self._slots: dict[str, Future[str]] = {}
@@ -233,6 +247,8 @@
                 self._workers.shutdown(wait=False)
                 self._workers = self._make_workers(group)
                 return self._scheduler.reconfigure(spec, group, now)
+            case DrainMessage(searcher_id, draining, said_at, listed):
+                return self._scheduler.drain_noted(searcher_id, draining, said_at, listed, now)
             case RetireMessage():
                 self._retiring = True
                 return []
@@ -262,6 +278,8 @@
                     future.set_exception(error)
             case Count(name, reason):
                 self._metrics.count(name, reason)
+            case TellDrain(searcher_id, draining):
+                self._tell_drain(searcher_id, draining)
             case WakeAt(when):
                 self._set_wake(when)
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/groups.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/groups.py
@@ -2,15 +2,18 @@
 
 import itertools
 import threading
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 from limpethollow_node.connection.pools import ConnectionPools
 from limpethollow_node.connection.searchers import SearcherClient
 from limpethollow_node.process.actors import (
     AbandonMessage,
+    DrainMessage,
     GroupActor,
     Mailbox,
     ReconfigureMessage,
@@ -24,6 +27,7 @@
 from limpethollow_policy.request.events import Failure, Search, SlotRequest
 from limpethollow_policy.version.groups import Group, cut_groups
 from limpethollow_wire.exceptions import Unavailable, VersionGone
+from limpethollow_wire.peers import DrainNotice
 from limpethollow_wire.services import SearcherSpec, ServiceRecord
 
 _RETRY_AFTER = 0.1
@@ -38,12 +42,19 @@
         timers: Where actors set their wake-ups.
         metrics: Where counters are kept.
         waiting: Futures of all searches that have no answer yet.
+        drain_listeners: Told of searchers that said that they are leaving or back.
     """
 
     pools: ConnectionPools
     timers: Timers
     metrics: Metrics
     waiting: set[Future[Any]] = field(default_factory=set)
+    drain_listeners: list[Callable[[DrainNotice], None]] = field(default_factory=list)
+
+    def drain_heard(self, service: str, index: int, searcher_id: str, draining: bool) -> None:
+        """Pass on a searcher's word."""
+        for listener in self.drain_listeners:
+            listener(DrainNotice(service, index, searcher_id, draining, age=0.0))
 
 
 class LocalGroup:
@@ -82,7 +93,10 @@
         """Start a group's actor."""
         assert record.spec is not None
         clients = {searcher.id: _client(parts, searcher) for searcher in group.searchers}
-        ref = GroupActor.start(record.spec, group, clients, parts.timers, parts.metrics, prefix)
+        tell_drain = partial(parts.drain_heard, record.name, group.index)
+        ref = GroupActor.start(
+            record.spec, group, clients, parts.timers, parts.metrics, prefix, tell_drain
+        )
         return cls(record, group, parts, Mailbox(ref), clients)
 
     @property
@@ -144,6 +158,11 @@
         """Return the client of one searcher."""
         return self._clients[searcher_id]
 
+    def drain_noted(self, notice: DrainNotice) -> None:
+        """Take in what is known elsewhere of a leaving or returning searcher."""
+        said_at = time.monotonic() - notice.age
+        self._mailbox.tell(DrainMessage(notice.searcher, notice.draining, said_at, notice.listed))
+
     def retire(self) -> None:
         """End the actor once nothing is open, so that no request is cut off."""
         self._mailbox.close(RetireMessage())
@@ -200,7 +219,18 @@
 
     def client(self, searcher: SearcherSpec) -> SearcherClient:
         """Return a client of any searcher, within this instance's budget of connections."""
-        return SearcherClient(self._pools, searcher, self._timers, self._metrics)
+        return _client(self._parts, searcher)
+
+    def listen_for_drains(self, listener: Callable[[DrainNotice], None]) -> None:
+        """Have a callable told of searchers that said that they are leaving or back."""
+        self._parts.drain_listeners.append(listener)
+
+    def drain_noted(self, notice: DrainNotice) -> None:
+        """Take in what is known elsewhere of a searcher, if its group runs here."""
+        with self._lock:
+            group = self._groups.get((notice.service, notice.group))
+        if group is not None:
+            group.drain_noted(notice)
 
     def give_up(self) -> None:
         """End everything that is open because the process is about to exit."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -137,6 +137,14 @@
     error: LimpethollowError
 
 
+@dataclass(slots=True, frozen=True)
+class TellDrain:
+    """Tell the other owners of the group that a searcher is leaving, or is back."""
+
+    searcher_id: str
+    draining: bool
+
+
 @dataclass(slots=True, frozen=True)
 class WakeAt:
     """Call `tick` at this monotonic second."""
@@ -153,5 +161,14 @@
 
 
 Action = (
-    StartCall | CancelCall | Complete | Servable | Refuse | GrantSlot | DenySlot | WakeAt | Count
+    StartCall
+    | CancelCall
+    | Complete
+    | Servable
+    | Refuse
+    | GrantSlot
+    | DenySlot
+    | TellDrain
+    | WakeAt
+    | Count
 )
