--- a/tests/unit/search/test_answers.py
+++ b/tests/unit/search/test_answers.py
@@ -145,6 +145,7 @@
         driver.search("next")
         driver.abandon("left")
         assert driver.cancelled == {call.call_id}
+        driver.advance(0.001)
         assert driver.search_calls() == [call]
         driver.answer(call.call_id, parts=(), errors=())
         driver.answer_all()
--- a/tests/unit/search/test_repeats.py
+++ b/tests/unit/search/test_repeats.py
@@ -134,6 +134,19 @@
         later = [c.searcher_id for c in driver.started if c.queries][-20:]
         assert set(later) == fast, straggler
 
+    def test_busy_fast_replica_is_waited_for_while_nobody_else_waits(self):
+        """The fast replica is busy for 2 ms; the search would take a straggler's free slot."""
+        driver = busy_driver((0,), (0,), hedge=HedgePolicy(budget=0.0), slots=1)
+        driver.search("slow")
+        (call,) = driver.search_calls()
+        driver.answer(call.call_id, after=0.9)
+        driver.search("first")
+        (first,) = driver.search_calls()
+        driver.search("second")
+        assert driver.search_calls() == [first]
+        driver.answer_all(0.002)
+        assert not [c for c in driver.started[-2:] if c.searcher_id == call.searcher_id]
+
     def test_replica_that_failed_this_search_comes_last(self):
         driver = warm_driver((0,), (0,), (0,), objective=COVERAGE)
         driver.search()
