Proxy: no connection slips between refusing and cutting; links: a peer not dialled is no evidence

Cause: the proxy cut the pairs it knew before it began to refuse, and a connection that was just being made joined afterwards, so an instance behind a partition got a confirmed change ('n5' not lacking in 'halves apart'; the cases after it failed with it). Ruled out: a stuck link (all cases pass alone with the same code). Change: refuse and silent take effect before the cut, and a connection checks them as it joins the pairs. A link that fails its hello is closed. A request refused because its peer failed to answer up to a second ago no longer marks the peer as unreachable anew.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -86,7 +86,12 @@
                 compression=None,
                 proxy=None,
             )
-            greeted(self._exchange_hellos(hello, peer_id))
+            try:
+                greeted(self._exchange_hellos(hello, peer_id))
+            except BaseException:
+                # Its threads and pings would live on with nobody who knows of them.
+                self._close_later()
+                raise
         except (OSError, InvalidHandshake, WebSocketException, BadRequest, EOFError) as error:
             raise PeerUnreachable(
                 f"The peer at {address} can't be reached ({type(error).__name__}).",
@@ -150,7 +155,6 @@
         self._socket.send(to_cbor(hello))
         theirs = convert(from_cbor(_bytes(self._socket.recv(OPEN_TIMEOUT))), Hello)
         if peer_id and theirs.instance != peer_id:
-            self._socket.close()
             raise BadRequest(f"Instance '{theirs.instance}' answers there, not '{peer_id}'.")
         return theirs
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/links.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/links.py
@@ -20,6 +20,10 @@
 _RETRY_AFTER = 0.1
 
 
+class NotDialled(PeerUnreachable):
+    """The peer failed to answer a moment ago and was not tried again: this is no new evidence."""
+
+
 class PeerLinks:
     """Sends requests to peers by their id.
 
@@ -74,6 +78,9 @@
         deadline = time.monotonic() + timeout
         try:
             link = self._link(peer_id, deadline)
+        except NotDialled:
+            self._metrics.count("peer_requests_lost", "not_dialled")
+            raise
         except PeerUnreachable:
             self._failed(peer_id, "unreachable")
             raise
@@ -108,7 +115,7 @@
         with self._lock:
             line = self._lines.setdefault(peer_id, _Line(self._rng))
         if not line.lock.acquire(timeout=max(deadline - time.monotonic(), 0.0)):
-            raise PeerUnreachable("The peer is being dialled.", retry_after=_RETRY_AFTER)
+            raise NotDialled("The peer is being dialled.", retry_after=_RETRY_AFTER)
         try:
             if line.link is None or not line.link.is_open:
                 line.link = self._dial(peer_id, line.dialling)
@@ -119,7 +126,7 @@
     def _dial(self, peer_id: str, dialling: Dialling) -> PeerLink:
         wait = dialling.wait(time.monotonic())
         if wait > 0:
-            raise PeerUnreachable("The peer did not answer just now.", retry_after=wait)
+            raise NotDialled("The peer did not answer just now.", retry_after=wait)
         info = self._members.get(peer_id)
         if self._closed or info is None:
             raise PeerUnreachable(f"No instance '{peer_id}' is listed, or this one is leaving.")
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -86,10 +86,12 @@
         pair = _Pair(near, far)
         for end in (near, far):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.silent:
-            pair.frozen.set()
         with self.lock:
             self.pairs.add(pair)
+            if self.silent:
+                pair.frozen.set()
+            if self.refuse:
+                pair.close()
         threading.Thread(target=self.pump, args=[pair, near, far, False], daemon=True).start()
         self.pump(pair, far, near, True)
 
@@ -124,6 +126,10 @@
 
     def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
         with self.lock:
+            # First, so that a connection that is just being made is met by one or the other: it is
+            # among the pairs, or it sees the new state when it joins them.
+            for field in {"refuse", "silent"} & body.keys():
+                setattr(self, field, body.pop(field))
             pairs = tuple(self.pairs)
         if body.pop("cut", False):
             for pair in pairs:
