--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -2,7 +2,6 @@
 
 from random import Random
 
-from limpethollow_policy.process.admissions import AdmissionLimits, AdmissionQueue, make_queue
 from limpethollow_policy.process.answers import Verdicts
 from limpethollow_policy.process.calls import CallTable
 from limpethollow_policy.process.pins import Pin, Pinner
@@ -11,7 +10,7 @@
 from limpethollow_policy.process.searches import ActiveSearches
 from limpethollow_policy.process.senders import CallSender
 from limpethollow_policy.process.slots import SlotDesk
-from limpethollow_policy.process.waits import WaitEstimate
+from limpethollow_policy.process.waits import WaitEstimate, queue_for
 from limpethollow_policy.request.events import (
     Action,
     Failure,
@@ -28,19 +27,12 @@
 from limpethollow_wire.exceptions import (
     DeadlinePassed,
     LimpethollowError,
-    Overloaded,
     VersionGone,
 )
 from limpethollow_wire.searches import SearcherReply, ServableVersions
 from limpethollow_wire.services import ServiceSpec
 
 _MAX_UNPINNED = 8
-_REFUSALS = {
-    "wait_too_long": "The wait would be longer than the deadline.",
-    "queue_full": "The queue is full.",
-    "gave_way": "The queue is full and the search gave way to a firm that uses less of its share.",
-    "waited_out": "The search waited out its deadline.",
-}
 
 
 class GroupScheduler:
@@ -60,7 +52,7 @@
         self._spec = spec
         self._outbox = Outbox()
         self._replicas = ReplicaSet(spec, group, rng)
-        self._queue = _queue_for(spec)
+        self._queue = queue_for(spec)
         self._waits = WaitEstimate(self._replicas, self._queue)
         self._active = ActiveSearches()
         self._calls = CallTable()
@@ -125,7 +117,8 @@
         if call is None:
             return []
         latency = now - call.started
-        if call.searcher.answered(reply, None if call.is_inventory else latency, now):
+        charged = None if call.is_inventory else latency
+        if self._replicas.answered(call.searcher, reply, charged, now):
             self._outbox.add(TellDrain(call.searcher.spec.id, reply.draining))
             self._outbox.count("searcher_drains", "left" if reply.draining else "back")
         if call.cancelled:
@@ -181,7 +174,8 @@
         self._expire(now)
         self._slots.serve(now)
         for gather in self._active:
-            self._advance(gather, now)
+            if gather.idle or not gather.is_pinned or gather.is_finished:
+                self._advance(gather, now)
         self._admit(now)
         while self._sender.assign(now, patient=not len(self._queue)):
             self._admit(now)
@@ -193,9 +187,10 @@
 
     def _advance(self, gather: Gather, now: float) -> None:
         """Bring one search as far as it gets without another call."""
-        if not gather.is_pinned and not self._pin(gather, now):
-            return
-        self._sender.fill(gather)
+        if not gather.is_pinned:
+            if not self._pin(gather, now):
+                return
+            self._sender.fill(gather)
         self._drop_hopeless(gather, now)
         is_over = gather.is_pinned and (gather.is_finished or gather.is_lost)
         if is_over and gather.search.id in self._active:
@@ -233,7 +228,7 @@
         if not self._replicas.has_free_slot(now):
             return False
         unpinned = sum(not gather.is_pinned for gather in self._active)
-        lacking = sum(map(self._sender.lacks_call, self._active))
+        lacking = sum(bool(gather.idle) for gather in self._active)
         return unpinned < _MAX_UNPINNED and lacking < self._most_lacking()
 
     def _most_lacking(self) -> float:
@@ -269,12 +264,14 @@
         self._active.add(gather)
 
     def _finish(self, search_id: str) -> None:
-        self._active.remove(search_id)
+        gather = self._active.remove(search_id)
+        if gather is not None:
+            self._sender.wants_less(gather.key)
 
     def _move_queue(self) -> None:
         """Make the queue anew by the new configuration; nobody who waits is refused for that."""
         waiting = sorted(self._queue, key=lambda gather: gather.arrived)
-        self._queue = _queue_for(self._spec, at_least=len(waiting))
+        self._queue = queue_for(self._spec)
         self._waits.queue = self._queue
         for gather in waiting:
             out = self._queue.offer(gather)
@@ -301,16 +298,13 @@
         return True
 
     def _tell_versions(self, search: Search, now: float) -> None:
-        versions = self._replicas.servable(search.shards, search.min_version, now)
-        if not versions:
-            best = self._replicas.best_version(search.shards, search.min_version, now)
-            versions = () if best is None else (best,)
+        versions = self._replicas.pinnable(search.shards, search.min_version, now)
         self._outbox.add(Servable(search.id, ServableVersions(self._replicas.epoch, versions)))
         self._finish(search.id)
 
     def _drop_hopeless(self, gather: Gather, now: float) -> None:
         """Stop waiting for shards that no replica will serve before the answer is due."""
-        for shard in self._sender.idle_shards(gather):
+        for shard in tuple(gather.idle):
             assert gather.snapshot is not None
             if self._replicas.serves_somewhere(shard, gather.snapshot, now):
                 continue
@@ -352,6 +346,7 @@
         if better == gather.snapshot.version and not stale:
             return False
         gather.unpin()
+        self._sender.wants_less(gather.key)
         self._outbox.count("search_restarts", "version_gone")
         if self._pin(gather, now):
             self._sender.fill(gather)
@@ -384,10 +379,8 @@
         self._outbox.count("searches_refused", error.code)
 
     def _refuse_overload(self, gather: Gather, reason: str, now: float) -> None:
-        retry_after = self._waits.retry_after(now, gather.search.firm)
-        self._refuse_unstarted(
-            gather, reason, Overloaded(_REFUSALS[reason], retry_after=retry_after)
-        )
+        error = self._verdicts.overloaded(gather.search.firm, reason, now)
+        self._refuse_unstarted(gather, reason, error)
 
     def _refuse_unstarted(self, gather: Gather, reason: str, error: LimpethollowError) -> None:
         self._outbox.count("admissions_refused", f"{gather.search.firm}/{reason}")
@@ -408,16 +401,6 @@
             times += [gather.search.deadline, gather.answer_at]
             if not gather.is_pinned:
                 times += self._pinner.wake_times(gather)
-            for shard in gather.open_shards:
-                back = self._replicas.comes_back(shard, now)
-                times += [] if back is None else [back]
-        if len(self._queue):
+        if self._replicas.any_paused(now):
             times += [s.down_until for s in self._replicas if not s.draining]
         return times
-
-
-def _queue_for(spec: ServiceSpec, at_least: int = 0) -> AdmissionQueue:
-    """Return an empty queue for a service, with room for at least so many searches."""
-    shares = {caller.firm: caller.share for caller in spec.callers}
-    limits = AdmissionLimits(max(spec.admission.max_queue, at_least), shares)
-    return make_queue(spec.admission.policy, limits)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/waits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/waits.py
@@ -1,7 +1,8 @@
 """How long a search is expected to wait, and how long a refused caller should stay away."""
 
-from limpethollow_policy.process.admissions import AdmissionQueue
+from limpethollow_policy.process.admissions import AdmissionLimits, AdmissionQueue, make_queue
 from limpethollow_policy.process.replicas import ReplicaSet
+from limpethollow_wire.services import ServiceSpec
 
 _SMALLEST_RETRY_AFTER = 0.05
 
@@ -29,3 +30,10 @@
         paused = [s.down_until - now for s in self._replicas if s.down_until > now]
         back = min(paused, default=0.0)
         return max(self.estimate(firm, now), back, _SMALLEST_RETRY_AFTER)
+
+
+def queue_for(spec: ServiceSpec) -> AdmissionQueue:
+    """Return an empty queue for a service."""
+    shares = {caller.firm: caller.share for caller in spec.callers}
+    limits = AdmissionLimits(spec.admission.max_queue, shares)
+    return make_queue(spec.admission.policy, limits)
