Partition stand-in: a connection made while its process is being blocked is frozen too

Cause: a connection is checked before it is made and listed afterwards; one that was on its way while `control` froze the listed ones slipped through, and an instance of the far half got the change (lacking was n4, n5, n6 without n7 in a run at a load of 30). Ruled out: the product (n7 was reached over that connection); one port naming several sockets, which was mended before. Change: each connection is looked at once more after it is listed.

--- a/tests/standins/partition.py
+++ b/tests/standins/partition.py
@@ -30,6 +30,11 @@
             return
         super().connect(near)
 
+    def registered(self, pair: Any) -> None:
+        """Freeze a connection whose process was blocked while the connection was being made."""
+        if self.is_blocked(pair.near):
+            pair.frozen.set()
+
     def control(self, body: dict[str, Any], names: dict[str, str]) -> Reply:
         reply = super().control(body, names)
         with self.lock:
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -95,6 +95,9 @@
         threading.Thread(target=self.pump, args=[pair, near, far, False], daemon=True).start()
         self.pump(pair, far, near, True)
 
+    def registered(self, pair: _Pair) -> None:
+        """Look at a connection once more, now that `control` knows of it too."""
+
     def pump(self, pair: _Pair, source: socket.socket, sink: socket.socket, reply: bool) -> None:
         try:
             while data := source.recv(_CHUNK):
