--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -10,6 +10,7 @@
 
 _SMOOTHING = 0.2
 _FIRST_GUESS = 0.005
+_CUT_SHORT_FACTOR = 2.0
 _FORGET_SECONDS = 2.0
 _FIRST_PAUSE = 0.05
 _LONGEST_PAUSE = 5.0
@@ -153,6 +154,16 @@
             self._latency_at = now
         return news
 
+    def cut_short(self, age: float, now: float) -> None:
+        """Take in that a call was cancelled at an age, and would have taken longer.
+
+        Mostly it lost to its hedge. Without this the calls of a straggler, which lose again and
+        again, would leave no evidence, and the searcher would look as good as new. How much longer
+        it would have taken is not known; a call still open is expected to take its age again.
+        """
+        self._latency = max(self._latency, _CUT_SHORT_FACTOR * age)
+        self._latency_at = now
+
     def failed(self, failure: Failure, retry_after: float | None, now: float) -> None:
         """Take in a failed call.
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/repeats.py
@@ -1,5 +1,6 @@
 """When a call is repeated: hedges, attempt timeouts and the budgets that bound both."""
 
+from limpethollow_policy.request.gathers import Gather
 from limpethollow_policy.request.hedges import LatencyWindow, ShareBudget
 from limpethollow_wire.services import HedgePolicy
 
@@ -97,9 +98,15 @@
         limit = max(usual * _ATTEMPT_HEDGE_DELAYS, slowest * _ATTEMPT_SLOWEST, _SHORTEST_ATTEMPT)
         return min(left, limit)
 
-    def call_takes(self) -> float:
-        """Return the seconds that a call usually takes, 0 while too few were seen."""
-        return self._latencies.quantile(_MEDIAN) or 0.0
+    def latest_start(self, gather: Gather) -> float:
+        """Return the second after which a search would use slots and still come too late.
+
+        At most half of its time is set aside, so that a group whose calls have become slow goes on
+        making some and learns when they are fast again.
+        """
+        usual = self._latencies.quantile(_MEDIAN) or 0.0
+        deadline = gather.search.deadline
+        return deadline - min(usual, (deadline - gather.arrived) / 2)
 
     def restart_takes(self) -> float:
         """Return the seconds that starting over at another snapshot is expected to take."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -104,10 +104,15 @@
         return [searcher for searcher in self if searcher.is_usable(now)]
 
     @property
-    def calls_per_search(self) -> float:
-        """Calls that a search of all shards takes on average."""
+    def most_lacking(self) -> float:
+        """How many started searches may lack a call.
+
+        They get slots in the order they were started, whatever the admission policy says of those
+        that come after them, so no more are started than the next free slots can take.
+        """
         held = sum(len(searcher.spec.shards) for searcher in self)
-        return len(self.shards) * len(self._searchers) / max(held, 1)
+        calls_per_search = len(self.shards) * len(self._searchers) / max(held, 1)
+        return self.queries_per_call * max(1.0, calls_per_search)
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether some usable searcher can take one more call."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -97,7 +97,7 @@
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
         elif search.versions_only or self._needs_no_call(gather, now):
             self._start(gather)
-        elif now + self._waits.estimate(search.firm, now) > self._latest_start(gather):
+        elif now + self._waits.estimate(search.firm, now) > self._repeats.latest_start(gather):
             self._refuse_overload(gather, "wait_too_long", now)
         else:
             self._let_wait(gather, now)
@@ -117,11 +117,12 @@
         if call is None:
             return []
         latency = now - call.started
-        charged = None if call.is_inventory else latency
+        charged = None if call.is_inventory or call.cancelled else latency
         if self._replicas.answered(call.searcher, reply, charged, now):
             self._outbox.add(TellDrain(call.searcher.spec.id, reply.draining))
             self._outbox.count("searcher_drains", "left" if reply.draining else "back")
         if call.cancelled:
+            call.searcher.cut_short(latency, now)
             self._repeats.call_cut_short(latency)
         elif not call.is_inventory:
             self._repeats.call_answered(latency)
@@ -136,6 +137,8 @@
         if call is None:
             return []
         call.searcher.failed(failure, retry_after, now)
+        if failure is Failure.CANCELLED:
+            call.searcher.cut_short(now - call.started, now)
         if failure is Failure.TIMEOUT and not call.is_inventory:
             self._repeats.call_cut_short(now - call.started)
         self._sender.take_failure(call, failure)
@@ -229,15 +232,7 @@
             return False
         unpinned = sum(not gather.is_pinned for gather in self._active)
         lacking = sum(bool(gather.idle) for gather in self._active)
-        return unpinned < _MAX_UNPINNED and lacking < self._most_lacking()
-
-    def _most_lacking(self) -> float:
-        """Return how many started searches may lack a call.
-
-        They get slots in the order they were started, whatever the admission policy says of those
-        that come after them, so no more are started than the next free slots can take.
-        """
-        return self._replicas.queries_per_call * max(1.0, self._replicas.calls_per_search)
+        return unpinned < _MAX_UNPINNED and lacking < self._replicas.most_lacking
 
     def _needs_no_call(self, gather: Gather, now: float) -> bool:
         """Return whether kept answers and open calls will bring all that a search wants."""
@@ -246,15 +241,6 @@
         version = servable[0] if search.pinned is None and servable else search.pinned
         return version is not None and self._sender.will_bring_all(gather, version)
 
-    def _latest_start(self, gather: Gather) -> float:
-        """Return the second after which a search would use slots and still come too late.
-
-        At most half of its time is set aside, so that a group whose calls have become slow goes on
-        making some and learns when they are fast again.
-        """
-        deadline = gather.search.deadline
-        return deadline - min(self._repeats.call_takes(), (deadline - gather.arrived) / 2)
-
     def _let_wait(self, gather: Gather, now: float) -> None:
         out = self._queue.offer(gather)
         if out is not None:
@@ -361,7 +347,7 @@
             elif now >= gather.answer_at and gather.is_pinned and gather.meets_floor:
                 self._conclude(gather, "objective", now)
         for gather in tuple(self._queue):
-            if now >= self._latest_start(gather):
+            if now >= self._repeats.latest_start(gather):
                 self._queue.remove(gather)
                 self._refuse_overload(gather, "waited_out", now)
 
@@ -396,7 +382,7 @@
             self._outbox.add(WakeAt(min(later)))
 
     def _search_times(self, now: float) -> list[float]:
-        times = [self._latest_start(gather) for gather in self._queue]
+        times = [self._repeats.latest_start(gather) for gather in self._queue]
         for gather in self._active:
             times += [gather.search.deadline, gather.answer_at]
             if not gather.is_pinned:
