--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -82,6 +82,8 @@
         Searches that run keep their snapshot, and so do those that wait their place. Starting a
         second scheduler instead would use every searcher's slots twice until the first ended.
         """
+        if spec.epoch != self._spec.epoch:
+            self._restart_unpinned(now)
         self._spec = spec
         self._replicas.reconfigure(spec, group)
         self._repeats.reconfigure(spec.hedge)
@@ -312,6 +314,13 @@
         at_other_epoch = gather.snapshot and gather.snapshot.epoch != self._replicas.epoch
         return bool(at_other_epoch) or not gather.search.shards <= self._replicas.shards
 
+    def _restart_unpinned(self, now: float) -> None:
+        """Start over what would be pinned at the new cut with the shards of the old one."""
+        for gather in (*self._queue, *self._active):
+            if not gather.is_pinned:
+                self._queue.remove(gather)
+                self._restart_elsewhere(gather, now)
+
     def _restart_elsewhere(self, gather: Gather, now: float) -> None:
         """Have the coordinator start over, since it knows which shards there are now."""
         self._outbox.count("search_restarts", "repartition")
--- a/tests/unit/admission/test_starts.py
+++ b/tests/unit/admission/test_starts.py
@@ -57,6 +57,21 @@
         assert driver.coverage("now").complete
 
 
+class TestRepartition:
+    def test_search_that_waits_while_shards_are_cut_anew_starts_over(self):
+        """An answer claims all of four shards at a cut that has six.
+
+        A search waits its place, the configuration goes over to the new cut, then the search gets
+        its snapshot there. The cause is keeping its old set of shards.
+        """
+        driver = warm_driver((0, 1), slots=1)
+        driver.search("runs", firm="calm")
+        driver.search("waits", firm="calm")
+        driver.reconfigure(make_spec((0, 1, 2), slots=1, objective=COVERAGE, epoch=2))
+        assert refused(driver, "waits").code == "version_gone"
+        assert refused(driver, "runs") is None
+
+
 class TestTooLate:
     def test_search_that_can_not_finish_in_time_is_refused_and_not_run(self):
         """Slots are busy, yet a tenth of what they do is thrown away at its deadline.
