--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -85,6 +85,8 @@
                 max_size=MAX_FRAME_BYTES,
                 compression=None,
                 proxy=None,
+                # The link outlives this call, so its socket can't live in a `with` block.
+                legacy=True,
             )
             try:
                 greeted(self._exchange_hellos(hello, peer_id))
