Owners share a searcher's slots, so there can't be more owners than slots; plainer names

Cause: with more owners than slots each owner still used one slot, so that together they passed the searcher's limit. Measured: unit tests, command line and coordinators pass.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -9,7 +9,7 @@
 from limpethollow_policy.process.replicas import ReplicaSet
 from limpethollow_policy.process.searches import ActiveSearches
 from limpethollow_policy.process.senders import CallSender
-from limpethollow_policy.process.slots import SlotDesk
+from limpethollow_policy.process.slots import SlotGranter
 from limpethollow_policy.process.waits import WaitEstimate, queue_for
 from limpethollow_policy.request.events import (
     Action,
@@ -60,7 +60,7 @@
         self._sender = CallSender(
             self._replicas, self._active, self._calls, self._repeats, self._outbox
         )
-        self._slots = SlotDesk(
+        self._slots = SlotGranter(
             self._replicas, self._waits, self._outbox, self._calls, self._sender.ask_inventory
         )
         self._pinner = Pinner(self._replicas, self._calls, self._sender.ask_inventory)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/slots.py
@@ -11,7 +11,7 @@
 from limpethollow_wire.exceptions import LimpethollowError, Overloaded, Unavailable
 
 
-class SlotDesk:
+class SlotGranter:
     """Gives bookings their slots and takes them back.
 
     Args:
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -148,6 +148,10 @@
             (all(s.connections >= 4 for s in self.searchers), "'connections' must be 4 or more"),
             (self.epoch > 0, "'epoch' must be above 0"),
             (1 <= self.owners <= 4, "'owners' must be 1 to 4"),
+            (
+                all(s.slots >= self.owners for s in self.searchers),
+                "'owners' must not be above a searcher's 'slots', which they share",
+            ),
             (0 < objective.latency <= objective.deadline, "'latency' must be within 'deadline'"),
             (0 <= objective.coverage_floor <= 1, "'coverage_floor' must be 0 to 1"),
             (0 <= self.hedge.budget <= 1, "'hedge.budget' must be 0 to 1"),
--- a/tests/system/test_command_line.py
+++ b/tests/system/test_command_line.py
@@ -165,6 +165,7 @@
             (("shards = 2", "shards = 3"), "'searchers' must hold every shard"),
             (("epoch = 1", "epok = 1"), "unknown field `epok` - at `$.service`"),
             (("epoch = 1", "owners = 9"), "'owners' must be 1 to 4"),
+            (("epoch = 1", "owners = 3"), "'owners' must not be above a searcher's 'slots'"),
             (("[service]", "[service"), "is not TOML"),
         ],
     )
