A caller that hangs up has its search's calls cancelled

Cause: the listener did not notice the end of a connection whose request was being handled, so that calls for nobody held searchers' slots until their deadline. Ruled out: polling each connection from its waiting thread (a wake-up every few ms for each request). Change: one thread watches the connections of waiting callers and has the coordinator abandon their parts, here and at other owners; an early next request on the connection is told from its end. A hang-up that overtakes a part on its way to its owner misses that part.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -199,6 +199,7 @@
             path=environ["PATH_INFO"],
             authorization=environ.get("HTTP_AUTHORIZATION"),
             body=body,
+            connection=environ[REQUEST_KEY].conn.socket,
         )
 
     def _drain(self, environ: Environ, length: int) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/connection/routes.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/routes.py
@@ -1,6 +1,7 @@
 """Requests, replies and the registry that finds a request's handler."""
 
 import re
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -23,6 +24,7 @@
         names: Parts of the path that the route names.
         authorization: Authorization header, None where there is none.
         body: The body, read in full.
+        connection: The connection it came on.
     """
 
     method: str
@@ -30,6 +32,7 @@
     authorization: str | None = None
     body: bytes = b""
     names: dict[str, str] = field(default_factory=dict)
+    connection: socket.socket | None = None
 
     def message(self, kind: type[T]) -> T:
         """Decode the body as JSON into a typed message.
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack
 from random import Random
 
+from limpethollow_node.connection.hangups import HangUpWatch
 from limpethollow_node.connection.listeners import Listener
 from limpethollow_node.connection.peer_listeners import PeerListener
 from limpethollow_node.process import events
@@ -123,6 +124,7 @@
         self._groups = LocalGroups(timers, metrics, f"{self._id}-{self._incarnation}")
         groups = self._groups
         self._configs.listen(groups.records_applied)
+        hang_ups = HangUpWatch(metrics)
         coordinator = Coordinator(
             self._id, self._configs, self._members, self._links, groups, metrics
         )
@@ -160,6 +162,7 @@
             self._members,
             self._routes,
             coordinator,
+            hang_ups,
             self._bookings,
             self._greet,
         )
@@ -206,6 +209,7 @@
             self._configs,
             self._peers,
             self._operators,
+            hang_ups,
             self._callers,
             sync,
         )
--- a/packages/limpethollow-node/src/limpethollow_node/request/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/callers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from limpethollow_node.connection.hangups import HangUpWatch
 from limpethollow_node.connection.routes import HttpReply, HttpRequest, Routes
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.lifecycles import RouteBook
@@ -32,6 +33,7 @@
     members: MemberKeeper
     routes: RouteBook
     coordinator: Coordinator
+    hang_ups: HangUpWatch
     bookings: BookingExecutor
     greet: Callable[[str], None]
 
@@ -61,7 +63,9 @@
     """Answer a search."""
     spec, firm = _admit(context, request)
     message = request.message(SearchRequest)
-    return HttpReply(context.coordinator.search(spec.name, firm, message))
+    assert request.connection is not None
+    with context.hang_ups.caller(request.connection) as caller:
+        return HttpReply(context.coordinator.search(spec.name, firm, message, caller))
 
 
 @ROUTES.add("POST", "/v1/services/{service}/bookings")
--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from concurrent.futures import FIRST_COMPLETED, Future, wait
 from dataclasses import dataclass
+from functools import partial
 from typing import TypeVar
 
+from limpethollow_node.connection.hangups import WaitingCaller
 from limpethollow_node.connection.peers import require_time
 from limpethollow_node.process.configs import ConfigKeeper
 from limpethollow_node.process.groups import LocalGroups
@@ -21,6 +23,7 @@
     BadRequest,
     CoverageTooLow,
     LimpethollowError,
+    Unavailable,
     VersionGone,
 )
 from limpethollow_wire.limits import MAX_DEADLINE_SECONDS
@@ -111,16 +114,20 @@
         """The owner's side at this instance."""
         return self._parts
 
-    def search(self, service: str, firm: str, request: SearchRequest) -> SearchAnswer:
-        """Answer one search.
+    def search(
+        self, service: str, firm: str, request: SearchRequest, caller: WaitingCaller
+    ) -> SearchAnswer:
+        """Answer one search; where its caller hangs up, all that runs for it is abandoned.
 
         Raises:
             LimpethollowError: The typed reason why there is no answer.
         """
         with self._metrics.timed("search"):
-            return self._search(service, firm, request)
+            return self._search(service, firm, request, caller)
 
-    def _search(self, service: str, firm: str, request: SearchRequest) -> SearchAnswer:
+    def _search(
+        self, service: str, firm: str, request: SearchRequest, caller: WaitingCaller
+    ) -> SearchAnswer:
         """Try until an answer of one snapshot is there, within the caller's deadline.
 
         A try is void where a group lost the snapshot or the service was partitioned anew. An error
@@ -130,10 +137,15 @@
         for number in range(1, _MAX_RESTARTS + 1):
             record = self._configs.require(service)
             scatter = self._prepare(record, firm, request, arrived, number == _MAX_RESTARTS)
+            # A hang-up may overtake a part that is still on its way to its owner; that part runs
+            # on to its deadline, as all of them did without this.
+            caller.when_gone(partial(self._abandon, scatter))
+            if caller.is_gone:
+                raise Unavailable("The caller hung up.", retry_after=RETRY_AFTER)
             try:
                 return self._answer(scatter)
             except VersionGone as error:
-                if error.retry_after is not None:
+                if error.retry_after is not None or caller.is_gone:
                     raise
                 self._metrics.count("search_restarts", "coordinator")
         raise VersionGone(
