Remove two members that nothing uses

Cause: SearcherState.forget_inventory lost its last caller when the scheduler was split, and BookingExecutor.open_runs never had one. Ruled out: a use by tests, benchmarks or the demo (none); shutdowns.held_until, which tests read. Change: both are gone; behaviour stays as it is.

--- a/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/bookings.py
@@ -92,12 +92,6 @@
         """Seconds since this run began, by which issue periods are counted."""
         return time.monotonic() - self._started
 
-    @property
-    def open_runs(self) -> int:
-        """Bookings dispatched here whose outcome is not final yet."""
-        with self._lock:
-            return len(self._drivers)
-
     def leave(self) -> None:
         """Take no unseen token from now on; each is told that it was not run and never will be."""
         with self._lock:
--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -183,7 +183,3 @@
         if failure in (Failure.REFUSED, Failure.SHED) or self._failures >= _FAILURES_BEFORE_PAUSE:
             self._down_until = now + self._pause * (0.5 + self._rng.random())
             self._pause = min(self._pause * 2, _LONGEST_PAUSE)
-
-    def forget_inventory(self) -> None:
-        """Ask for the list of versions again before the next snapshot is chosen."""
-        self._inventory_at = None
