--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a connection."""
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -0,0 +1,124 @@
+"""What all requests of a process share: searchers, connections, budget, timings."""
+
+import asyncio
+
+from limpethollow_node.engine.messages import HeaderNames
+from limpethollow_node.engine.process.pools import Call, Pool
+from limpethollow_node.process import events
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
+from limpethollow_policy.process.sendbudgets import SendBudget
+from limpethollow_policy.process.timings import RouteTimings
+from limpethollow_policy.version.routes import Route, RoutingVersion
+
+# Part of a searcher's connections that all instances together use; the rest is for connections that
+# were closed here and that the searcher still counts, and for instances that are just starting.
+_CONNECTION_SHARE = 0.85
+_DEFAULT_CONNECTIONS = 16
+
+
+class Dispatch:
+    """Sends calls to searchers and keeps the evidence on them.
+
+    Args:
+        fleet: The searchers.
+        budget: Bound on repeated sends.
+        names: The deployment's header names.
+        metrics: The process's counters.
+    """
+
+    __slots__ = (
+        "_instances",
+        "_pools",
+        "_service_limits",
+        "_timings",
+        "budget",
+        "fleet",
+        "loop",
+        "metrics",
+        "names",
+    )
+
+    def __init__(
+        self, fleet: Fleet, budget: SendBudget, names: HeaderNames, metrics: Metrics
+    ) -> None:
+        self.fleet = fleet
+        self.budget = budget
+        self.names = names
+        self.metrics = metrics
+        self.loop = asyncio.get_running_loop()
+        self._pools: dict[str, Pool] = {}
+        self._timings: dict[str, RouteTimings] = {}
+        self._service_limits: dict[str, int] = {}
+        self._instances = 1
+
+    def timings(self, route: Route) -> RouteTimings:
+        """Return the timings of a route, which outlive its versions."""
+        timings = self._timings.get(route.name)
+        if timings is None:
+            timings = self._timings[route.name] = RouteTimings(route.objective)
+        return timings
+
+    def send(self, replica: Replica, call: Call) -> None:
+        """Send a call to a searcher."""
+        searcher = replica.searcher
+        pool = self._pools.get(searcher.id)
+        if pool is None:
+            pool = self._pools[searcher.id] = self._new_pool(replica)
+        pool.send(call)
+
+    def use_version(self, version: RoutingVersion) -> None:
+        """Take over the limits of a new version."""
+        self._service_limits = {
+            name: limits.connections for name, limits in version.services.items()
+        }
+        self._apply_limits()
+
+    def share_among(self, instances: int) -> None:
+        """Divide connections and repeated sends among this many instances."""
+        self._instances = max(1, instances)
+        self.budget.share_among(instances)
+        self._apply_limits()
+
+    def put_searcher(self, searcher: Searcher) -> None:
+        """Add or update a searcher; one that started anew begins without connections."""
+        if self.fleet.put(searcher, self.loop.time()) is not None:
+            self._drop_pool(searcher.id)
+
+    def remove_searcher(self, searcher_id: str) -> None:
+        """Forget a searcher that is gone."""
+        if self.fleet.remove(searcher_id) is not None:
+            self._drop_pool(searcher_id)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that were idle for too long."""
+        for pool in self._pools.values():
+            pool.sweep(now)
+
+    def _new_pool(self, replica: Replica) -> Pool:
+        def unreachable(error: Exception) -> None:
+            replica.unreachable(self.loop.time())
+            self.metrics.count("searcher_connect_failures")
+            events.SEARCHER_UNREACHABLE.log(
+                searcher=replica.searcher.id,
+                address=replica.searcher.address,
+                error=repr(error),
+                blocked_s=round(replica.blocked_until - self.loop.time(), 3),
+            )
+
+        return Pool(replica.searcher.address, self._limit(replica.searcher.service), unreachable)
+
+    def _drop_pool(self, searcher_id: str) -> None:
+        pool = self._pools.pop(searcher_id, None)
+        if pool is not None:
+            pool.close()
+
+    def _limit(self, service: str) -> int:
+        allowed = self._service_limits.get(service, _DEFAULT_CONNECTIONS)
+        return max(1, int(allowed * _CONNECTION_SHARE / self._instances))
+
+    def _apply_limits(self) -> None:
+        for searcher_id, pool in self._pools.items():
+            replica = self.fleet.get(searcher_id)
+            if replica is not None:
+                pool.limit = self._limit(replica.searcher.service)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -0,0 +1,127 @@
+"""The facade of the request path: takes callers' requests and sees that each gets one answer."""
+
+from limpethollow_node.engine.connection.callers import Exchange, error_reply
+from limpethollow_node.engine.messages import Request
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.forwards import Forward
+from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.searches import Search
+from limpethollow_node.engine.request.tries import Outgoing
+from limpethollow_node.process import events
+from limpethollow_policy.version.routes import Route, RoutingVersion, VersionBook, WeightedTurns
+from limpethollow_wire.exceptions import BadRequest, LimpethollowError, NoRoute, Unavailable
+
+# Answers at a deadline leave this early, so that they are there when the caller stops waiting.
+_ANSWER_EARLY = 0.012
+# A version that was last known to be the newest longer ago than this may lack a route that is in
+# force elsewhere; "no such route" would then be untrue.
+KNOWN_FOR = 13.0
+_RETRY_WITHOUT_VERSION = 0.5
+
+
+class Engine:
+    """Routes requests by the version in force and starts a search or a forward for each.
+
+    Args:
+        dispatch: What the process shares.
+        versions: The version in force.
+    """
+
+    __slots__ = ("_dispatch", "_turns", "versions")
+
+    def __init__(self, dispatch: Dispatch, versions: VersionBook) -> None:
+        self._dispatch = dispatch
+        self._turns = WeightedTurns()
+        self.versions = versions
+
+    def use_version(self, version: RoutingVersion) -> bool:
+        """Put a version in force where it is newer; return whether it was."""
+        if not self.versions.offer(version):
+            return False
+        self._turns.forget()
+        self._dispatch.use_version(version)
+        return True
+
+    def now(self) -> float:
+        """Return the monotonic second by which ages are told."""
+        return self._dispatch.loop.time()
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a caller's request; it gets one answer, or a log line that its caller is gone."""
+        try:
+            self._handle(exchange)
+        except LimpethollowError as error:
+            exchange.respond(error_reply(error))
+            self._logger(exchange, None)(Outcome(error.status, error.code))
+
+    def _handle(self, exchange: Exchange) -> None:
+        request = exchange.request
+        version = self.versions.current
+        if version is None:
+            raise Unavailable(
+                "No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION
+            )
+        route = self._route(version, request)
+        deadline = self._deadline(exchange, route)
+        outgoing = Outgoing.of(request, route, deadline, self._dispatch)
+        log = self._logger(exchange, route)
+        if route.shards:
+            Search(self._dispatch, exchange, outgoing, log).start()
+        else:
+            service = self._turns.next(route)
+            Forward(self._dispatch, exchange, outgoing, service, log).start()
+
+    def _route(self, version: RoutingVersion, request: Request) -> Route:
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = version.find(host, request.path)
+        if route is not None:
+            return route
+        if self.versions.age(self._dispatch.loop.time()) > KNOWN_FOR:
+            raise Unavailable(
+                "No route is known here, and a newer configuration may have one.",
+                retry_after=_RETRY_WITHOUT_VERSION,
+            )
+        raise NoRoute("No route takes this host and path.")
+
+    def _deadline(self, exchange: Exchange, route: Route) -> float:
+        stated = exchange.request.header(self._dispatch.names.time_left)
+        seconds = route.timeout
+        if stated is not None:
+            if not stated.isdigit():
+                raise BadRequest("The time left is no whole number of milliseconds.")
+            seconds = min(seconds, int(stated) / 1000)
+        return exchange.arrived_at + max(seconds - _ANSWER_EARLY, seconds / 2)
+
+    def _logger(self, exchange: Exchange, route: Route | None) -> OutcomeLog:
+        request_id = exchange.request.header(self._dispatch.names.request_id)
+        current = self.versions.current
+
+        def log(outcome: Outcome) -> None:
+            now = self._dispatch.loop.time()
+            seconds = now - exchange.arrived_at
+            metrics = self._dispatch.metrics
+            metrics.count("requests", str(outcome.status))
+            if outcome.status != 200:
+                metrics.count("unserved", outcome.reason[:40])
+            metrics.observe("request", seconds)
+            events.REQUEST_ENDED.log(
+                request=request_id.decode("latin-1") if request_id else None,
+                route=route.name if route else None,
+                version=current.number if current else None,
+                version_age_s=round(self.versions.age(now), 2) if current else None,
+                status=outcome.status,
+                reason=outcome.reason,
+                ms=round(seconds * 1000, 1),
+                time_left=_text(exchange.request.header(self._dispatch.names.time_left)),
+                first_on_connection=exchange.is_first,
+                parts=outcome.parts,
+                missing=outcome.missing,
+                searchers=outcome.searchers,
+                hedges=outcome.hedges,
+            )
+
+        return log
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -0,0 +1,239 @@
+"""Connections to searchers: kept open between calls, never more than the searcher allows."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from limpethollow_node.engine.connection.clients import ClientConnection
+from limpethollow_node.engine.messages import Reply
+
+# A connect takes a round trip and a handshake of some 6 ms. A searcher that is dark never answers;
+# half a second is a pause of 200 ms with room to spare.
+CONNECT_TIMEOUT = 0.5
+# A call that nobody waits for may go on this long, so that its connection can be kept. Longer ones
+# are cut, since the searcher shall stop its work within half a second of the caller's leaving.
+ABANDON_SECONDS = 0.25
+# A request that may run once is sent only on a connection used this recently: a searcher may be
+# closing an idle one, and then nobody could say whether the request has run.
+FRESH_SECONDS = 2.0
+# A kept connection is closed this long before the searcher would close it.
+_CLOSE_EARLY_SECONDS = 1.0
+# Idle connections of a searcher that names no timeout are closed after this time.
+_IDLE_SECONDS = 45.0
+
+RenderCall = Callable[[], bytes]
+
+
+class Call:
+    """One request to one searcher.
+
+    Args:
+        render: Returns the request's bytes; called when they are sent, since they hold the time
+            that is left.
+        on_reply: Called with the whole reply.
+        on_failed: Called instead with the error; `sent` then says whether bytes had gone out.
+        fresh: Whether an idle connection that might be about to close must not be used.
+        head: Whether the method is HEAD.
+    """
+
+    __slots__ = ("_connection", "_pool", "fresh", "head", "on_failed", "on_reply", "render", "sent")
+
+    def __init__(
+        self,
+        render: RenderCall,
+        on_reply: Callable[[Reply], None],
+        on_failed: Callable[[Exception], None],
+        *,
+        fresh: bool,
+        head: bool,
+    ) -> None:
+        self.render = render
+        self.on_reply = on_reply
+        self.on_failed = on_failed
+        self.fresh = fresh
+        self.head = head
+        self.sent = False
+        self._pool: Pool | None = None
+        self._connection: ClientConnection | None = None
+
+    def queued(self, pool: "Pool") -> None:
+        """Note where the call waits for a connection."""
+        self._pool = pool
+
+    def write_to(self, connection: ClientConnection) -> None:
+        """Send the request."""
+        self.sent = True
+        self._connection = connection
+        connection.send(self.render(), self._replied, self._broke, head=self.head)
+
+    def abandon(self) -> None:
+        """Want no reply any more, but let it come for a moment and keep the connection."""
+        self.on_reply = self.on_failed = _ignore
+        if not self.sent:
+            self._unqueue()
+        elif self._connection is not None:
+            asyncio.get_running_loop().call_later(ABANDON_SECONDS, self.cancel)
+
+    def cancel(self) -> None:
+        """Want no reply any more; the searcher sees the connection close and stops its work."""
+        self.on_reply = self.on_failed = _ignore
+        if not self.sent:
+            self._unqueue()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    def _unqueue(self) -> None:
+        if self._pool is not None:
+            self._pool.withdraw(self)
+
+    def _replied(self, reply: Reply) -> None:
+        self._connection = None
+        self.on_reply(reply)
+
+    def _broke(self, error: Exception) -> None:
+        self._connection = None
+        self.on_failed(error)
+
+
+class Pool:
+    """The connections to one searcher.
+
+    Args:
+        address: Host and port.
+        limit: Connections that this instance may have open.
+        on_unreachable: Called with the error when a connection can't be opened.
+    """
+
+    __slots__ = (
+        "_closed",
+        "_host",
+        "_idle",
+        "_loop",
+        "_on_unreachable",
+        "_open",
+        "_opening",
+        "_port",
+        "_waiting",
+        "limit",
+        "opened",
+    )
+
+    def __init__(
+        self, address: str, limit: int, on_unreachable: Callable[[Exception], None]
+    ) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self.limit = limit
+        self._on_unreachable = on_unreachable
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[ClientConnection] = []
+        self._open: set[ClientConnection] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._waiting: deque[Call] = deque()
+        self._closed = False
+        self.opened = 0
+
+    def send(self, call: Call) -> None:
+        """Send a call on an idle connection, or as soon as one is open or idle."""
+        connection = self._take_idle(fresh=call.fresh)
+        if connection is not None:
+            call.write_to(connection)
+            return
+        call.queued(self)
+        self._waiting.append(call)
+        if len(self._open) + len(self._opening) >= self.limit and self._idle:
+            # All the connections that may be open are idle, but too long for this call.
+            self._idle.pop(0).close()
+        if len(self._open) + len(self._opening) < self.limit:
+            task = self._loop.create_task(self._connect())
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+
+    def withdraw(self, call: Call) -> None:
+        """Forget a call that was not sent yet."""
+        if call in self._waiting:
+            self._waiting.remove(call)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that were idle for too long."""
+        for connection in [c for c in self._idle if _is_stale(c, now)]:
+            self._idle.remove(connection)
+            connection.close()
+
+    def close(self) -> None:
+        """Close all connections once the calls on them have ended; the searcher is gone."""
+        self._closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+        self._fail_waiting(ConnectionError("The searcher is gone."))
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, connection = await self._loop.create_connection(
+                    lambda: ClientConnection(self._became_idle, self._was_closed),
+                    self._host,
+                    self._port,
+                )
+        except (OSError, TimeoutError) as error:
+            self._on_unreachable(error)
+            self._fail_waiting(error)
+            return
+        self.opened += 1
+        self._open.add(connection)
+        if connection.usable:
+            self._became_idle(connection)
+        else:
+            # It was reset before it was used, as by a searcher with too many connections.
+            self._open.discard(connection)
+            error = ConnectionResetError("The searcher closed a new connection at once.")
+            self._on_unreachable(error)
+            self._fail_waiting(error)
+
+    def _became_idle(self, connection: ClientConnection) -> None:
+        if self._closed:
+            connection.close()
+            return
+        while self._waiting:
+            call = self._waiting.popleft()
+            call.write_to(connection)
+            return
+        connection.idle_since = self._loop.time()
+        self._idle.append(connection)
+
+    def _was_closed(self, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if self._waiting and not self._closed and len(self._open) + len(self._opening) < self.limit:
+            self.send(self._waiting.popleft())
+
+    def _take_idle(self, *, fresh: bool) -> ClientConnection | None:
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle[-1]
+            if fresh and now - connection.idle_since > FRESH_SECONDS:
+                return None
+            self._idle.pop()
+            if connection.usable and not _is_stale(connection, now):
+                return connection
+            connection.close()
+        return None
+
+    def _fail_waiting(self, error: Exception) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for call in waiting:
+            call.on_failed(error)
+
+
+def _is_stale(connection: ClientConnection, now: float) -> bool:
+    allowed = _IDLE_SECONDS
+    if connection.idle_timeout is not None:
+        allowed = max(connection.idle_timeout - _CLOSE_EARLY_SECONDS, connection.idle_timeout / 2)
+    return now - connection.idle_since > allowed
+
+
+def _ignore(_: object) -> None:
+    """Take no notice of the outcome of a call that nobody waits for."""
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -0,0 +1,74 @@
+"""The instances of the system as this one knows them."""
+
+from collections.abc import Callable
+
+from limpethollow_policy.process.placements import Instance
+
+
+class Roster:
+    """Known instances, and which of them can be used now.
+
+    Args:
+        own: This instance.
+        on_change: Called when an instance came or went.
+    """
+
+    __slots__ = ("_known", "_leaving", "_on_change", "_silent", "own", "ready")
+
+    def __init__(self, own: Instance, on_change: Callable[[], None]) -> None:
+        self.own = own
+        self.ready = False
+        self._known: dict[str, Instance] = {own.name: own}
+        self._silent: set[str] = set()
+        self._leaving: set[str] = set()
+        self._on_change = on_change
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    @property
+    def known(self) -> list[Instance]:
+        """Return all known instances, live or not."""
+        return list(self._known.values())
+
+    @property
+    def live(self) -> list[Instance]:
+        """Return the instances that callers may use, this one included where it is ready."""
+        return [
+            instance
+            for name, instance in self._known.items()
+            if (self.ready if name == self.own.name else name not in self._silent)
+            and name not in self._leaving
+        ]
+
+    def put(self, instance: Instance) -> None:
+        """Add or update an instance; a new start of one counts as live again."""
+        if instance.name == self.own.name:
+            return
+        known = self._known.get(instance.name)
+        if known is not None and known.incarnation > instance.incarnation:
+            return
+        if known is None or known.incarnation < instance.incarnation:
+            self._silent.discard(instance.name)
+            self._leaving.discard(instance.name)
+        self._known[instance.name] = instance
+        if known != instance:
+            self._on_change()
+
+    def remove(self, name: str) -> None:
+        """Forget an instance."""
+        if name != self.own.name and self._known.pop(name, None) is not None:
+            self._silent.discard(name)
+            self._leaving.discard(name)
+            self._on_change()
+
+    def set_silent(self, name: str, silent: bool) -> None:
+        """Note whether an instance answers its peers."""
+        if silent:
+            self._silent.add(name)
+        else:
+            self._silent.discard(name)
+
+    def set_leaving(self, name: str) -> None:
+        """Note that an instance takes no new callers; a new start of it clears that."""
+        self._leaving.add(name)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -0,0 +1,104 @@
+"""A request that one searcher answers; its reply goes back unchanged."""
+
+from limpethollow_node.engine.connection.callers import Exchange, error_reply
+from limpethollow_node.engine.messages import Reply, end_to_end
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_policy.request.verdicts import Verdict
+from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
+
+# Seconds after which a caller may come back: when searchers refused, one of them has a free slot
+# after about one request; without any searcher, a new one registers within a heartbeat or so.
+_RETRY_WHEN_FULL = 0.2
+_RETRY_WITHOUT_SEARCHER = 0.5
+
+
+class Forward:
+    """Sends a request to a searcher and hands back what it says.
+
+    Args:
+        dispatch: What the process shares.
+        exchange: The caller's request.
+        outgoing: The request as it is sent on.
+        service: The service that serves it.
+        log: Where the outcome is told.
+    """
+
+    __slots__ = ("_dispatch", "_exchange", "_log", "_outgoing", "_timers", "_tries")
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        exchange: Exchange,
+        outgoing: Outgoing,
+        service: str,
+        log: OutcomeLog,
+    ) -> None:
+        self._dispatch = dispatch
+        self._exchange = exchange
+        self._outgoing = outgoing
+        self._log = log
+        self._timers: list = []
+        self._tries = Tries(dispatch, outgoing, service, self._done)
+
+    def start(self) -> None:
+        """Make the first send and set the times at which the request is looked at again."""
+        self._exchange.on_gone = self._gone
+        loop = self._dispatch.loop
+        self._timers = [loop.call_at(self._outgoing.deadline, self._deadline_passed)]
+        if self._outgoing.route.idempotent:
+            late_at = loop.time() + self._outgoing.timings.hedge_delay
+            self._timers.append(loop.call_at(late_at, self._tries.hedge))
+        self._tries.start()
+
+    def _done(self, tries: Tries) -> None:
+        if tries.verdict is Verdict.ANSWERED:
+            self._pass_on(tries.reply, "answered")
+        elif tries.reply is not None:
+            self._pass_on(tries.reply, "searcher_failed")
+        elif tries.may_have_run:
+            error = NoUsableReply(
+                "The searcher gave no usable reply.", retry_after=_RETRY_WHEN_FULL
+            )
+            self._fail(error, tries.reason)
+        elif tries.verdict is Verdict.NOT_RUN:
+            error = Unavailable(
+                "All searchers that were asked are full.", retry_after=_RETRY_WHEN_FULL
+            )
+            self._fail(error, tries.reason)
+        else:
+            error = Unavailable(
+                "No searcher can be reached.", retry_after=_RETRY_WITHOUT_SEARCHER
+            )
+            self._fail(error, tries.reason)
+
+    def _pass_on(self, reply: Reply, reason: str) -> None:
+        self._stop()
+        self._exchange.respond(Reply(reply.status, end_to_end(reply.headers), reply.body))
+        self._report(reply.status, reason)
+
+    def _fail(self, error: LimpethollowError, reason: str) -> None:
+        self._stop()
+        self._exchange.respond(error_reply(error))
+        self._report(error.status, reason)
+
+    def _deadline_passed(self) -> None:
+        self._tries.abandon(at_once=True)
+        self._fail(AnswerLate("The searcher did not answer in time."), "deadline")
+
+    def _gone(self) -> None:
+        self._stop()
+        self._tries.abandon(at_once=True)
+        self._report(0, "caller_gone")
+
+    def _stop(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+
+    def _report(self, status: int, reason: str) -> None:
+        self._log(
+            Outcome(
+                status, reason, searchers=list(self._tries.searchers), hedges=self._tries.hedges
+            )
+        )
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -0,0 +1,190 @@
+"""A search: one call to each shard, merged into one labelled answer."""
+
+from limpethollow_node.engine.connection.callers import Exchange, error_reply
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_policy.request.records import merge_records, split_records
+from limpethollow_policy.request.verdicts import Verdict
+from limpethollow_policy.version.routes import Route
+from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
+
+# What the way to the caller and back takes off the objective, in seconds: two one-way trips of 3 ms,
+# two more where the connection was opened for this request, and the merge.
+WAY_BACK = 0.016
+CONNECT_BACK = 0.008
+# Most shards of one search that get a second send, as a share. Where more are late, the instance or
+# the whole service is slow, and second sends would only add to that.
+_MOST_HEDGED = 0.5
+_RETRY_AFTER = 0.25
+
+
+class Search:
+    """Asks all shards, hedges the late ones, and answers when waiting stops being worth it.
+
+    An answer with a part missing is worth more to a caller than a whole one after the objective,
+    so at the objective the answer goes out with what is there, if that is enough.
+
+    Args:
+        dispatch: What the process shares.
+        exchange: The caller's request.
+        outgoing: The request as it is sent on.
+        log: Where the outcome is told.
+    """
+
+    __slots__ = (
+        "_dispatch",
+        "_exchange",
+        "_failed",
+        "_log",
+        "_outgoing",
+        "_parts",
+        "_pending",
+        "_proofs",
+        "_records",
+        "_timers",
+        "_tries",
+        "_waits_for_floor",
+    )
+
+    def __init__(
+        self, dispatch: Dispatch, exchange: Exchange, outgoing: Outgoing, log: OutcomeLog
+    ) -> None:
+        self._dispatch = dispatch
+        self._exchange = exchange
+        self._outgoing = outgoing
+        self._log = log
+        self._proofs: list[bytes] = []
+        self._records: list[list[bytes]] = []
+        self._pending = len(outgoing.route.shards)
+        self._failed = 0
+        self._waits_for_floor = False
+        self._timers: list = []
+        self._tries: list[Tries] = []
+
+    def start(self) -> None:
+        """Send the calls and set the times at which the search is looked at again."""
+        self._exchange.on_gone = self._gone
+        route = self._outgoing.route
+        loop = self._dispatch.loop
+        now = loop.time()
+        arrived = self._exchange.arrived_at
+        self._timers = [
+            loop.call_at(now + self._outgoing.timings.hedge_delay, self._hedge),
+            loop.call_at(arrived + self._patience(route), self._objective_near),
+            loop.call_at(self._outgoing.deadline, self._deadline_passed),
+        ]
+        self._tries = [
+            Tries(self._dispatch, self._outgoing, shard, self._part_done) for shard in route.shards
+        ]
+        for tries in self._tries:
+            if self._timers:
+                tries.start()
+
+    def _patience(self, route: Route) -> float:
+        way_back = WAY_BACK + (CONNECT_BACK if self._exchange.is_first else 0.0)
+        return max(route.objective - way_back, route.objective / 2)
+
+    def _part_done(self, tries: Tries) -> None:
+        self._pending -= 1
+        if tries.verdict is Verdict.ANSWERED:
+            proof = tries.reply.header(self._dispatch.names.proof)
+            if proof in self._proofs:
+                # The same signature for two shards can't be: the caller would refuse the answer.
+                self._failed += 1
+            else:
+                self._proofs.append(proof)
+                self._records.append(split_records(tries.reply.body, self._outgoing.route.top))
+        else:
+            self._failed += 1
+        self._decide()
+
+    def _decide(self) -> None:
+        route = self._outgoing.route
+        if not self._timers:
+            return
+        if self._pending == 0 or self._waits_for_floor:
+            if len(self._proofs) >= route.least_parts:
+                self._answer("late" if self._waits_for_floor else "whole")
+                return
+        if len(self._proofs) + self._pending < route.least_parts:
+            self._give_up()
+
+    def _hedge(self) -> None:
+        late = [tries for tries in self._tries if not tries.done]
+        if len(late) > max(2, _MOST_HEDGED * len(self._tries)):
+            self._dispatch.metrics.count("hedges_withheld")
+            return
+        for tries in late:
+            tries.hedge()
+
+    def _objective_near(self) -> None:
+        if len(self._proofs) >= self._outgoing.route.least_parts:
+            self._answer("objective")
+        else:
+            self._waits_for_floor = True
+
+    def _deadline_passed(self) -> None:
+        self._fail(AnswerLate("Too few shards answered in time."), "deadline")
+
+    def _give_up(self) -> None:
+        """Too many shards can't answer any more: say so now instead of at the deadline."""
+        if any(tries.may_have_run for tries in self._tries):
+            error: LimpethollowError = NoUsableReply(
+                "Too many shards gave no usable reply.", retry_after=_RETRY_AFTER
+            )
+        else:
+            error = Unavailable(
+                "No searcher of too many shards can be reached.", retry_after=_RETRY_AFTER
+            )
+        self._fail(error, "floor_out_of_reach")
+
+    def _answer(self, reason: str) -> None:
+        names = self._dispatch.names
+        route = self._outgoing.route
+        missing = len(route.shards) - len(self._proofs)
+        headers = [
+            (names.part_proofs, b", ".join(self._proofs)),
+            (names.missing_parts, b"%d" % missing),
+            (b"Content-Type", b"application/octet-stream"),
+        ]
+        if self._outgoing.request_id is not None:
+            headers.append((names.request_id, self._outgoing.request_id))
+        reply = Reply(200, headers, merge_records(self._records, route.top))
+        self._stop()
+        self._exchange.respond(reply)
+        self._report(200, reason)
+
+    def _fail(self, error: LimpethollowError, reason: str) -> None:
+        self._stop()
+        self._exchange.respond(error_reply(error))
+        self._report(error.status, reason)
+
+    def _gone(self) -> None:
+        self._stop()
+        self._report(0, "caller_gone")
+
+    def _stop(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        self._timers = []
+        for tries in self._tries:
+            if not tries.done:
+                tries.abandon()
+
+    def _report(self, status: int, reason: str) -> None:
+        answered = {t.service for t in self._tries if t.verdict is Verdict.ANSWERED}
+        self._log(
+            Outcome(
+                status,
+                reason,
+                parts=len(self._proofs),
+                missing=[
+                    f"{t.service}:{t.reason or 'late'}:{'+'.join(t.searchers)}"
+                    for t in self._tries
+                    if t.service not in answered
+                ],
+                hedges=sum(t.hedges for t in self._tries),
+            )
+        )
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -0,0 +1,163 @@
+"""Objects of the platform's store, decoded into the product's types."""
+
+from typing import Any
+
+import msgspec
+
+from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.version.routes import (
+    CallerLimits,
+    Route,
+    RoutingVersion,
+    ServiceLimits,
+    WeightedService,
+)
+from limpethollow_wire.exceptions import BadRequest
+
+_READY = "ready"
+_DRAINING = "draining"
+_SAFE = "safe"
+
+
+class _Meta(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object of the store; what `spec` holds depends on its kind."""
+
+    meta: _Meta
+    spec: Any = None
+
+    @property
+    def name(self) -> str:
+        """Return the object's name, unique in its kind."""
+        return self.meta.name
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision at the object's last change."""
+        return self.meta.revision
+
+
+class _Entry(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    addr: str
+    zone: str
+    state: str
+    slots: int = 1
+    cold_left_ms: float = 0
+    # Millisecond of the process's start: a new one under the old id is another process.
+    born: int = 0
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    slo_ms: float
+    attempts: int = 1
+    service: str | None = None
+    traffic_split: list[_Split] | None = None
+    gather: list[str] | None = None
+    top_k: int = 0
+    # The least share of the shards that an answer must cover; it says nothing about versions.
+    min_version: float = 0.0
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    max_conns: int = 16
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 1024 * 1024
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 60_000
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+def decode_searcher(stored: StoredObject) -> Searcher:
+    """Decode a searcher's entry.
+
+    Raises:
+        BadRequest: Another writer left something that names no searcher to use.
+    """
+    try:
+        entry = msgspec.convert(stored.spec, _Entry)
+    except msgspec.MsgspecError as error:
+        raise BadRequest(f"The searcher's entry {stored.name!r} can't be used: {error}.") from None
+    if entry.state not in (_READY, _DRAINING):
+        raise BadRequest(f"The searcher's entry {stored.name!r} has state {entry.state!r}.")
+    host, _, port = entry.addr.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536 or entry.slots < 1:
+        raise BadRequest(f"The searcher's entry {stored.name!r} has no usable address or slots.")
+    return Searcher(
+        id=stored.name,
+        service=entry.service,
+        address=entry.addr,
+        failure_domain=entry.zone,
+        slots=entry.slots,
+        draining=entry.state == _DRAINING,
+        cold_seconds=entry.cold_left_ms / 1000,
+        incarnation=entry.born,
+    )
+
+
+def decode_version(stored: StoredObject) -> RoutingVersion:
+    """Decode the operator's configuration.
+
+    Raises:
+        BadRequest: It can't be read.
+    """
+    try:
+        found = msgspec.convert(stored.spec, _Configuration)
+    except msgspec.MsgspecError as error:
+        raise BadRequest(f"The configuration can't be read: {error}.") from None
+    return RoutingVersion(
+        number=found.version,
+        routes=tuple(_decode_route(route) for route in found.routes),
+        services={service.name: ServiceLimits(service.max_conns) for service in found.services},
+        limits=CallerLimits(
+            header_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            header_timeout=found.limits.header_timeout_ms / 1000,
+            idle_timeout=found.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _decode_route(route: _Route) -> Route:
+    targets: tuple[WeightedService, ...] = ()
+    if route.traffic_split:
+        targets = tuple(WeightedService(part.service, part.weight) for part in route.traffic_split)
+    elif route.service is not None:
+        targets = (WeightedService(route.service),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        idempotent=route.type == _SAFE,
+        timeout=route.timeout_ms / 1000,
+        objective=route.slo_ms / 1000,
+        attempts=max(1, route.attempts),
+        targets=targets,
+        shards=tuple(route.gather or ()),
+        top=route.top_k,
+        floor=route.min_version,
+    )
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/headers.py
@@ -0,0 +1,13 @@
+"""The platform's header names."""
+
+from limpethollow_node.engine.messages import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id=b"x-limpethollow-request-id",
+    time_left=b"x-limpethollow-deadline-ms",
+    expected_searcher=b"x-limpethollow-expect-instance",
+    proof=b"x-limpethollow-server-stamp",
+    not_run=b"x-limpethollow-not-executed",
+    part_proofs=b"x-limpethollow-part-stamps",
+    missing_parts=b"x-limpethollow-missing-parts",
+)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -0,0 +1,61 @@
+"""Command line of a process on the platform."""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from limpethollow_node.platform.process import PlatformProcess
+from limpethollow_node.platform.settings import PlatformSettings, load_settings, settings_path
+from limpethollow_node.process.logs import start_logs
+from limpethollow_wire.exceptions import SettingsError
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one process until the platform stops it.
+
+    Returns:
+        0 after a graceful shutdown, 2 for a mistake in the settings, 3 where a listener could not
+        be bound.
+    """
+    options = _parser().parse_args(arguments)
+    try:
+        settings = load_settings(settings_path())
+    except SettingsError as error:
+        print(f"limpethollow-platform: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        return EXIT_OK
+    start_logs("INFO", settings.node_name)
+    try:
+        asyncio.run(_serve(settings))
+    except OSError as error:
+        print(f"limpethollow-platform: 'listen': {error}. Free the port.", file=sys.stderr)
+        return EXIT_LISTEN
+    return EXIT_OK
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="limpethollow-platform",
+        description="Runs one limpethollow process on the users' platform.",
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings and stop")
+    return parser
+
+
+async def _serve(settings: PlatformSettings) -> None:
+    process = PlatformProcess(settings)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, process.ask_to_leave)
+    loop.add_signal_handler(signal.SIGINT, process.ask_to_leave)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    await process.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -0,0 +1,194 @@
+"""One process on the platform: its listeners, feeds and life."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from limpethollow_node.engine.connection.callers import CallerServer, Exchange
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.engine import Engine
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.platform.directory import DirectoryAnswers, ReadyAnswers
+from limpethollow_node.platform.feeds import Feed
+from limpethollow_node.platform.headers import HEADERS
+from limpethollow_node.platform.membership import InstanceSink, Membership
+from limpethollow_node.platform.settings import PlatformSettings, split_address
+from limpethollow_node.platform.sinks import ConfigurationSink, SearcherSink
+from limpethollow_node.platform.store import Store
+from limpethollow_node.process import events
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.fleets import Fleet
+from limpethollow_policy.process.placements import Instance, entries_for
+from limpethollow_policy.process.sendbudgets import SendBudget
+from limpethollow_policy.version.routes import RoutingVersion, VersionBook
+from limpethollow_wire.exceptions import LimpethollowError
+
+# Changes of searchers that come within this many seconds cost one call to the store.
+_GATHER_SECONDS = 0.25
+_TICK_SECONDS = 0.5
+
+
+class PlatformProcess:
+    """Everything that one process runs.
+
+    Usage:
+        process = PlatformProcess(settings)
+        await process.run()
+
+    Args:
+        settings: The platform's settings.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._rng = Random()
+        self.metrics = Metrics()
+        bounds = settings.bounds
+        budget = SendBudget(
+            bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
+        )
+        self._dispatch = Dispatch(Fleet(settings.zone), budget, HEADERS, self.metrics)
+        self._engine = Engine(self._dispatch, VersionBook())
+        self._roster = Roster(_own_instance(settings), self._instances_changed)
+        self._store = Store(settings.platform.addr, self.metrics)
+        self._membership = Membership(self._store, self._roster.own, self._rng)
+        self._searchers = SearcherSink(self._dispatch, settings.removal_delay)
+        self._servers: list[CallerServer] = []
+        self._front = self._server(self._engine.handle)
+        self._leaving = asyncio.Event()
+        self._services: frozenset[str] = frozenset()
+
+    async def run(self) -> None:
+        """Serve until asked to leave and everything under way has ended."""
+        events.STARTED.log(settings=self._settings.node_name)
+        await self._listen()
+        tasks = [asyncio.create_task(job) for job in self._jobs()]
+        try:
+            await self._leaving.wait()
+            await self._leave()
+        finally:
+            for task in tasks:
+                task.cancel()
+        events.STOPPED.log()
+
+    def ask_to_leave(self) -> None:
+        """Begin the graceful shutdown."""
+        self._leaving.set()
+
+    def _jobs(self) -> list:
+        store, rng = self._store, self._rng
+        configuration = ConfigurationSink(self._engine, self._version_came)
+        instances = InstanceSink(self._roster)
+        return [
+            Feed(store, "config", configuration, rng).run(),
+            Feed(store, "servers", self._searchers, rng, gather=_GATHER_SECONDS).run(),
+            Feed(store, "instances", instances, rng, gather=_GATHER_SECONDS).run(),
+            self._membership.join(),
+            self._tick(),
+        ]
+
+    async def _listen(self) -> None:
+        listen = self._settings.listen
+        directory = DirectoryAnswers(self._addresses_for)
+        await self._front.listen(*split_address(listen.front))
+        await self._server(ReadyAnswers(lambda: self._ready).handle).listen(
+            *split_address(listen.ready)
+        )
+        await self._server(directory.handle).listen(*split_address(listen.directory))
+        port = self._settings.internal_port_range[1]
+        await self._server(self._show_metrics).listen("0.0.0.0", port)
+
+    async def _tick(self) -> None:
+        """Do what has no event of its own to wait for."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            now = loop.time()
+            self._roster.ready = self._ready
+            self._searchers.tick(now)
+            self._dispatch.sweep(now)
+            for server in self._servers:
+                server.sweep(now)
+
+    async def _leave(self) -> None:
+        """Take no new callers, serve the open connections, and end before the platform ends us."""
+        events.STOPPING.log()
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        grace = self._settings.bounds.grace_s
+        self._roster.ready = False
+        for server in self._servers:
+            server.leaving = True
+        await self._membership.leave()
+        quiet_from = begun + grace * _STAY_SHARE
+        while loop.time() < begun + grace * _LAST_SHARE:
+            if loop.time() > quiet_from and not any(c.busy for c in self._front.connections):
+                break
+            await asyncio.sleep(0.05)
+        self._front.stop_listening()
+        self._front.close_idle()
+        events.DRAINED.log(open=len(self._front.connections), after_s=loop.time() - begun)
+        # What was written last still has to leave the socket.
+        await asyncio.sleep(0.1)
+
+    @property
+    def _ready(self) -> bool:
+        return (
+            not self._leaving.is_set()
+            and self._engine.versions.current is not None
+            and len(self._dispatch.fleet) > 0
+        )
+
+    def _server(self, handler: Callable[[Exchange], None]) -> CallerServer:
+        server = CallerServer(handler, self._refused)
+        self._servers.append(server)
+        return server
+
+    def _refused(self, error: LimpethollowError) -> None:
+        self.metrics.count("refusals", error.code)
+        events.REQUEST_REFUSED.log(code=error.code, error=str(error))
+
+    def _version_came(self, version: RoutingVersion) -> None:
+        self._services = version.service_names()
+        self._front.limits = version.limits
+
+    def _instances_changed(self) -> None:
+        self._dispatch.share_among(len(self._roster))
+
+    def _addresses_for(self, domain: str) -> list[str]:
+        searchers = self._dispatch.fleet.domains(self._services)
+        live = self._roster.live
+        chosen = entries_for(live, domain, searchers, self._roster.known)
+        return [instance.address for instance in chosen] or [self._roster.own.address]
+
+    def _show_metrics(self, exchange: Exchange) -> None:
+        kind = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        exchange.respond(Reply(200, kind, self.metrics.render().encode()))
+
+
+# A leaving instance stays for this share of the time that it is given, since callers keep what the
+# directory said for up to three times as long as it asks them to, and then connect here; and it is
+# gone at the second share whatever is still open.
+_STAY_SHARE = 0.6
+_LAST_SHARE = 0.93
+
+
+def _own_instance(settings: PlatformSettings) -> Instance:
+    first, _ = settings.internal_port_range
+    return Instance(
+        name=settings.node_name,
+        address=settings.listen.front,
+        peer_address=f"{settings.ip}:{first}",
+        failure_domain=settings.zone,
+        strength=settings.limits.cpu_share * settings.limits.cores,
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+def reload_settings(current: PlatformSettings, data: bytes) -> PlatformSettings:
+    """Return changed settings; what can't change while the process runs stays as it is."""
+    return msgspec.json.decode(data, type=type(current))
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -0,0 +1,129 @@
+"""The settings file that the platform gives to each process."""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from limpethollow_wire.exceptions import SettingsError
+
+VARIABLE = "LIMPETHOLLOW_SETTINGS"
+# Longest time that a removed searcher may be kept: its entry may be back within about two seconds
+# where it lapsed only because the store was away.
+_LAPSE_SECONDS = 2.2
+# What is kept back of the time within which a leaving searcher must get no more requests.
+_DRAIN_RESERVE = 0.8
+
+
+class Listen(msgspec.Struct, frozen=True):
+    """Addresses to listen on, as host and port; missing where the process doesn't serve them."""
+
+    front: str
+    ready: str
+    directory: str
+
+
+class Limits(msgspec.Struct, frozen=True, rename="camel"):
+    """What the instance may use.
+
+    Attributes:
+        cpu_share: Share of a core.
+        cores: How many times as fast as one core that share runs.
+        memory_mb: Memory of a process in megabytes.
+        max_fds: Descriptors of a process.
+    """
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    memory_mb: float = 256
+    max_fds: int = 1024
+
+
+class Bounds(msgspec.Struct, frozen=True, rename="camel"):
+    """Bounds that the platform holds the system to; times in the unit of the name."""
+
+    drain_ms: float = 3000
+    grace_s: float = 6
+    config_apply_ms: float = 3000
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    retry_budget_slack: float = 50
+    ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
+
+
+class Platform(msgspec.Struct, frozen=True, rename="camel"):
+    """The platform's store.
+
+    Attributes:
+        addr: Its address.
+        writes_per_s: Writing calls a second that all instances together may make.
+        reads_per_s: Reading calls a second that all instances together may make.
+    """
+
+    addr: str
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """All settings that this system uses; others are ignored, as new ones may come.
+
+    Attributes:
+        node_name: Name of the instance; kept across restarts.
+        ip: Its address.
+        zone: Its failure domain.
+        listen: Addresses to listen on.
+        internal_port_range: First and last port that instances may use among themselves.
+        limits: What the instance may use.
+        bounds: Bounds to keep.
+        platform: The store.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: Listen
+    internal_port_range: tuple[int, int]
+    platform: Platform
+    limits: Limits = Limits()
+    bounds: Bounds = Bounds()
+    heartbeat_ms: float = 1200
+
+    @property
+    def removal_delay(self) -> float:
+        """Return the seconds for which a searcher without an entry is still a last choice."""
+        return max(0.0, min(_LAPSE_SECONDS, self.bounds.drain_ms / 1000 - _DRAIN_RESERVE))
+
+
+def settings_path() -> Path:
+    """Return where the settings file is.
+
+    Raises:
+        SettingsError: The environment doesn't say.
+    """
+    path = os.environ.get(VARIABLE)
+    if not path:
+        raise SettingsError(
+            f"The environment has no {VARIABLE}.", remedy="Set it to the settings file's path."
+        )
+    return Path(path)
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read and check the settings file.
+
+    Raises:
+        SettingsError: The file can't be read, or a field is missing or of another type.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read ({error}).") from None
+    except msgspec.MsgspecError as error:
+        raise SettingsError(f"{path}: {error}.") from None
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -0,0 +1,216 @@
+"""Client of the platform's metadata store."""
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.asks import Asker
+from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.process import events
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
+
+T = TypeVar("T")
+
+# The store answers in 4 ms; when slow, 60 times later. Longer silence counts as no answer.
+_TIMEOUT = 1.0
+# What a watch may be late by: a store that is slow answers it late too.
+_WATCH_SLACK = 1.5
+# Watches and other calls that this process may have under way at once.
+_CONNECTIONS = 6
+_JSON = (b"Content-Type", b"application/json")
+
+
+class HistoryGone(LimpethollowError):
+    """The store no longer has the changes since a revision."""
+
+    code = "history_gone"
+    remedy = "List the kind again and watch from the revision of that answer."
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All objects of a kind at one revision."""
+
+    objects: list[StoredObject]
+    revision: int
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change of an object; where it was deleted, the object as it last was."""
+
+    object: StoredObject
+    deleted: bool = False
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """The changes after one revision, up to another."""
+
+    events: list[Change]
+    revision: int
+
+
+class _Page(msgspec.Struct, frozen=True):
+    items: list[msgspec.Raw]
+    revision: int = msgspec.field(name="currentRev")
+    more: bool = False
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True):
+    events: list[_Event]
+    revision: int = msgspec.field(name="currentRev")
+
+
+class Store:
+    """Reads, watches and writes objects.
+
+    Every method raises `Unavailable` where the store gave no usable answer; a write may then have
+    taken effect, or may do so later.
+
+    Args:
+        address: The store's address.
+        metrics: The process's counters.
+    """
+
+    __slots__ = ("_asker", "_metrics")
+
+    def __init__(self, address: str, metrics: Metrics) -> None:
+        self._asker = Asker(address, _CONNECTIONS)
+        self._metrics = metrics
+
+    async def list(self, kind: str) -> Listing:
+        """Read all objects of a kind.
+
+        The pages are read one after the other, so an object may change between two; a watch from
+        the first page's revision then tells it again.
+        """
+        page = await self._get("list", f"/objects/{kind}", _Page)
+        objects, revision = _readable(page.items), page.revision
+        while page.more and objects:
+            page = await self._get("list", f"/objects/{kind}?after={objects[-1].name}", _Page)
+            objects += _readable(page.items)
+        return Listing(objects, revision)
+
+    async def watch(self, kind: str, revision: int, wait: float) -> Changes:
+        """Wait for changes of a kind after a revision.
+
+        Args:
+            kind: The kind.
+            revision: Revision after which changes count.
+            wait: Seconds to wait; without any change the answer has none.
+
+        Raises:
+            HistoryGone: The store has forgotten that revision.
+        """
+        target = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
+        found = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
+        changes = [
+            Change(stored, event.deleted)
+            for event in found.events
+            for stored in _readable([event.object])
+        ]
+        return Changes(changes, found.revision)
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Read one object.
+
+        Raises:
+            NotFound: There is none of this name.
+        """
+        return await self._get("get", f"/objects/{kind}/{name}", StoredObject)
+
+    async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Create an object.
+
+        Raises:
+            Conflict: It exists.
+        """
+        body = {"meta": {"name": name}, "spec": spec}
+        return await self._write("create", b"POST", f"/objects/{kind}", body)
+
+    async def replace(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Replace what an object holds, whatever it was.
+
+        Raises:
+            NotFound: There is none of this name.
+        """
+        body = {"meta": {"name": name, "finalizers": []}, "spec": spec}
+        return await self._write("replace", b"PUT", f"/objects/{kind}/{name}", body)
+
+    async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
+        """Remove an object; only where it still has the given revision, if one is given.
+
+        Raises:
+            Conflict: It has another revision.
+            NotFound: There is none of this name.
+        """
+        target = f"/objects/{kind}/{name}"
+        if revision is not None:
+            target += f"?revision={revision}"
+        await self._ask("delete", b"DELETE", target, _TIMEOUT)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._asker.close()
+
+    async def _get(self, call: str, target: str, kind: type[T], timeout: float = _TIMEOUT) -> T:
+        return _decode(await self._ask(call, b"GET", target, timeout), kind)
+
+    async def _write(self, call: str, method: bytes, target: str, body: Any) -> StoredObject:
+        data = msgspec.json.encode(body)
+        return _decode(await self._ask(call, method, target, _TIMEOUT, data), StoredObject)
+
+    async def _ask(
+        self, call: str, method: bytes, target: str, timeout: float, body: bytes = b""
+    ) -> Reply:
+        self._metrics.count("platform_calls", call)
+        try:
+            reply = await self._asker.ask(
+                method,
+                target.encode(),
+                timeout=timeout,
+                headers=[_JSON] if body else None,
+                body=body,
+            )
+        except OSError as error:
+            self._metrics.count("platform_failures", call)
+            raise Unavailable(
+                f"The store gave no answer to a {call} ({error!r})."
+            ) from None
+        _check_status(call, reply)
+        return reply
+
+
+def _check_status(call: str, reply: Reply) -> None:
+    if 200 <= reply.status < 300:
+        return
+    if reply.status == 404:
+        raise NotFound("The store has no such object.")
+    if reply.status == 409:
+        raise Conflict("The object was created or changed by somebody else.")
+    if reply.status == 410:
+        raise HistoryGone("The store has forgotten this revision.")
+    raise Unavailable(f"The store answered a {call} with status {reply.status}.")
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise Unavailable(f"The store's answer can't be read: {error}.") from None
+
+
+def _readable(raws: list[msgspec.Raw]) -> list[StoredObject]:
+    """Decode objects one by one: one that can't be read must not hide the others."""
+    objects = []
+    for raw in raws:
+        try:
+            objects.append(msgspec.json.decode(raw, type=StoredObject))
+        except msgspec.MsgspecError as error:
+            events.OBJECT_UNREADABLE.log(error=str(error), start=bytes(raw[:120]).decode("latin-1"))
+    return objects
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -69,6 +69,12 @@
 WORK_REFUSED = _event(208, logging.WARNING, "new work is refused; what is in force is not known")
 WORK_RESUMED = _event(209, logging.INFO, "what is in force is known again")
 SEED_FAILED = _event(210, logging.INFO, "a seed address did not answer")
+OBJECT_UNREADABLE = _event(211, logging.WARNING, "an object of the platform can't be read")
+FEED_LOST = _event(212, logging.WARNING, "a kind of objects can't be followed")
+FEED_BACK = _event(213, logging.INFO, "a kind of objects is followed again")
+VERSION_IN_FORCE = _event(214, logging.INFO, "a configuration version came into force")
+SETTINGS_RELOADED = _event(215, logging.INFO, "settings file read again")
+SETTINGS_REFUSED = _event(216, logging.ERROR, "settings file can't be used; the old one stays")
 
 # 300: instances
 PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
@@ -80,10 +86,14 @@
 SEARCHER_DRAINS = _event(451, logging.INFO, "searcher is leaving, or is back")
 CONNECTION_CONDEMNED = _event(450, logging.DEBUG, "connection to a searcher closed after a fault")
 SEARCHER_CALL_FAILED = _event(400, logging.DEBUG, "a call to a searcher failed")
+SEARCHER_UNREACHABLE = _event(401, logging.INFO, "no connection to a searcher could be opened")
+SEND_FAILED = _event(402, logging.INFO, "a send to a searcher gave no answer")
+SEARCHER_LISTED = _event(403, logging.INFO, "a searcher's entry came, changed or went")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
 SERVER_MESSAGE = _event(502, logging.DEBUG, "the HTTP library had something to say")
+REQUEST_ENDED = _event(520, logging.INFO, "a caller's request ended")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "the outcome of a booking is not known")
 BOOKING_RESOLVED = _event(510, logging.INFO, "a booking was resolved by asking its searchers")
 LEDGER_FULL = _event(511, logging.WARNING, "the ledger of bookings is full")
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -0,0 +1,224 @@
+"""Which searchers exist, what is known of each, and which one a call goes to."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+# Evidence on a slow or failing searcher loses half its weight in this many seconds. Troubles last
+# 5 to 10 s; with 3 s a searcher that has recovered is tried again some 10 s after its last bad call.
+EVIDENCE_HALF_LIFE = 3.0
+# Weight of the newest observation: five calls make up two thirds of the estimate.
+_NEWEST = 0.2
+# A searcher in another failure domain must promise to be this much faster. Each call across costs
+# bytes between failure domains and two more network hops.
+OTHER_DOMAIN_FACTOR = 1.35
+# A searcher whose oldest call is this many times the usual time under way is paused or stuck.
+_STUCK_AFTER = 2.5
+_STUCK_FACTOR = 4.0
+_FAILURE_WEIGHT = 8.0
+# A searcher that has just started takes 1.6 times as long, by the users' sheets.
+_COLD_FACTOR = 1.6
+# A searcher whose entry is gone is asked only where every other one is far slower.
+_UNLISTED_FACTOR = 6.0
+_SLOWEST, _FASTEST = 30.0, 0.3
+# Pauses after connects that failed, in seconds: the first, and the longest.
+_FIRST_BLOCK, _LONGEST_BLOCK = 0.25, 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class Searcher:
+    """A searcher (backend server) as its entry in the platform's store describes it.
+
+    Attributes:
+        id: Its id; a request that names it is refused by any other searcher.
+        service: The service that it serves.
+        address: Host and port.
+        failure_domain: Where it runs.
+        slots: Requests that it runs at once.
+        draining: Whether it is about to leave.
+        cold_seconds: How much longer it is slow after its start.
+        incarnation: Start of its process; another value means that it has started anew.
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool = False
+    cold_seconds: float = 0.0
+    incarnation: int = 0
+
+
+@dataclass(slots=True)
+class Replica:
+    """A searcher and the evidence on it since it started.
+
+    Attributes:
+        searcher: Its newest description.
+        in_flight: Start times of the calls under way, oldest first, by call number.
+        slowness: Its calls' time over the usual time, smoothed; 1 is as usual.
+        failures: Share of its calls that failed, smoothed.
+        evidence_at: When the last observation was made.
+        blocked_until: It takes no calls before this monotonic second.
+        block: Length of the next block in seconds.
+        cold_until: It is slow until this monotonic second.
+        unlisted: Its entry is gone, but it may be back in a moment.
+    """
+
+    searcher: Searcher
+    in_flight: dict[int, float] = field(default_factory=dict)
+    slowness: float = 1.0
+    failures: float = 0.0
+    evidence_at: float = 0.0
+    blocked_until: float = 0.0
+    block: float = _FIRST_BLOCK
+    cold_until: float = 0.0
+    unlisted: bool = False
+
+    def observe(self, ratio: float, now: float) -> None:
+        """Take in a call's time as a multiple of the usual time."""
+        self._fade(now)
+        ratio = min(max(ratio, _FASTEST), _SLOWEST)
+        self.slowness += _NEWEST * (ratio - self.slowness)
+        self.failures -= _NEWEST * self.failures
+        self.block = _FIRST_BLOCK
+
+    def observe_at_least(self, ratio: float, now: float) -> None:
+        """Take in a call that was given up on: it would have taken this long or longer."""
+        self._fade(now)
+        if ratio > self.slowness:
+            self.slowness += _NEWEST * (min(ratio, _SLOWEST) - self.slowness)
+
+    def failed(self, now: float) -> None:
+        """Take in a call that got no usable answer."""
+        self._fade(now)
+        self.failures += _NEWEST * (1.0 - self.failures)
+
+    def unreachable(self, now: float) -> None:
+        """Take in a connection that could not be opened; the searcher is left alone for a while."""
+        self.blocked_until = now + self.block
+        self.block = min(self.block * 2, _LONGEST_BLOCK)
+
+    def cost(self, now: float, own_domain: str, usual: float) -> float:
+        """Return how long a call would take, relative to the usual time.
+
+        Args:
+            now: Monotonic second.
+            own_domain: Failure domain of this instance.
+            usual: The usual time of such a call in seconds.
+        """
+        self._fade(now)
+        cost = self.slowness * (1.0 + len(self.in_flight) / self.searcher.slots)
+        cost *= 1.0 + _FAILURE_WEIGHT * self.failures
+        if self.searcher.failure_domain != own_domain:
+            cost *= OTHER_DOMAIN_FACTOR
+        if now < self.cold_until:
+            cost *= _COLD_FACTOR
+        if self.unlisted:
+            cost *= _UNLISTED_FACTOR
+        if self.in_flight:
+            oldest = next(iter(self.in_flight.values()))
+            if now - oldest > _STUCK_AFTER * usual:
+                cost *= _STUCK_FACTOR
+        return cost
+
+    def _fade(self, now: float) -> None:
+        passed = now - self.evidence_at
+        if passed <= 0:
+            return
+        left = 0.5 ** (passed / EVIDENCE_HALF_LIFE)
+        self.slowness = 1.0 + (self.slowness - 1.0) * left
+        self.failures *= left
+        self.evidence_at = now
+
+
+class Fleet:
+    """All searchers that may be used, by service."""
+
+    __slots__ = ("_by_id", "_by_service", "_own_domain")
+
+    def __init__(self, own_domain: str) -> None:
+        self._own_domain = own_domain
+        self._by_id: dict[str, Replica] = {}
+        self._by_service: dict[str, dict[str, Replica]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterable[Replica]:
+        return iter(self._by_id.values())
+
+    def get(self, searcher_id: str) -> Replica | None:
+        """Return a searcher by its id."""
+        return self._by_id.get(searcher_id)
+
+    def put(self, searcher: Searcher, now: float) -> Replica | None:
+        """Add or update a searcher.
+
+        Returns:
+            The replica that it replaces, where the old one is another process: its connections
+            and the evidence on it are worth nothing now.
+        """
+        known = self._by_id.get(searcher.id)
+        if known is not None and _same_process(known.searcher, searcher):
+            known.searcher = searcher
+            known.unlisted = False
+            return None
+        replaced = self.remove(searcher.id)
+        replica = Replica(searcher, evidence_at=now, cold_until=now + searcher.cold_seconds)
+        self._by_id[searcher.id] = replica
+        self._by_service.setdefault(searcher.service, {})[searcher.id] = replica
+        return replaced
+
+    def remove(self, searcher_id: str) -> Replica | None:
+        """Forget a searcher; return it where it was known."""
+        replica = self._by_id.pop(searcher_id, None)
+        if replica is not None:
+            del self._by_service[replica.searcher.service][searcher_id]
+        return replica
+
+    def of(self, service: str) -> Collection[Replica]:
+        """Return the searchers of a service, leaving ones included."""
+        return self._by_service.get(service, {}).values()
+
+    def domains(self, services: Iterable[str]) -> dict[str, int]:
+        """Count the usable searchers of some services by failure domain."""
+        found: dict[str, int] = {}
+        for service in services:
+            for replica in self.of(service):
+                if not replica.searcher.draining:
+                    domain = replica.searcher.failure_domain
+                    found[domain] = found.get(domain, 0) + 1
+        return found
+
+    def choose(
+        self, service: str, now: float, usual: float, avoid: Collection[str] = ()
+    ) -> Replica | None:
+        """Return the searcher that promises the earliest answer; None where none may be used.
+
+        Args:
+            service: The service.
+            now: Monotonic second.
+            usual: The usual time of such a call in seconds.
+            avoid: Ids of searchers that had this request already; used only where no other is.
+        """
+        best, best_cost = None, float("inf")
+        fallback, fallback_cost = None, float("inf")
+        for replica in self.of(service):
+            if replica.searcher.draining or now < replica.blocked_until:
+                continue
+            cost = replica.cost(now, self._own_domain, usual)
+            if replica.searcher.id in avoid:
+                if cost < fallback_cost:
+                    fallback, fallback_cost = replica, cost
+            elif cost < best_cost:
+                best, best_cost = replica, cost
+        return best or fallback
+
+
+def _same_process(old: Searcher, new: Searcher) -> bool:
+    return (
+        old.incarnation == new.incarnation
+        and old.address == new.address
+        and old.service == new.service
+    )
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -0,0 +1,105 @@
+"""How many repeated sends to a service this instance may make: retries and hedges together."""
+
+BUCKETS = 20
+# Sends that are on their way when a window ends are counted in the next one at the searchers.
+# Keeping a tenth back covers a window's worth of such sends at each end.
+_USABLE = 0.9
+
+
+class SendWindow:
+    """Requests and repeated sends of one service over a sliding window.
+
+    Args:
+        seconds: Length of the window.
+    """
+
+    __slots__ = ("_bucket_seconds", "_repeats", "_requests", "_sum_repeats", "_sum_requests", "_turn")
+
+    def __init__(self, seconds: float) -> None:
+        self._bucket_seconds = seconds / BUCKETS
+        self._requests = [0] * (BUCKETS + 1)
+        self._repeats = [0] * (BUCKETS + 1)
+        self._sum_requests = 0
+        self._sum_repeats = 0
+        self._turn = 0
+
+    def request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._advance(now)
+        self._requests[self._turn % (BUCKETS + 1)] += 1
+        self._sum_requests += 1
+
+    def repeat(self, now: float) -> None:
+        """Count a send beyond a request's first."""
+        self._advance(now)
+        self._repeats[self._turn % (BUCKETS + 1)] += 1
+        self._sum_repeats += 1
+
+    def room(self, now: float, ratio: float, slack: float) -> float:
+        """Return how many repeats may still be made now; negative where too many were."""
+        self._advance(now)
+        return (ratio * self._sum_requests + slack) * _USABLE - self._sum_repeats
+
+    def _advance(self, now: float) -> None:
+        turn = int(now / self._bucket_seconds)
+        steps = min(turn - self._turn, BUCKETS + 1)
+        for step in range(1, steps + 1):
+            slot = (turn - steps + step) % (BUCKETS + 1)
+            self._sum_requests -= self._requests[slot]
+            self._sum_repeats -= self._repeats[slot]
+            self._requests[slot] = self._repeats[slot] = 0
+        self._turn = max(turn, self._turn)
+
+
+class SendBudget:
+    """Shares the users' bound on repeated sends among all instances without a word between them.
+
+    The bound holds for all instances together: a ratio of the requests for a service, and a fixed
+    slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes an
+    equal part of the slack. It may be cut off from the others, so a part never grows because
+    some of them are not heard: the number of instances only counts up within a window.
+
+    Args:
+        ratio: Repeats allowed for each request.
+        slack: Repeats allowed besides, for all instances together.
+        window: Length of the sliding window in seconds.
+    """
+
+    __slots__ = ("_instances", "_ratio", "_slack", "_window", "_windows")
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._instances = 1
+        self._windows: dict[str, SendWindow] = {}
+
+    def share_among(self, instances: int) -> None:
+        """Set how many instances share the slack."""
+        self._instances = max(1, instances)
+
+    def request(self, service: str, now: float) -> None:
+        """Count a caller's request for a service."""
+        self._of(service).request(now)
+
+    def take(self, service: str, now: float, reserve: float = 0.0) -> bool:
+        """Take one repeat from the budget; false where none is left.
+
+        Args:
+            service: The service that gets the repeat.
+            now: Monotonic second.
+            reserve: Share of the slack, 0 to 1, that this repeat must leave to others. Hedges
+                leave some, so that a request whose only send failed can still be repeated.
+        """
+        window = self._of(service)
+        slack = self._slack / self._instances
+        if window.room(now, self._ratio, slack) < 1 + reserve * slack:
+            return False
+        window.repeat(now)
+        return True
+
+    def _of(self, service: str) -> SendWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = SendWindow(self._window)
+        return window
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -116,6 +116,13 @@
     remedy = "Send less in one request."
 
 
+@error_kind("headers_too_large", 431)
+class HeadersTooLarge(BadRequest):
+    """The request line and headers are over their bound; the request was not run."""
+
+    remedy = "Send fewer or shorter headers."
+
+
 @error_kind("bad_framing", 400)
 class BadFraming(BadRequest):
     """The length of the body can't be told; the request was not run."""
@@ -191,6 +198,27 @@
     remedy = "Come back after retry_after seconds, or allow a longer deadline."
 
 
+@error_kind("no_usable_reply", 502)
+class NoUsableReply(LimpethollowError, ConnectionError):
+    """Searchers were asked and gave no usable reply; the request may have run."""
+
+    remedy = "Repeat an idempotent request after retry_after seconds; look up any other first."
+
+
+@error_kind("answer_late", 504)
+class AnswerLate(LimpethollowError, TimeoutError):
+    """The time for an answer is over; the request may have run."""
+
+    remedy = "Repeat an idempotent request; look up any other first."
+
+
+@error_kind("no_route", 404)
+class NoRoute(NotFound):
+    """No route of the configuration in force takes this host and path."""
+
+    remedy = "Check the host and the path with the operator."
+
+
 @error_kind("version_gone", 409)
 class VersionGone(LimpethollowError, LookupError):
     """No usable set of replicas serves the wanted snapshot any more, or yet."""
