Tests of the path on the platform: unit tables, and real processes against stand-ins of store and searchers

Also: a check of the store once a second restarts watches that a silent store forgot. Ruled out: keep-alive probes (the connection was sound).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -137,8 +137,6 @@
         """Read a piece of a request."""
         if self._failed:
             return
-        if self._in_head:
-            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -146,6 +144,8 @@
         except httptools.HttpParserError as error:
             if not self._failed:
                 self._refuse(BadRequest(f"The bytes are no HTTP request ({error})."))
+        if self._in_head:
+            self._head_bytes += len(data)
         if self._in_head and self._head_bytes > self._server.limits.header_bytes:
             self._refuse(HeadersTooLarge("The headers are too long."))
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -58,9 +58,7 @@
         request = exchange.request
         version = self.versions.current
         if version is None:
-            raise Unavailable(
-                "No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION
-            )
+            raise Unavailable("No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION)
         route = self._route(version, request)
         deadline = self._deadline(exchange, route)
         outgoing = Outgoing.of(request, route, deadline, self._dispatch)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -68,9 +68,7 @@
             )
             self._fail(error, tries.reason)
         else:
-            error = Unavailable(
-                "No searcher can be reached.", retry_after=_RETRY_WITHOUT_SEARCHER
-            )
+            error = Unavailable("No searcher can be reached.", retry_after=_RETRY_WITHOUT_SEARCHER)
             self._fail(error, tries.reason)
 
     def _pass_on(self, reply: Reply, reason: str) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -10,8 +10,8 @@
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
 
-# What the way to the caller and back takes off the objective, in seconds: two one-way trips of 3 ms,
-# two more where the connection was opened for this request, and the merge.
+# What the way to the caller and back takes off the objective, in seconds: two trips of 3 ms, two
+# more where the connection was opened for this request, and the merge.
 WAY_BACK = 0.016
 CONNECT_BACK = 0.008
 # Most shards of one search that get a second send, as a share. Where more are late, the instance or
@@ -104,10 +104,10 @@
         route = self._outgoing.route
         if not self._timers:
             return
-        if self._pending == 0 or self._waits_for_floor:
-            if len(self._proofs) >= route.least_parts:
-                self._answer("late" if self._waits_for_floor else "whole")
-                return
+        settled = self._pending == 0 or self._waits_for_floor
+        if settled and len(self._proofs) >= route.least_parts:
+            self._answer("late" if self._waits_for_floor else "whole")
+            return
         if len(self._proofs) + self._pending < route.least_parts:
             self._give_up()
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -51,9 +51,7 @@
     is_head: bool
 
     @classmethod
-    def of(
-        cls, request: Request, route: Route, deadline: float, dispatch: Dispatch
-    ) -> "Outgoing":
+    def of(cls, request: Request, route: Route, deadline: float, dispatch: Dispatch) -> "Outgoing":
         """Prepare a caller's request to be sent on."""
         names = dispatch.names
         own = frozenset({names.time_left, names.expected_searcher})
@@ -72,7 +70,7 @@
 
 
 class Tries:
-    """Sends a request to one searcher of a service, and to others as far as that is safe and allowed.
+    """Sends a request to one searcher of a service, and to others as far as that is safe.
 
     Args:
         dispatch: What the process shares.
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -12,10 +12,11 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.platform.checks import StoreCheck
 from limpethollow_node.platform.directory import DirectoryAnswers, ReadyAnswers
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_node.platform.membership import InstanceSink, Membership
+from limpethollow_node.platform.membership import KIND, InstanceSink, Membership
 from limpethollow_node.platform.settings import PlatformSettings, split_address
 from limpethollow_node.platform.sinks import ConfigurationSink, SearcherSink
 from limpethollow_node.platform.store import Store
@@ -60,6 +61,7 @@
         self._servers: list[CallerServer] = []
         self._front = self._server(self._engine.handle)
         self._leaving = asyncio.Event()
+        self._feeds: list[Feed] = []
         self._services: frozenset[str] = frozenset()
 
     async def run(self) -> None:
@@ -83,10 +85,15 @@
         store, rng = self._store, self._rng
         configuration = ConfigurationSink(self._engine, self._version_came)
         instances = InstanceSink(self._roster)
+        self._feeds = [
+            Feed(store, "config", configuration, rng),
+            Feed(store, "servers", self._searchers, rng, gather=_GATHER_SECONDS),
+            Feed(store, KIND, instances, rng, gather=_GATHER_SECONDS),
+        ]
+        check = StoreCheck(store, KIND, self._settings.node_name, self._store_is_back)
         return [
-            Feed(store, "config", configuration, rng).run(),
-            Feed(store, "servers", self._searchers, rng, gather=_GATHER_SECONDS).run(),
-            Feed(store, "instances", instances, rng, gather=_GATHER_SECONDS).run(),
+            *(feed.run() for feed in self._feeds),
+            check.run(),
             self._membership.join(),
             self._tick(),
         ]
@@ -102,17 +109,26 @@
         port = self._settings.internal_port_range[1]
         await self._server(self._show_metrics).listen("0.0.0.0", port)
 
+    def _store_is_back(self) -> None:
+        for feed in self._feeds:
+            feed.restart()
+
     async def _tick(self) -> None:
         """Do what has no event of its own to wait for."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_TICK_SECONDS)
-            now = loop.time()
-            self._roster.ready = self._ready
-            self._searchers.tick(now)
-            self._dispatch.sweep(now)
-            for server in self._servers:
-                server.sweep(now)
+            try:
+                self._do_tick(loop.time())
+            except Exception as error:
+                events.DEFECT.log(where="tick", error=repr(error), exc_info=True)
+
+    def _do_tick(self, now: float) -> None:
+        self._roster.ready = self._ready
+        self._searchers.tick(now)
+        self._dispatch.sweep(now)
+        for server in self._servers:
+            server.sweep(now)
 
     async def _leave(self) -> None:
         """Take no new callers, serve the open connections, and end before the platform ends us."""
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -38,7 +38,7 @@
         try:
             version = decode_version(stored)
         except BadRequest as error:
-            events.RECORD_UNREADABLE.log(name=stored.name, error=str(error))
+            events.RECORD_UNREADABLE.log(object=stored.name, error=str(error))
             return
         if self._engine.use_version(version):
             events.VERSION_IN_FORCE.log(
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -124,6 +124,17 @@
         """
         return await self._get("get", f"/objects/{kind}/{name}", StoredObject)
 
+    async def check(self, kind: str, name: str) -> None:
+        """Ask for an object in the cheapest way, only to learn whether the store answers.
+
+        What it returns may be seconds old, and the call costs a tenth of another.
+        """
+        target = f"/objects/{kind}/{name}?allowStale=1"
+        try:
+            await self._ask("check", b"GET", target, _TIMEOUT)
+        except NotFound:
+            return
+
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
 
@@ -179,9 +190,7 @@
             )
         except OSError as error:
             self._metrics.count("platform_failures", call)
-            raise Unavailable(
-                f"The store gave no answer to a {call} ({error!r})."
-            ) from None
+            raise Unavailable(f"The store gave no answer to a {call} ({error!r}).") from None
         _check_status(call, reply)
         return reply
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 # Evidence on a slow or failing searcher loses half its weight in this many seconds. Troubles last
-# 5 to 10 s; with 3 s a searcher that has recovered is tried again some 10 s after its last bad call.
+# 5 to 10 s; with 3 s a searcher that has recovered is tried again 10 s after its last bad call.
 EVIDENCE_HALF_LIFE = 3.0
 # Weight of the newest observation: five calls make up two thirds of the estimate.
 _NEWEST = 0.2
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -13,7 +13,14 @@
         seconds: Length of the window.
     """
 
-    __slots__ = ("_bucket_seconds", "_repeats", "_requests", "_sum_repeats", "_sum_requests", "_turn")
+    __slots__ = (
+        "_bucket_seconds",
+        "_repeats",
+        "_requests",
+        "_sum_repeats",
+        "_sum_requests",
+        "_turn",
+    )
 
     def __init__(self, seconds: float) -> None:
         self._bucket_seconds = seconds / BUCKETS
--- a/tests/standins/https.py
+++ b/tests/standins/https.py
@@ -98,6 +98,9 @@
     def do_POST(self) -> None:  # noqa: N802
         self._serve()
 
+    def do_DELETE(self) -> None:  # noqa: N802
+        self._serve()
+
     def log_message(self, *_: Any) -> None:
         return
 
--- /dev/null
+++ b/tests/system/platform/test_searchers.py
@@ -0,0 +1,196 @@
+"""Searchers that fail, lie, leave or hand out wrong bytes."""
+
+import time
+
+import pytest
+
+from tests.standins.backends import PROOF, REQUEST_ID, Cut, Hang, Reset
+from tests.support.platforms import forward_route, search_route
+from tests.support.processes import wait_for
+
+FOREIGN = "HTTP/1.1 200 OK\r\n{id}: somebody\r\n{proof}: x\r\nContent-Length: 2\r\n\r\nno"
+
+
+def foreign(me, seen) -> bytes:
+    return FOREIGN.format(id=REQUEST_ID, proof=PROOF).encode()
+
+
+def without_proof(me, seen) -> bytes:
+    return f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {seen.id}\r\nContent-Length: 2\r\n\r\nno".encode()
+
+
+def encoded(me, seen) -> bytes:
+    return me.success(seen, "Content-Encoding: gzip")
+
+
+def truncated(me, seen) -> Reset:
+    return Reset(me.success(seen)[:-3])
+
+
+def unframed_reset(me, seen) -> Reset:
+    head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {seen.id}\r\n{PROOF}: x\r\n\r\n"
+    return Reset(head.encode() + b"half a bo")
+
+
+def rubbish(me, seen) -> bytes:
+    return b"Content-Length is not HTTP\r\n\r\n"
+
+
+WRONG = [foreign, without_proof, encoded, truncated, unframed_reset, rubbish]
+
+
+class TestWrongBytes:
+    @pytest.mark.parametrize("answer", WRONG)
+    def test_none_reaches_a_caller_and_a_safe_request_is_sent_again(self, system, answer):
+        """A caller got somebody else's answer, or half of one, as a success.
+
+        The searcher's bytes were framed well enough to be read, but belonged to another request,
+        lacked the proof, or ended with a reset.
+        """
+        system.backend("desk", "i-1", zone="zone-a", answer=answer)
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk"))
+        reply = system.instance().ask("/get/x")
+        assert reply.status == 200
+        assert reply.headers[PROOF] == "i-2.r1.200"
+
+    @pytest.mark.parametrize("answer", [*WRONG, lambda me, seen: Cut()])
+    def test_a_request_that_may_run_once_is_not_sent_again(self, system, answer):
+        """A booking was run twice.
+
+        Its first searcher ran it and its answer was spoilt; the instance took that for a failure
+        and sent it to a second searcher.
+        """
+        one = system.backend("desk", "i-1", zone="zone-a", answer=answer)
+        two = system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = system.instance().ask("/get/x", method="POST", body=b"book")
+        assert len(one.seen) == 1
+        assert not two.seen
+        assert reply.status == 502
+
+    def test_bytes_after_a_whole_answer_condemn_the_connection(self, system):
+        """The second caller got the first one's second answer.
+
+        The searcher sent an extra reply right behind the first. It was read when the next request
+        on that connection was waiting for its own.
+        """
+        system.backend("desk", "i-1", answer=lambda me, seen: me.success(seen) * 2)
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        for number in range(5):
+            reply = instance.ask("/get/x", request_id=f"r{number}")
+            assert reply.headers[REQUEST_ID] == f"r{number}"
+            assert reply.headers[PROOF] == f"i-1.r{number}.200"
+
+    def test_an_answer_without_length_ends_with_its_connection(self, system):
+        def unframed(me, seen):
+            head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {seen.id}\r\n{PROOF}: x\r\n\r\n"
+            return head.encode() + b"whole body"
+
+        system.backend("desk", "i-1", answer=unframed)
+        system.configure(1, forward_route("desk"))
+        reply = system.instance().ask("/get/x")
+        assert (reply.status, reply.data) == (200, b"whole body")
+
+
+class TestRefusals:
+    def test_a_refused_booking_goes_to_another_searcher(self, system):
+        one = system.backend("desk", "i-1", zone="zone-a", answer=lambda me, seen: me.refusal(seen))
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = system.instance().ask("/get/x", method="POST", body=b"book")
+        assert len(one.seen) == 1
+        assert reply.headers[PROOF] == "i-2.r1.200"
+
+    def test_when_all_refuse_the_caller_learns_that_it_was_not_run(self, system):
+        for name in ("i-1", "i-2"):
+            system.backend("desk", name, answer=lambda me, seen: me.refusal(seen))
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = system.instance().ask("/get/x", method="POST", body=b"book")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+
+    def test_an_address_that_another_searcher_took_is_left(self, system):
+        """Requests failed for seconds after a searcher was replaced.
+
+        Its address had gone to a searcher of another service, which answered 421 to each.
+        """
+        system.backend("desk", "i-1", zone="zone-a", answer=lambda me, s: me.refusal(s, 421))
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        assert instance.ask("/get/x").headers[PROOF] == "i-2.r1.200"
+
+
+class TestTimes:
+    def test_a_searcher_gets_what_is_left_of_the_callers_time(self, system):
+        backend = system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk", timeoutMs=700))
+        instance = system.instance()
+        instance.ask("/get/x", time_left=5000)
+        instance.ask("/get/x", time_left=300)
+        assert 500 < backend.seen[0].time_left <= 700
+        assert 200 < backend.seen[1].time_left <= 300
+
+    def test_a_caller_is_answered_by_the_routes_timeout(self, system):
+        system.backend("desk", "i-1", answer=lambda me, seen: Hang())
+        system.configure(1, forward_route("desk", type="unsafe", timeoutMs=300))
+        began = time.monotonic()
+        reply = system.instance().ask("/get/x", method="POST", body=b"book")
+        assert reply.status == 504
+        assert time.monotonic() - began < 5.0
+
+    def test_a_caller_that_leaves_ends_the_searchers_work(self, system):
+        import socket
+
+        backend = system.backend("desk", "i-1", answer=lambda me, seen: Hang())
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        caller = socket.create_connection(("127.0.0.1", instance.front))
+        caller.sendall(b"GET /get/x HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        wait_for(lambda: backend.seen, "the request arrives")
+        assert not backend.closed
+        caller.close()
+        wait_for(lambda: backend.closed, "the searcher's connection is closed")
+
+
+class TestLeaving:
+    def test_a_draining_searcher_gets_nothing_new(self, system):
+        one = system.backend("desk", "i-1", zone="zone-a")
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        assert instance.ask("/get/x").headers[PROOF] == "i-1.r1.200"
+        system.store.put("servers", "i-1", one.entry(state="draining"))
+        wait_for(lambda: instance.ask("/get/x").headers[PROOF] == "i-2.r1.200", "the other is used")
+        count = len(one.seen)
+        for _ in range(5):
+            instance.ask("/get/x")
+        assert len(one.seen) == count
+
+    def test_an_entry_by_another_writer_leaves_the_others_in_use(self, system):
+        system.backend("desk", "i-1")
+        system.store.put("servers", "i-bad", {"service": "desk", "addr": 7})
+        system.store.put("servers", "i-worse", "bytes")
+        system.configure(1, forward_route("desk"))
+        assert system.instance().ask("/get/x").status == 200
+
+
+class TestConnections:
+    def test_they_are_kept_between_requests(self, system):
+        backend = system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        for _ in range(5):
+            assert instance.ask("/get/x").status == 200
+        assert backend.connections == 1
+
+    def test_a_searcher_that_refuses_connections_is_left(self, system):
+        dead = system.backend("desk", "i-1", zone="zone-a")
+        dead.__exit__()
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, search_route(["desk"]))
+        reply = system.instance().ask("/find/x")
+        assert reply.status == 200
+        assert reply.headers["X-Limpethollow-Part-Stamps"] == "i-2.r1.200"
--- /dev/null
+++ b/tests/unit/engine/test_budgets.py
@@ -0,0 +1,64 @@
+"""The bound on repeated sends holds in every sliding window, over all instances."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limpethollow_policy.process.sendbudgets import SendBudget
+
+WINDOW, RATIO, SLACK = 10.0, 0.2, 56.0
+
+
+class TestSendBudget:
+    def test_slack_allows_repeats_without_requests_and_then_ends(self):
+        budget = SendBudget(RATIO, SLACK, WINDOW)
+        allowed = sum(budget.take("s", 1.0) for _ in range(200))
+        assert 40 <= allowed <= SLACK
+
+    def test_hedges_leave_a_part_for_retries(self):
+        budget = SendBudget(RATIO, SLACK, WINDOW)
+        hedges = sum(budget.take("s", 1.0, reserve=0.25) for _ in range(200))
+        retries = sum(budget.take("s", 1.0) for _ in range(200))
+        assert hedges > 0
+        assert retries >= 0.2 * SLACK
+
+    def test_the_budget_comes_back_after_the_window(self):
+        budget = SendBudget(RATIO, SLACK, WINDOW)
+        while budget.take("s", 1.0):
+            pass
+        assert not budget.take("s", 10.0)
+        assert budget.take("s", 1.0 + WINDOW + 1.0)
+
+    def test_services_have_budgets_of_their_own(self):
+        budget = SendBudget(RATIO, SLACK, WINDOW)
+        while budget.take("a", 1.0):
+            pass
+        assert budget.take("b", 1.0)
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(seed=st.integers(0, 10_000), instances=st.integers(1, 12))
+    def test_no_window_over_all_instances_exceeds_the_bound(self, seed, instances):
+        """Every instance repeats whenever it may, and none hears of the others.
+
+        Requests come in bursts and pauses, unevenly among the instances. In each window the
+        repeats of all together stay within the ratio of the window's requests and the slack.
+        """
+        rng = Random(seed)
+        budgets = [SendBudget(RATIO, SLACK, WINDOW) for _ in range(instances)]
+        for budget in budgets:
+            budget.share_among(instances)
+        requests, repeats = [], []
+        now = 0.0
+        for _ in range(1500):
+            now += rng.expovariate(rng.choice((20.0, 100.0)))
+            budget = rng.choice(budgets)
+            budget.request("s", now)
+            requests.append(now)
+            while rng.random() < 0.7 and budget.take("s", now):
+                repeats.append(now)
+        for end in repeats:
+            begin = end - WINDOW
+            extra = sum(begin < at <= end for at in repeats)
+            asked = sum(begin < at <= end for at in requests)
+            assert extra <= RATIO * asked + SLACK
