--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -10,10 +10,9 @@
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
 
-# What the way to the caller and back takes off the objective, in seconds: two trips of 3 ms, two
-# more where the connection was opened for this request, and the merge.
-WAY_BACK = 0.016
-CONNECT_BACK = 0.008
+# What the request's way here, the merge and the answer's way back take off the objective, in
+# seconds: two trips of 3 ms, a timer that fires late, and 2 ms of processor time.
+WAY_BACK = 0.014
 # Most shards of one search that get a second send, as a share. Where more are late, the instance or
 # the whole service is slow, and second sends would only add to that.
 _MOST_HEDGED = 0.5
@@ -83,8 +82,8 @@
                 tries.start()
 
     def _patience(self, route: Route) -> float:
-        way_back = WAY_BACK + (CONNECT_BACK if self._exchange.is_first else 0.0)
-        return max(route.objective - way_back, route.objective / 2)
+        """Return for how many seconds after its arrival the search waits for all shards."""
+        return max(route.objective - WAY_BACK - self._outgoing.spent, route.objective / 2)
 
     def _part_done(self, tries: Tries) -> None:
         self._pending -= 1
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -37,6 +37,7 @@
         body: The request's body.
         request_id: The caller's id for the request; None where it sent none.
         deadline: Monotonic second after which nobody waits for an answer.
+        spent: Seconds that the caller had waited when it sent the request.
         route: The route.
         timings: The route's timings.
         is_head: Whether the method is HEAD.
@@ -46,6 +47,7 @@
     body: bytes
     request_id: bytes | None
     deadline: float
+    spent: float
     route: Route
     timings: RouteTimings
     is_head: bool
@@ -54,6 +56,8 @@
     def of(cls, request: Request, route: Route, deadline: float, dispatch: Dispatch) -> "Outgoing":
         """Prepare a caller's request to be sent on."""
         names = dispatch.names
+        timings = dispatch.timings(route)
+        stated = request.header(names.time_left)
         own = frozenset({names.time_left, names.expected_searcher})
         headers = end_to_end(request.headers, own)
         if request.body or find_header(request.headers, b"content-length") is not None:
@@ -63,8 +67,9 @@
             request.body,
             request.header(names.request_id),
             deadline,
+            0.0 if stated is None else timings.patience.spent(int(stated) / 1000),
             route,
-            dispatch.timings(route),
+            timings,
             request.method == b"HEAD",
         )
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -29,6 +29,38 @@
             self.value -= self.value * _STEP * (1.0 - self._share)
 
 
+class CallerPatience:
+    """Learns how long a route's callers wait in all, and so how long one has waited already.
+
+    A caller states what is left of its time, not what it began with. Most requests come on open
+    connections at the first try and state nearly all of it; so the greatest value of late is what
+    callers begin with, and the difference to it has passed on connects and earlier tries. The
+    objective counts from the caller's start: without this, an answer to a request that needed a
+    connect came some 8 ms after the objective.
+    """
+
+    __slots__ = ("_greatest", "_next_greatest", "_requests")
+
+    # Requests after which a greatest value that was not seen again is forgotten, as when callers
+    # were given less time.
+    _MEMORY = 64
+
+    def __init__(self) -> None:
+        self._greatest = 0.0
+        self._next_greatest = 0.0
+        self._requests = 0
+
+    def spent(self, left: float) -> float:
+        """Take in the seconds that a caller has left; return those that have passed for it."""
+        self._requests += 1
+        self._next_greatest = max(self._next_greatest, left)
+        if self._requests >= self._MEMORY:
+            self._greatest, self._next_greatest = self._next_greatest, 0.0
+            self._requests = 0
+        self._greatest = max(self._greatest, left)
+        return self._greatest - left
+
+
 class RouteTimings:
     """Times of one route's calls to searchers.
 
@@ -36,7 +68,7 @@
         objective: The route's objective in seconds, from which the first estimates come.
     """
 
-    __slots__ = ("_late", "_objective", "_usual")
+    __slots__ = ("_late", "_objective", "_usual", "patience")
 
     # First estimates as shares of the objective, from the users' sheets: mean work is 0.1 to 0.25
     # of the objective.
@@ -50,6 +82,7 @@
 
     def __init__(self, objective: float) -> None:
         self._objective = objective
+        self.patience = CallerPatience()
         self._usual = RunningQuantile(0.5, objective * self._USUAL_START)
         self._late = RunningQuantile(self._LATE_QUANTILE, objective * self._LATE_START)
 
--- a/tests/unit/engine/test_timings.py
+++ b/tests/unit/engine/test_timings.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from limpethollow_policy.process.timings import RouteTimings, RunningQuantile
+from limpethollow_policy.process.timings import CallerPatience, RouteTimings, RunningQuantile
 
 
 class TestRunningQuantile:
@@ -24,3 +24,18 @@
             timings.add(0.08)
         assert fast == 0.1 * RouteTimings._EARLIEST_HEDGE
         assert timings.hedge_delay == 0.1 * RouteTimings._LATEST_HEDGE
+
+
+class TestCallerPatience:
+    def test_time_spent_on_connects_and_earlier_tries_is_told(self):
+        patience = CallerPatience()
+        assert patience.spent(0.8) == 0.0
+        assert round(patience.spent(0.792), 3) == 0.008
+        assert round(patience.spent(0.6), 3) == 0.2
+
+    def test_callers_that_were_given_less_time_are_learnt(self):
+        patience = CallerPatience()
+        patience.spent(1.5)
+        for _ in range(150):
+            spent = patience.spent(0.8)
+        assert spent == 0.0
