--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -0,0 +1,89 @@
+"""One link to another instance: frames both ways over a websocket."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from websockets.exceptions import ConnectionClosed
+
+from limpethollow_node.engine.connection.clients import set_probes
+from limpethollow_node.engine.frames import AnyFrame, Frame, decode_frame, encode_frame
+from limpethollow_wire.limits import MAX_FRAME_BYTES
+
+# Frames that may wait for a peer that doesn't read; a link with more is given up.
+_MAX_WAITING = 512
+# Options of every link: no compression, since frames are small, and no pings of the library's own,
+# since heartbeats carry more than a sign of life.
+LINK_OPTIONS = {
+    "compression": None,
+    "ping_interval": None,
+    "max_size": MAX_FRAME_BYTES,
+    "close_timeout": 0.5,
+}
+
+
+class PeerLink:
+    """A link, from its first frame to its end.
+
+    Args:
+        socket: The open websocket.
+        on_frame: Called with this link and each frame.
+        now: When the link was opened, in monotonic seconds.
+    """
+
+    __slots__ = ("_on_frame", "_outbox", "_socket", "heard_at", "incarnation", "name", "ready")
+
+    def __init__(
+        self, socket, on_frame: Callable[["PeerLink", AnyFrame], None], now: float
+    ) -> None:
+        self._socket = socket
+        self._on_frame = on_frame
+        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(_MAX_WAITING)
+        self.name: str | None = None
+        self.incarnation = 0
+        self.ready = False
+        self.heard_at = now
+        set_probes(socket.transport.get_extra_info("socket"))
+
+    @property
+    def host(self) -> str:
+        """Return the other end's IP address."""
+        return self._socket.remote_address[0]
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame; never waits."""
+        self.send_encoded(encode_frame(frame))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a frame that is encoded already."""
+        try:
+            self._outbox.put_nowait(data)
+        except asyncio.QueueFull:
+            self.close()
+
+    async def run(self) -> None:
+        """Read and write frames until the link ends.
+
+        Raises:
+            BadRequest: The peer sent something that is no frame.
+        """
+        writer = asyncio.create_task(self._write())
+        loop = asyncio.get_running_loop()
+        try:
+            async for data in self._socket:
+                self.heard_at = loop.time()
+                self._on_frame(self, decode_frame(data))
+        except (ConnectionClosed, OSError):
+            return
+        finally:
+            writer.cancel()
+            self.close()
+
+    def close(self) -> None:
+        """End the link at once."""
+        self._socket.transport.abort()
+
+    async def _write(self) -> None:
+        with contextlib.suppress(ConnectionClosed, OSError):
+            while True:
+                await self._socket.send(await self._outbox.get())
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -0,0 +1,197 @@
+"""What instances say to each other: CBOR frames over websockets."""
+
+from typing import Any
+
+import msgspec
+
+from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.version.routes import RoutingVersion
+from limpethollow_wire.codecs import convert, from_cbor, to_cbor
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all frames."""
+
+
+class Hello(Frame, frozen=True, tag="hello"):
+    """First frame on a link, both ways.
+
+    Attributes:
+        name: Name of the instance.
+        incarnation: Start of its process.
+        version: Number of its configuration version; -1 where it knows none.
+        searchers: Revision up to which it knows the searchers.
+        instances: Revision up to which it knows the instances.
+    """
+
+    name: str
+    incarnation: int
+    version: int
+    searchers: int
+    instances: int
+
+
+class Heartbeat(Frame, frozen=True, tag="beat"):
+    """Said twice a second.
+
+    Attributes:
+        ready: Whether callers may use the instance.
+        follows: Whether it watches the store itself and nothing stands in the way.
+        version: Number of its configuration version; -1 where it knows none.
+    """
+
+    ready: bool
+    follows: bool
+    version: int
+
+
+class Heard(Frame, frozen=True, tag="heard"):
+    """The ready instances that the sender hears itself; said when that changes."""
+
+    names: list[str]
+
+
+class Leaving(Frame, frozen=True, tag="leaving"):
+    """The sender takes no new callers."""
+
+
+class VersionNews(Frame, frozen=True, tag="version"):
+    """A configuration version, whole."""
+
+    version: RoutingVersion
+
+
+class SearcherNews(Frame, frozen=True, tag="searchers"):
+    """Searchers that changed after one revision, up to another.
+
+    Attributes:
+        base: Revision after which the changes happened; None where all searchers are told.
+        revision: Revision up to which they are told.
+        put: Searchers that came or changed.
+        gone: Ids of searchers that went.
+    """
+
+    base: int | None
+    revision: int
+    put: list[Searcher]
+    gone: list[str]
+
+
+class InstanceNews(Frame, frozen=True, tag="instances"):
+    """Instances that changed; as `SearcherNews`."""
+
+    base: int | None
+    revision: int
+    put: list[Instance]
+    gone: list[str]
+
+
+class SendAll(Frame, frozen=True, tag="all"):
+    """Asks for all searchers and instances: changes in between were missed."""
+
+
+class BatchCall(Frame, frozen=True, tag="call"):
+    """One call of a batch.
+
+    Attributes:
+        shard: Service that holds the shard.
+        searcher: Id of the searcher to ask.
+    """
+
+    shard: str
+    searcher: str
+
+
+class Batch(Frame, frozen=True, tag="batch"):
+    """Asks the receiver to make calls to searchers near it, each once.
+
+    Attributes:
+        number: The sender's number for the batch.
+        head: Request line and headers, without those that differ between calls.
+        body: The request's body.
+        request_id: The caller's id for the request; empty where it sent none.
+        calls: The calls.
+        top: Records wanted.
+        left: Seconds until nobody waits for the answer.
+        merge_for: Seconds for which results are collected; later ones are told one by one.
+    """
+
+    number: int
+    head: bytes
+    body: bytes
+    request_id: bytes
+    calls: list[BatchCall]
+    top: int
+    left: float
+    merge_for: float
+
+
+class BatchParts(Frame, frozen=True, tag="parts"):
+    """Parts of a batch, merged.
+
+    Attributes:
+        number: The batch.
+        proofs: Signatures by shard.
+        records: The greatest records of these parts together, as one body.
+    """
+
+    number: int
+    proofs: dict[str, bytes]
+    records: bytes
+
+
+class BatchFailure(Frame, frozen=True, tag="failure"):
+    """One call of a batch that gave no part.
+
+    Attributes:
+        number: The batch.
+        shard: The call's shard.
+        verdict: Value of the verdict on it.
+        reason: What happened.
+    """
+
+    number: int
+    shard: str
+    verdict: str
+    reason: str
+
+
+class BatchEnd(Frame, frozen=True, tag="end"):
+    """Nobody waits for the rest of a batch.
+
+    Attributes:
+        number: The batch.
+    """
+
+    number: int
+
+
+AnyFrame = (
+    Hello
+    | Heartbeat
+    | Heard
+    | Leaving
+    | VersionNews
+    | SearcherNews
+    | InstanceNews
+    | SendAll
+    | Batch
+    | BatchParts
+    | BatchFailure
+    | BatchEnd
+)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    return to_cbor(frame)
+
+
+def decode_frame(data: Any) -> AnyFrame:
+    """Decode a frame.
+
+    Raises:
+        BadRequest: The bytes are no frame.
+    """
+    return convert(from_cbor(data), AnyFrame)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -0,0 +1,146 @@
+"""Everything this instance believes of the world: configuration, searchers, instances."""
+
+from collections.abc import Callable
+
+from limpethollow_node.engine.frames import InstanceNews, SearcherNews
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.engine import Engine
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.process import events
+from limpethollow_policy.process.beliefs import Belief
+from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.removals import RemovalDelay
+from limpethollow_policy.version.routes import RoutingVersion
+
+OnVersion = Callable[[RoutingVersion], None]
+
+
+class Catalog:
+    """Takes news from the store or from peers, and puts it to use.
+
+    A searcher whose entry is gone is kept as a last choice for a moment: entries lapse while the
+    store is away, and come back with the searcher's next heartbeat.
+
+    Args:
+        dispatch: Gets the searchers.
+        engine: Gets the versions.
+        roster: Gets the instances.
+        removal_delay: Seconds for which a searcher whose entry is gone is kept.
+        on_version: Called with each version that comes into force.
+    """
+
+    __slots__ = (
+        "_dispatch",
+        "_engine",
+        "_on_version",
+        "_removals",
+        "_roster",
+        "instances",
+        "searchers",
+    )
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        engine: Engine,
+        roster: Roster,
+        removal_delay: float,
+        on_version: OnVersion,
+    ) -> None:
+        self._dispatch = dispatch
+        self._engine = engine
+        self._roster = roster
+        self._removals = RemovalDelay(removal_delay)
+        self._on_version = on_version
+        self.searchers: Belief[Searcher] = Belief(self._searcher_put, self._searcher_gone)
+        self.instances: Belief[Instance] = Belief(roster.put, roster.remove)
+
+    @property
+    def version_number(self) -> int:
+        """Return the number of the version in force, -1 where none is."""
+        current = self._engine.versions.current
+        return -1 if current is None else current.number
+
+    @property
+    def version(self) -> RoutingVersion | None:
+        """Return the version in force."""
+        return self._engine.versions.current
+
+    def offer_version(self, version: RoutingVersion, source: str) -> bool:
+        """Put a version in force where it is newer; return whether it was."""
+        if not self._engine.use_version(version):
+            return False
+        events.VERSION_IN_FORCE.log(
+            version=version.number, routes=len(version.routes), source=source
+        )
+        self._on_version(version)
+        return True
+
+    def confirm_version(self) -> None:
+        """Note that the store has no newer version now."""
+        self._engine.versions.confirm(self._engine.now())
+
+    def all_searchers(self) -> SearcherNews:
+        """Return all searchers as news."""
+        return SearcherNews(None, self.searchers.revision, list(self.searchers.items.values()), [])
+
+    def all_instances(self) -> InstanceNews:
+        """Return all instances as news."""
+        return InstanceNews(None, self.instances.revision, list(self.instances.items.values()), [])
+
+    def take_searchers(self, news: SearcherNews) -> bool:
+        """Take in news of searchers; return False where all are needed."""
+        put = {searcher.id: searcher for searcher in news.put}
+        if news.base is None:
+            return self.searchers.replace(put, news.revision)
+        return self.searchers.change(news.base, news.revision, put, news.gone)
+
+    def take_instances(self, news: InstanceNews) -> bool:
+        """Take in news of instances; return False where all are needed."""
+        put = {instance.name: instance for instance in news.put}
+        if news.base is None:
+            return self.instances.replace(put, news.revision)
+        return self.instances.change(news.base, news.revision, put, news.gone)
+
+    def tick(self, now: float) -> None:
+        """Remove the searchers whose time is over; called a few times a second."""
+        for searcher_id in self._removals.due(now):
+            self._remove(searcher_id, "delay_over")
+
+    def _searcher_put(self, searcher: Searcher) -> None:
+        self._removals.cancel(searcher.id)
+        known = self._dispatch.fleet.get(searcher.id)
+        self._dispatch.put_searcher(searcher)
+        if known is None or known.searcher.draining != searcher.draining:
+            events.SEARCHER_LISTED.log(
+                searcher=searcher.id,
+                service=searcher.service,
+                state="draining" if searcher.draining else "ready",
+                revision=self.searchers.revision,
+            )
+
+    def _searcher_gone(self, searcher_id: str) -> None:
+        replica = self._dispatch.fleet.get(searcher_id)
+        if replica is None:
+            return
+        if replica.searcher.draining:
+            self._remove(searcher_id, "entry_gone")
+            return
+        replica.unlisted = True
+        self._removals.add(searcher_id, self._dispatch.loop.time())
+        events.SEARCHER_LISTED.log(
+            searcher=searcher_id,
+            service=replica.searcher.service,
+            state="unlisted",
+            revision=self.searchers.revision,
+        )
+
+    def _remove(self, searcher_id: str, why: str) -> None:
+        replica = self._dispatch.fleet.get(searcher_id)
+        if replica is None:
+            return
+        self._dispatch.remove_searcher(searcher_id)
+        events.SEARCHER_LISTED.log(
+            searcher=searcher_id, service=replica.searcher.service, state="gone", reason=why
+        )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -77,7 +77,7 @@
     def share_among(self, instances: int) -> None:
         """Divide connections and repeated sends among this many instances."""
         self._instances = max(1, instances)
-        self.budget.share_among(instances)
+        self.budget.share_among(instances, self.loop.time())
         self._apply_limits()
 
     def put_searcher(self, searcher: Searcher) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -3,6 +3,7 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Request
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.searches import Search
@@ -25,13 +26,17 @@
     Args:
         dispatch: What the process shares.
         versions: The version in force.
+
+    Attributes:
+        desk: Sends calls to instances near the searchers; set before the first request.
     """
 
-    __slots__ = ("_dispatch", "_turns", "versions")
+    __slots__ = ("_dispatch", "_turns", "desk", "versions")
 
     def __init__(self, dispatch: Dispatch, versions: VersionBook) -> None:
         self._dispatch = dispatch
         self._turns = WeightedTurns()
+        self.desk: BatchDesk | None = None
         self.versions = versions
 
     def use_version(self, version: RoutingVersion) -> bool:
@@ -59,19 +64,19 @@
         version = self.versions.current
         if version is None:
             raise Unavailable("No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION)
-        route = self._route(version, request)
+        route = self._route(request)
         deadline = self._deadline(exchange, route)
         outgoing = Outgoing.of(request, route, deadline, self._dispatch)
         log = self._logger(exchange, route)
         if route.shards:
-            Search(self._dispatch, exchange, outgoing, log).start()
+            Search(self._dispatch, exchange, outgoing, self.desk, log).start()
         else:
             service = self._turns.next(route)
             Forward(self._dispatch, exchange, outgoing, service, log).start()
 
-    def _route(self, version: RoutingVersion, request: Request) -> Route:
+    def _route(self, request: Request) -> Route:
         host = (request.header(b"host") or b"").decode("latin-1")
-        route = version.find(host, request.path)
+        route = self.versions.find(host, request.path)
         if route is not None:
             return route
         if self.versions.age(self._dispatch.loop.time()) > KNOWN_FOR:
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -0,0 +1,322 @@
+"""Links to other instances: who lives, what is new, and calls made near their searchers."""
+
+import asyncio
+from collections.abc import Callable, Collection
+from random import Random
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import WebSocketException
+
+from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS, PeerLink
+from limpethollow_node.engine.frames import (
+    AnyFrame,
+    Frame,
+    Heard,
+    Heartbeat,
+    Hello,
+    InstanceNews,
+    Leaving,
+    SearcherNews,
+    SendAll,
+    VersionNews,
+    encode_frame,
+)
+from limpethollow_node.engine.process.catalog import Catalog
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.process import events
+from limpethollow_policy.process.backoffs import Backoff
+from limpethollow_policy.process.topology import WatchRole, links_of, relays_among
+from limpethollow_wire.exceptions import LimpethollowError
+
+HEARTBEAT_SECONDS = 0.5
+# Two heartbeats may be late, and some delay of a busy instance comes on top.
+SILENCE_SECONDS = 1.3
+# An instance that was just listed has this long to link up before it counts as silent.
+_LINK_UP_SECONDS = 2.5
+_CONNECT_SECONDS = 1.0
+_FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 1.5
+
+_HANDLERS: dict[type[Frame], str] = {}
+
+
+def _handles(kind: type[Frame]) -> Callable:
+    """Register a method as the handler of a kind of frame."""
+
+    def register(method: Callable) -> Callable:
+        _HANDLERS[kind] = method.__name__
+        return method
+
+    return register
+
+
+class Peers:
+    """Keeps the links, says what is new, and tells the roster who is silent.
+
+    Args:
+        roster: The instances.
+        catalog: What this instance believes.
+        role: Decides whether this instance watches the store.
+        rng: Source for jitter.
+        seeds: IP addresses of instances that may be tried before any is known from the store.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        catalog: Catalog,
+        role: WatchRole,
+        rng: Random,
+        seeds: Collection[str] = (),
+    ) -> None:
+        self._roster = roster
+        self._catalog = catalog
+        self._role = role
+        self._rng = rng
+        self._seeds = frozenset(seeds)
+        self._links: dict[str, PeerLink] = {}
+        self._dialling: dict[str, asyncio.Task[None]] = {}
+        self._backoffs: dict[str, Backoff] = {}
+        self._heard_by: dict[str, frozenset[str]] = {}
+        self._told_heard: frozenset[str] = frozenset()
+        self._suspects: dict[str, float] = {}
+        self._known_since: dict[str, float] = {}
+        self._turn = 0
+        self.follows = False
+        self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
+        self.on_link_lost: Callable[[PeerLink], None] = lambda link: None
+
+    async def serve(self, host: str, port: int) -> None:
+        """Accept links; returns once the listener is bound."""
+        self._server = await serve(self._accepted, host, port, **LINK_OPTIONS)
+
+    async def run(self) -> None:
+        """Keep links up and say heartbeats until cancelled."""
+        while True:
+            try:
+                self._beat(asyncio.get_running_loop().time())
+            except Exception as error:
+                events.DEFECT.log(where="peers", error=repr(error), exc_info=True)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def broadcast(self, frame: Frame) -> None:
+        """Send a frame to all linked instances."""
+        data = encode_frame(frame)
+        for link in self._links.values():
+            link.send_encoded(data)
+
+    def leave(self) -> None:
+        """Tell all linked instances that this one takes no new callers."""
+        self.broadcast(Leaving())
+
+    def near(self, failure_domain: str, now: float) -> PeerLink | None:
+        """Return a link to a live instance in a failure domain, each in turn."""
+        found = [
+            link
+            for instance in self._roster.live
+            if instance.failure_domain == failure_domain
+            and (link := self._links.get(instance.name)) is not None
+            and now - link.heard_at < SILENCE_SECONDS
+            and now >= self._suspects.get(instance.name, 0.0)
+        ]
+        if not found:
+            return None
+        self._turn += 1
+        return found[self._turn % len(found)]
+
+    def suspect(self, link: PeerLink, until: float) -> None:
+        """Give an instance no batches for a while: it was silent on one."""
+        if link.name is not None:
+            self._suspects[link.name] = until
+
+    def _beat(self, now: float) -> None:
+        self._drop_silent(now)
+        self._dial_missing()
+        self.broadcast(Heartbeat(self._roster.ready, self.follows, self._catalog.version_number))
+        heard = self._heard(now)
+        if heard != self._told_heard and self._roster.own.name in relays_among(self._roster.live):
+            self._told_heard = heard
+            self.broadcast(Heard(sorted(heard)))
+        self._judge_silence(now, heard)
+
+    def _drop_silent(self, now: float) -> None:
+        for link in list(self._links.values()):
+            if now - link.heard_at > SILENCE_SECONDS:
+                link.close()
+
+    def _heard(self, now: float) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, link in self._links.items()
+            if link.ready and now - link.heard_at < SILENCE_SECONDS
+        )
+
+    def _judge_silence(self, now: float, heard: frozenset[str]) -> None:
+        """Tell the roster who is silent.
+
+        An instance that hears nobody can't tell whether the others are gone or it is cut off
+        itself. It counts all as live: callers that still reach it shall be told of them.
+        """
+        reported = heard.union(*self._heard_by.values())
+        for instance in self._roster.known:
+            name = instance.name
+            since = self._known_since.setdefault(name, now)
+            young = now - since < _LINK_UP_SECONDS
+            lives = not self._links or name in reported or (young and name not in self._links)
+            self._roster.set_silent(name, not lives)
+
+    def _dial_missing(self) -> None:
+        own = self._roster.own
+        known = {instance.name: instance for instance in self._roster.known}
+        for name in links_of(own, list(known.values())):
+            other = known[name]
+            # Where both want the link, the one with the smaller name dials, so that there is one.
+            both = own.name in links_of(other, list(known.values()))
+            if name not in self._links and (own.name < name or not both):
+                self._dial(other.peer_address)
+        if len(known) == 1:
+            port = own.peer_address.rpartition(":")[2]
+            for host in self._seeds:
+                if f"{host}:{port}" != own.peer_address:
+                    self._dial(f"{host}:{port}")
+
+    def _dial(self, address: str) -> None:
+        if address not in self._dialling:
+            task = asyncio.create_task(self._connect(address))
+            self._dialling[address] = task
+            task.add_done_callback(lambda _: self._dialling.pop(address, None))
+
+    async def _connect(self, address: str) -> None:
+        backoff = self._backoffs.setdefault(
+            address, Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._rng)
+        )
+        try:
+            socket = await connect(
+                f"ws://{address}/", open_timeout=_CONNECT_SECONDS, proxy=None, **LINK_OPTIONS
+            )
+        except (OSError, WebSocketException) as error:
+            events.SEED_FAILED.log(address=address, error=repr(error))
+            await asyncio.sleep(backoff.failed())
+            return
+        backoff.succeeded()
+        await self._run(socket)
+
+    async def _accepted(self, socket) -> None:
+        host = socket.remote_address[0]
+        if not self._is_member(host):
+            events.PEER_REFUSED.log(address=host, reason="not a member")
+            socket.transport.abort()
+            return
+        await self._run(socket)
+
+    def _is_member(self, host: str) -> bool:
+        """Return whether an address belongs to an instance that the store lists.
+
+        Anyone who reaches the internal ports could otherwise hand out configurations. Before any
+        instance is known, as after a restart with the store away, the seeds are believed.
+        """
+        known = {i.peer_address.rpartition(":")[0] for i in self._roster.known}
+        return host in known or host in self._seeds
+
+    async def _run(self, socket) -> None:
+        loop = asyncio.get_running_loop()
+        link = PeerLink(socket, self._on_frame, loop.time())
+        own = self._roster.own
+        catalog = self._catalog
+        link.send(
+            Hello(
+                own.name,
+                own.incarnation,
+                catalog.version_number,
+                catalog.searchers.revision,
+                catalog.instances.revision,
+            )
+        )
+        try:
+            await link.run()
+        except LimpethollowError as error:
+            events.PEER_REFUSED.log(address=link.host, reason=str(error))
+        finally:
+            self._lost(link)
+
+    def _lost(self, link: PeerLink) -> None:
+        if link.name is None or self._links.get(link.name) is not link:
+            return
+        del self._links[link.name]
+        self._heard_by.pop(link.name, None)
+        events.PEER_LOST.log(peer=link.name)
+        self.on_link_lost(link)
+        self._judge_silence(asyncio.get_running_loop().time(), self._heard_now())
+
+    def _heard_now(self) -> frozenset[str]:
+        return self._heard(asyncio.get_running_loop().time())
+
+    def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
+        handler = _HANDLERS.get(type(frame))
+        if handler is not None:
+            getattr(self, handler)(link, frame)
+        else:
+            self.on_batch_frame(link, frame)
+
+    @_handles(Hello)
+    def _on_hello(self, link: PeerLink, hello: Hello) -> None:
+        link.name, link.incarnation = hello.name, hello.incarnation
+        older = self._links.get(hello.name)
+        self._links[hello.name] = link
+        self._known_since[hello.name] = link.heard_at
+        if older is not None:
+            older.close()
+        events.PEER_LINKED.log(peer=hello.name, version=hello.version)
+        self._tell_missing(link, hello)
+        link.send(Heartbeat(self._roster.ready, self.follows, self._catalog.version_number))
+        if self._told_heard:
+            link.send(Heard(sorted(self._told_heard)))
+
+    def _tell_missing(self, link: PeerLink, hello: Hello) -> None:
+        catalog = self._catalog
+        if catalog.version is not None and catalog.version_number > hello.version:
+            link.send(VersionNews(catalog.version))
+        if catalog.searchers.changed_at > hello.searchers:
+            link.send(catalog.all_searchers())
+        if catalog.instances.changed_at > hello.instances:
+            link.send(catalog.all_instances())
+
+    @_handles(Heartbeat)
+    def _on_heartbeat(self, link: PeerLink, beat: Heartbeat) -> None:
+        link.ready = beat.ready
+        if beat.follows:
+            self._role.relay_heard(link.heard_at)
+            if beat.version == self._catalog.version_number:
+                self._catalog.confirm_version()
+        if link.name is not None and beat.ready:
+            self._roster.set_silent(link.name, False)
+
+    @_handles(Heard)
+    def _on_heard(self, link: PeerLink, heard: Heard) -> None:
+        if link.name is not None:
+            self._heard_by[link.name] = frozenset(heard.names)
+
+    @_handles(Leaving)
+    def _on_leaving(self, link: PeerLink, _: Leaving) -> None:
+        if link.name is not None:
+            link.ready = False
+            self._roster.set_leaving(link.name)
+
+    @_handles(VersionNews)
+    def _on_version(self, link: PeerLink, news: VersionNews) -> None:
+        self._catalog.offer_version(news.version, link.name or link.host)
+
+    @_handles(SearcherNews)
+    def _on_searchers(self, link: PeerLink, news: SearcherNews) -> None:
+        if not self._catalog.take_searchers(news) and news.base is not None:
+            link.send(SendAll())
+
+    @_handles(InstanceNews)
+    def _on_instances(self, link: PeerLink, news: InstanceNews) -> None:
+        if not self._catalog.take_instances(news) and news.base is not None:
+            link.send(SendAll())
+
+    @_handles(SendAll)
+    def _on_send_all(self, link: PeerLink, _: SendAll) -> None:
+        link.send(self._catalog.all_searchers())
+        link.send(self._catalog.all_instances())
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -0,0 +1,333 @@
+"""Calls of a search that an instance near the searchers makes and merges.
+
+Most of a search's bytes are its parts. Asked from another failure domain one by one, each crosses
+with its headers; an instance there sends back one frame with the greatest records of all of them.
+"""
+
+import itertools
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from limpethollow_node.engine.connection.peerlinks import PeerLink
+from limpethollow_node.engine.frames import (
+    AnyFrame,
+    Batch,
+    BatchEnd,
+    BatchFailure,
+    BatchParts,
+)
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.request.judging import judge, render_call
+from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.request.records import merge_records, split_records
+from limpethollow_policy.request.verdicts import Verdict
+
+# Fewer calls than this to one failure domain are made directly: a frame there and back costs about
+# as much as one call.
+LEAST_CALLS = 2
+# An instance that let a batch wait until the hedges get no batches for this long. Its heartbeats
+# stop within that time if it is frozen or cut off.
+SUSPECT_SECONDS = 1.5
+
+OnParts = Callable[[dict[str, bytes], bytes], None]
+OnFailure = Callable[[str, Verdict, str], None]
+
+
+class Links(Protocol):
+    """The links to other instances, as far as batches need them.
+
+    Attributes:
+        on_batch_frame: Called with link and frame for each frame of a batch.
+        on_link_lost: Called with each link that was lost.
+    """
+
+    on_batch_frame: Callable[[PeerLink, AnyFrame], None]
+    on_link_lost: Callable[[PeerLink], None]
+
+    def near(self, failure_domain: str, now: float) -> PeerLink | None:
+        """Return a link to a live instance in a failure domain."""
+
+    def suspect(self, link: PeerLink, until: float) -> None:
+        """Give an instance no batches for a while."""
+
+
+class SentBatch:
+    """A batch that another instance works on for this one.
+
+    Args:
+        link: Link to that instance.
+        frame: What it was asked.
+        on_parts: Called with signatures by shard, and their merged records.
+        on_failure: Called with shard, verdict and reason of a call that gave no part.
+        forget: Called with the batch's number once nothing more will come.
+    """
+
+    __slots__ = ("_forget", "_frame", "_on_failure", "_on_parts", "_open", "link")
+
+    def __init__(
+        self,
+        link: PeerLink,
+        frame: Batch,
+        on_parts: OnParts,
+        on_failure: OnFailure,
+        forget: Callable[[int], None],
+    ) -> None:
+        self.link = link
+        self._frame = frame
+        self._on_parts = on_parts
+        self._on_failure = on_failure
+        self._forget = forget
+        self._open = {call.shard for call in frame.calls}
+
+    @property
+    def silent(self) -> bool:
+        """Return whether nothing has come of the batch yet."""
+        return len(self._open) == len(self._frame.calls)
+
+    def drop(self, shard: str) -> None:
+        """Want nothing more of one shard; the last one ends the batch."""
+        if shard not in self._open:
+            return
+        self._open.discard(shard)
+        if not self._open:
+            self._forget(self._frame.number)
+            self.link.send(BatchEnd(self._frame.number))
+
+    def parts(self, frame: BatchParts) -> None:
+        """Take in merged parts."""
+        self._settle(frame.proofs)
+        self._on_parts(frame.proofs, frame.records)
+
+    def failure(self, frame: BatchFailure) -> None:
+        """Take in a failed call."""
+        if frame.shard in self._open:
+            self._settle([frame.shard])
+            self._on_failure(frame.shard, Verdict(frame.verdict), frame.reason)
+
+    def lost(self) -> None:
+        """Take in that the link is gone: the open calls may have run."""
+        shards, self._open = self._open, set()
+        self._forget(self._frame.number)
+        for shard in shards:
+            self._on_failure(shard, Verdict.UNKNOWN, "link_lost")
+
+    def _settle(self, shards: Iterable[str]) -> None:
+        self._open.difference_update(shards)
+        if not self._open:
+            self._forget(self._frame.number)
+
+
+class BatchDesk:
+    """Sends batches to peers, and works on those that peers send.
+
+    Args:
+        dispatch: What the process shares.
+        links: The links to other instances.
+    """
+
+    __slots__ = ("_dispatch", "_links", "_numbers", "_sent", "_worked")
+
+    def __init__(self, dispatch: Dispatch, links: Links) -> None:
+        self._dispatch = dispatch
+        self._links = links
+        self._numbers = itertools.count(1)
+        self._sent: dict[int, SentBatch] = {}
+        self._worked: dict[tuple[int, int], _Worked] = {}
+        links.on_batch_frame = self._on_frame
+        links.on_link_lost = self._on_link_lost
+
+    def link_near(self, failure_domain: str) -> PeerLink | None:
+        """Return a link to an instance in a failure domain; None where there is none now."""
+        return self._links.near(failure_domain, self._dispatch.loop.time())
+
+    def send(
+        self,
+        link: PeerLink,
+        batch: Callable[[int], Batch],
+        on_parts: OnParts,
+        on_failure: OnFailure,
+    ) -> SentBatch:
+        """Ask an instance to work on a batch.
+
+        Args:
+            link: Link to it.
+            batch: Returns the frame for a number.
+            on_parts: As for `SentBatch`.
+            on_failure: As for `SentBatch`.
+        """
+        frame = batch(next(self._numbers))
+        sent = SentBatch(link, frame, on_parts, on_failure, self._forget)
+        self._sent[frame.number] = sent
+        link.send(frame)
+        self._dispatch.metrics.count("batches_sent")
+        return sent
+
+    def suspect(self, sent: SentBatch) -> None:
+        """Give the instance of a batch no more for a while: it was silent until the hedges."""
+        self._dispatch.metrics.count("batches_silent")
+        self._links.suspect(sent.link, self._dispatch.loop.time() + SUSPECT_SECONDS)
+
+    def _forget(self, number: int) -> None:
+        self._sent.pop(number, None)
+
+    def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
+        if isinstance(frame, Batch):
+            key = (id(link), frame.number)
+            worked = _Worked(self._dispatch, link, frame, lambda: self._worked.pop(key, None))
+            self._worked[key] = worked
+            worked.start()
+        elif isinstance(frame, BatchEnd):
+            worked = self._worked.pop((id(link), frame.number), None)
+            if worked is not None:
+                worked.end()
+        elif isinstance(frame, BatchParts | BatchFailure):
+            self._on_result(frame)
+
+    def _on_result(self, frame: BatchParts | BatchFailure) -> None:
+        sent = self._sent.get(frame.number)
+        if sent is None:
+            return
+        if isinstance(frame, BatchParts):
+            sent.parts(frame)
+        else:
+            sent.failure(frame)
+
+    def _on_link_lost(self, link: PeerLink) -> None:
+        for sent in [sent for sent in self._sent.values() if sent.link is link]:
+            sent.lost()
+        for key in [key for key in self._worked if key[0] == id(link)]:
+            self._worked.pop(key).end()
+
+
+class _Worked:
+    """A batch that this instance works on for another one."""
+
+    __slots__ = (
+        "_batch",
+        "_calls",
+        "_deadline",
+        "_dispatch",
+        "_done",
+        "_link",
+        "_merging",
+        "_proofs",
+        "_records",
+        "_timer",
+    )
+
+    def __init__(
+        self, dispatch: Dispatch, link: PeerLink, batch: Batch, done: Callable[[], None]
+    ) -> None:
+        self._dispatch = dispatch
+        self._link = link
+        self._batch = batch
+        self._done = done
+        self._calls: dict[str, _WorkedCall] = {}
+        self._proofs: dict[str, bytes] = {}
+        self._records: list[list[bytes]] = []
+        self._merging = True
+        self._deadline = dispatch.loop.time() + batch.left
+        self._timer = None
+
+    def start(self) -> None:
+        """Make the calls."""
+        loop = self._dispatch.loop
+        self._timer = loop.call_later(self._batch.merge_for, self._merge_over)
+        for call in self._batch.calls:
+            replica = self._dispatch.fleet.get(call.searcher)
+            if replica is None or replica.searcher.draining:
+                self._fail(call.shard, Verdict.NOT_SENT, "searcher_not_known_there")
+                continue
+            self._calls[call.shard] = _WorkedCall(self, call.shard, replica)
+        for call in list(self._calls.values()):
+            self._dispatch.send(call.replica, call.call)
+        self._check()
+
+    def end(self) -> None:
+        """Stop: nobody waits for the rest."""
+        self._timer.cancel()
+        for call in self._calls.values():
+            call.drop()
+        self._calls.clear()
+
+    def replied(self, shard: str, reply: Reply) -> None:
+        """Take in a searcher's reply."""
+        names = self._dispatch.names
+        verdict = judge(reply, names, self._batch.request_id or None)
+        del self._calls[shard]
+        if verdict is Verdict.ANSWERED:
+            self._proofs[shard] = reply.header(names.proof)
+            self._records.append(split_records(reply.body, self._batch.top))
+        else:
+            self._fail(shard, verdict, f"status_{reply.status}")
+        self._check()
+
+    def broke(self, shard: str, error: Exception, *, sent: bool) -> None:
+        """Take in that a call gets no reply."""
+        del self._calls[shard]
+        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, repr(error))
+        self._check()
+
+    def render(self, searcher: str) -> bytes:
+        """Return the request to one searcher."""
+        left = self._deadline - self._dispatch.loop.time()
+        names = self._dispatch.names
+        return render_call(self._batch.head, self._batch.body, names, searcher, left)
+
+    def _fail(self, shard: str, verdict: Verdict, reason: str) -> None:
+        self._link.send(BatchFailure(self._batch.number, shard, verdict.value, reason))
+
+    def _merge_over(self) -> None:
+        self._merging = False
+        self._tell()
+
+    def _check(self) -> None:
+        if not self._calls or not self._merging:
+            self._tell()
+        if not self._calls:
+            self._timer.cancel()
+            self._done()
+
+    def _tell(self) -> None:
+        if self._proofs:
+            body = merge_records(self._records, self._batch.top)
+            self._link.send(BatchParts(self._batch.number, self._proofs, body))
+            self._proofs, self._records = {}, []
+
+
+class _WorkedCall:
+    """One call of a batch that this instance works on."""
+
+    __slots__ = ("_number", "_shard", "_worked", "call", "replica")
+
+    _numbers = itertools.count(-1, -1)
+
+    def __init__(self, worked: _Worked, shard: str, replica: Replica) -> None:
+        self._worked = worked
+        self._shard = shard
+        # Negative, so that it differs from the numbers of this instance's own sends.
+        self._number = next(self._numbers)
+        self.replica = replica
+        replica.in_flight[self._number] = worked._dispatch.loop.time()
+        self.call = Call(
+            lambda: worked.render(replica.searcher.id),
+            self._replied,
+            self._broke,
+            fresh=False,
+            head=False,
+        )
+
+    def drop(self) -> None:
+        """Want no reply any more."""
+        self.replica.in_flight.pop(self._number, None)
+        self.call.abandon()
+
+    def _replied(self, reply: Reply) -> None:
+        self.replica.in_flight.pop(self._number, None)
+        self._worked.replied(self._shard, reply)
+
+    def _broke(self, error: Exception) -> None:
+        self.replica.in_flight.pop(self._number, None)
+        self._worked.broke(self._shard, error, sent=self.call.sent)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -0,0 +1,123 @@
+"""Gathers the first sends of a search by failure domain, for instances there to make."""
+
+from collections.abc import Callable
+
+from limpethollow_node.engine.connection.peerlinks import PeerLink
+from limpethollow_node.engine.frames import Batch, BatchCall
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.batches import LEAST_CALLS, BatchDesk, SentBatch
+from limpethollow_node.engine.request.tries import Outgoing, Send
+from limpethollow_policy.request.records import split_records
+from limpethollow_policy.request.verdicts import Verdict
+
+# Part of the time until the hedges that an instance may collect results. The rest is for its frame
+# to come back, so that only shards that are late there are hedged here.
+_MERGE_SHARE = 0.85
+
+OnGroup = Callable[[dict[str, bytes], list[bytes]], None]
+
+
+class ShardCarrier:
+    """Takes over first sends to other failure domains and hands them on in batches.
+
+    Args:
+        dispatch: What the process shares.
+        desk: Sends batches.
+        outgoing: The request.
+        on_group: Called with signatures by shard and their merged records, before the sends of
+            these shards are told.
+    """
+
+    __slots__ = ("_by_domain", "_desk", "_dispatch", "_on_group", "_outgoing", "_sends", "_sent")
+
+    def __init__(
+        self, dispatch: Dispatch, desk: BatchDesk, outgoing: Outgoing, on_group: OnGroup
+    ) -> None:
+        self._dispatch = dispatch
+        self._desk = desk
+        self._outgoing = outgoing
+        self._on_group = on_group
+        self._by_domain: dict[str, list[Send]] = {}
+        self._sends: dict[str, Send] = {}
+        self._sent: list[SentBatch] = []
+
+    def offer(self, send: Send) -> bool:
+        """Take over a send to another failure domain."""
+        domain = send.replica.searcher.failure_domain
+        if domain == self._dispatch.fleet.own_domain:
+            return False
+        self._by_domain.setdefault(domain, []).append(send)
+        return True
+
+    def flush(self) -> None:
+        """Hand the sends on; where too few go to a failure domain, make them here."""
+        for domain, sends in self._by_domain.items():
+            sends = [send for send in sends if send.is_open]
+            link = self._desk.link_near(domain) if len(sends) >= LEAST_CALLS else None
+            if link is not None:
+                self._send_batch(link, sends)
+                continue
+            for send in sends:
+                self._dispatch.send(send.replica, send.call)
+        self._by_domain.clear()
+
+    def suspect_silent(self) -> None:
+        """Tell the desk which instances have not said anything until the hedges."""
+        for sent in self._sent:
+            if sent.silent:
+                self._desk.suspect(sent)
+
+    def _send_batch(self, link: PeerLink, sends: list[Send]) -> None:
+        outgoing = self._outgoing
+        now = self._dispatch.loop.time()
+        calls = [BatchCall(send.service, send.replica.searcher.id) for send in sends]
+
+        def frame(number: int) -> Batch:
+            return Batch(
+                number,
+                outgoing.head,
+                outgoing.body,
+                outgoing.request_id or b"",
+                calls,
+                outgoing.route.top,
+                outgoing.deadline - now,
+                outgoing.timings.hedge_delay * _MERGE_SHARE,
+            )
+
+        sent = self._desk.send(link, frame, self._parts_came, self._call_failed)
+        self._sent.append(sent)
+        for send in sends:
+            self._sends[send.service] = send
+            send.call = CarriedCall(sent, send.service)
+
+    def _parts_came(self, proofs: dict[str, bytes], body: bytes) -> None:
+        self._on_group(proofs, split_records(body, self._outgoing.route.top))
+        for shard, proof in proofs.items():
+            self._sends[shard].carried(proof)
+
+    def _call_failed(self, shard: str, verdict: Verdict, reason: str) -> None:
+        self._sends[shard].carried_failed(verdict, reason)
+
+
+class CarriedCall:
+    """Stands for a call that another instance makes.
+
+    Args:
+        sent: The batch that the call is part of.
+        shard: The call's shard.
+    """
+
+    __slots__ = ("_sent", "_shard", "sent")
+
+    def __init__(self, sent: SentBatch, shard: str) -> None:
+        self._sent = sent
+        self._shard = shard
+        self.sent = True
+
+    def abandon(self) -> None:
+        """Want no reply any more."""
+        self._sent.drop(self._shard)
+
+    def cancel(self) -> None:
+        """Want no reply any more."""
+        self._sent.drop(self._shard)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
@@ -0,0 +1,41 @@
+"""Reads a searcher's reply for what it proves."""
+
+from limpethollow_node.engine.messages import HeaderNames, Reply
+from limpethollow_policy.request.verdicts import Verdict, judge_reply
+
+
+def judge(reply: Reply, names: HeaderNames, request_id: bytes | None) -> Verdict:
+    """Return what a whole reply proves about a request.
+
+    Args:
+        reply: The reply.
+        names: The deployment's header names.
+        request_id: Id of the request; None where the caller sent none.
+    """
+    return judge_reply(
+        reply.status,
+        own_id=request_id is None or reply.header(names.request_id) == request_id,
+        proved=reply.header(names.proof) is not None,
+        not_run=reply.header(names.not_run) is not None,
+        encoded=reply.header(b"content-encoding") is not None,
+    )
+
+
+def render_call(head: bytes, body: bytes, names: HeaderNames, searcher: str, left: float) -> bytes:
+    """Return a request to one searcher as it is sent.
+
+    Args:
+        head: Request line and headers, without those that differ between calls.
+        body: The request's body.
+        names: The deployment's header names.
+        searcher: Id of the searcher, the only one that shall run the request.
+        left: Seconds until nobody waits for the reply.
+    """
+    return b"%b%b: %b\r\n%b: %d\r\n\r\n%b" % (
+        head,
+        names.expected_searcher,
+        searcher.encode(),
+        names.time_left,
+        max(1, int(left * 1000)),
+        body,
+    )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -3,8 +3,11 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.request.batches import BatchDesk
+from limpethollow_node.engine.request.carriers import ShardCarrier
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.records import merge_records, split_records
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_policy.version.routes import Route
@@ -29,10 +32,12 @@
         dispatch: What the process shares.
         exchange: The caller's request.
         outgoing: The request as it is sent on.
+        desk: Sends calls to instances near the searchers.
         log: Where the outcome is told.
     """
 
     __slots__ = (
+        "_carrier",
         "_dispatch",
         "_exchange",
         "_failed",
@@ -40,22 +45,25 @@
         "_outgoing",
         "_parts",
         "_pending",
-        "_proofs",
-        "_records",
         "_timers",
         "_tries",
         "_waits_for_floor",
     )
 
     def __init__(
-        self, dispatch: Dispatch, exchange: Exchange, outgoing: Outgoing, log: OutcomeLog
+        self,
+        dispatch: Dispatch,
+        exchange: Exchange,
+        outgoing: Outgoing,
+        desk: BatchDesk,
+        log: OutcomeLog,
     ) -> None:
         self._dispatch = dispatch
         self._exchange = exchange
         self._outgoing = outgoing
         self._log = log
-        self._proofs: list[bytes] = []
-        self._records: list[list[bytes]] = []
+        self._parts = PartSet()
+        self._carrier = ShardCarrier(dispatch, desk, outgoing, self._group_came)
         self._pending = len(outgoing.route.shards)
         self._failed = 0
         self._waits_for_floor = False
@@ -75,11 +83,13 @@
             loop.call_at(self._outgoing.deadline, self._deadline_passed),
         ]
         self._tries = [
-            Tries(self._dispatch, self._outgoing, shard, self._part_done) for shard in route.shards
+            Tries(self._dispatch, self._outgoing, shard, self._part_done, self._carrier)
+            for shard in route.shards
         ]
         for tries in self._tries:
             if self._timers:
                 tries.start()
+        self._carrier.flush()
 
     def _patience(self, route: Route) -> float:
         """Return for how many seconds after its arrival the search waits for all shards."""
@@ -87,30 +97,32 @@
 
     def _part_done(self, tries: Tries) -> None:
         self._pending -= 1
-        if tries.verdict is Verdict.ANSWERED:
-            proof = tries.reply.header(self._dispatch.names.proof)
-            if proof in self._proofs:
-                # The same signature for two shards can't be: the caller would refuse the answer.
-                self._failed += 1
-            else:
-                self._proofs.append(proof)
-                self._records.append(split_records(tries.reply.body, self._outgoing.route.top))
-        else:
+        if tries.verdict is not Verdict.ANSWERED:
             self._failed += 1
+        elif tries.service not in self._parts:
+            proof = tries.reply.header(self._dispatch.names.proof)
+            records = split_records(tries.reply.body, self._outgoing.route.top)
+            # The same signature for two shards can't be: the caller would refuse the answer.
+            self._failed += not self._parts.add(tries.service, proof, records)
         self._decide()
 
+    def _group_came(self, proofs: dict[str, bytes], records: list[bytes]) -> None:
+        if self._timers:
+            self._parts.add_group(proofs, records)
+
     def _decide(self) -> None:
         route = self._outgoing.route
         if not self._timers:
             return
         settled = self._pending == 0 or self._waits_for_floor
-        if settled and len(self._proofs) >= route.least_parts:
+        if settled and len(self._parts) >= route.least_parts:
             self._answer("late" if self._waits_for_floor else "whole")
             return
-        if len(self._proofs) + self._pending < route.least_parts:
+        if len(self._parts) + self._pending < route.least_parts:
             self._give_up()
 
     def _hedge(self) -> None:
+        self._carrier.suspect_silent()
         late = [tries for tries in self._tries if not tries.done]
         if len(late) > max(2, _MOST_HEDGED * len(self._tries)):
             self._dispatch.metrics.count("hedges_withheld")
@@ -119,7 +131,7 @@
             tries.hedge()
 
     def _objective_near(self) -> None:
-        if len(self._proofs) >= self._outgoing.route.least_parts:
+        if len(self._parts) >= self._outgoing.route.least_parts:
             self._answer("objective")
         else:
             self._waits_for_floor = True
@@ -142,15 +154,15 @@
     def _answer(self, reason: str) -> None:
         names = self._dispatch.names
         route = self._outgoing.route
-        missing = len(route.shards) - len(self._proofs)
+        missing = len(route.shards) - len(self._parts)
         headers = [
-            (names.part_proofs, b", ".join(self._proofs)),
+            (names.part_proofs, b", ".join(self._parts.proofs())),
             (names.missing_parts, b"%d" % missing),
             (b"Content-Type", b"application/octet-stream"),
         ]
         if self._outgoing.request_id is not None:
             headers.append((names.request_id, self._outgoing.request_id))
-        reply = Reply(200, headers, merge_records(self._records, route.top))
+        reply = Reply(200, headers, merge_records(self._parts.records(), route.top))
         self._stop()
         self._exchange.respond(reply)
         self._report(200, reason)
@@ -173,16 +185,15 @@
                 tries.abandon()
 
     def _report(self, status: int, reason: str) -> None:
-        answered = {t.service for t in self._tries if t.verdict is Verdict.ANSWERED}
         self._log(
             Outcome(
                 status,
                 reason,
-                parts=len(self._proofs),
+                parts=len(self._parts),
                 missing=[
                     f"{t.service}:{t.reason or 'late'}:{'+'.join(t.searchers)}"
                     for t in self._tries
-                    if t.service not in answered
+                    if t.service not in self._parts
                 ],
                 hedges=sum(t.hedges for t in self._tries),
             )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from limpethollow_node.engine.messages import (
     Reply,
@@ -12,10 +13,11 @@
 )
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.request.judging import judge, render_call
 from limpethollow_node.process import events
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.timings import RouteTimings
-from limpethollow_policy.request.verdicts import Verdict, judge_reply
+from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_policy.version.routes import Route
 
 # Sends beyond a route's attempts that searchers refused or never got; those have not run. Two more
@@ -74,6 +76,13 @@
         )
 
 
+class Carrier(Protocol):
+    """Takes first sends that another instance may make as part of a batch."""
+
+    def offer(self, send: "Send") -> bool:
+        """Return whether the send is taken over; it is made directly otherwise."""
+
+
 class Tries:
     """Sends a request to one searcher of a service, and to others as far as that is safe.
 
@@ -82,10 +91,12 @@
         outgoing: The request.
         service: The service.
         on_done: Called once with this object when the outcome is settled.
+        carrier: May take over the first send.
     """
 
     __slots__ = (
         "_arrivals",
+        "_carrier",
         "_dispatch",
         "_on_done",
         "_outgoing",
@@ -107,11 +118,13 @@
         outgoing: Outgoing,
         service: str,
         on_done: Callable[["Tries"], None],
+        carrier: Carrier | None = None,
     ) -> None:
+        self._carrier = carrier
         self._dispatch = dispatch
         self._outgoing = outgoing
         self._on_done = on_done
-        self._under_way: list[_Send] = []
+        self._under_way: list[Send] = []
         self._used: list[str] = []
         self._sends = 0
         self._runs = 0
@@ -173,13 +186,15 @@
         replica = dispatch.fleet.choose(self.service, now, usual, self._used)
         if replica is None:
             return False
-        send = _Send(self, replica, now)
+        send = Send(self, replica, now)
         self._under_way.append(send)
         self._used.append(replica.searcher.id)
         self._sends += 1
         self._runs += 1
         self._arrivals += 1
-        dispatch.send(replica, send.call)
+        carrier, self._carrier = self._carrier, None
+        if carrier is None or not carrier.offer(send):
+            dispatch.send(replica, send.call)
         return True
 
     def _choose_other(self) -> Replica | None:
@@ -202,7 +217,8 @@
             self._dispatch.metrics.count("repeats_refused")
         return taken
 
-    def _ended(self, send: "_Send", verdict: Verdict, reply: Reply | None, reason: str) -> None:
+    def ended(self, send: "Send", verdict: Verdict, reply: Reply | None, reason: str) -> None:
+        """Take in the end of a send."""
         self._under_way.remove(send)
         if verdict is Verdict.NOT_SENT:
             self._arrivals -= 1
@@ -231,9 +247,7 @@
         if not self._under_way:
             self._finish(verdict, reason)
 
-    def _log_failed(
-        self, send: "_Send", verdict: Verdict, reply: Reply | None, reason: str
-    ) -> None:
+    def _log_failed(self, send: "Send", verdict: Verdict, reply: Reply | None, reason: str) -> None:
         replica = send.replica
         events.SEND_FAILED.log(
             request=_text(self._outgoing.request_id),
@@ -259,7 +273,7 @@
             send.drop(at_once=at_once)
         self._under_way.clear()
 
-    def _withdraw(self, send: "_Send") -> None:
+    def _withdraw(self, send: "Send") -> None:
         self._under_way.remove(send)
         send.drop(at_once=True)
         self._sends -= 1
@@ -267,7 +281,7 @@
         self._arrivals -= 1
 
 
-class _Send:
+class Send:
     """One send to one searcher."""
 
     __slots__ = ("_number", "_tries", "call", "replica", "started")
@@ -275,10 +289,10 @@
     _count = 0
 
     def __init__(self, tries: Tries, replica: Replica, now: float) -> None:
-        _Send._count += 1
+        Send._count += 1
         outgoing = tries._outgoing
         self._tries = tries
-        self._number = _Send._count
+        self._number = Send._count
         self.replica = replica
         self.started = now
         replica.in_flight[self._number] = now
@@ -290,6 +304,33 @@
             head=outgoing.is_head,
         )
 
+    @property
+    def service(self) -> str:
+        """Return the service that the send is for."""
+        return self._tries.service
+
+    def carried(self, proof: bytes) -> None:
+        """Take in that another instance made the send and has the answer.
+
+        Args:
+            proof: The searcher's signature under the answer.
+        """
+        if self.is_open:
+            self._observe(Verdict.ANSWERED, 200)
+            reply = Reply(200, [(self._tries._dispatch.names.proof, proof)])
+            self._tries.ended(self, Verdict.ANSWERED, reply, "")
+
+    def carried_failed(self, verdict: Verdict, reason: str) -> None:
+        """Take in that another instance made the send and has no answer."""
+        if self.is_open:
+            self._observe(verdict, 0)
+            self._tries.ended(self, verdict, None, reason)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether an outcome of the send still counts."""
+        return self in self._tries._under_way
+
     def drop(self, *, at_once: bool) -> None:
         """Give up on the send; it took at least this long."""
         now = self._now()
@@ -307,34 +348,19 @@
     def _render(self) -> bytes:
         outgoing = self._tries._outgoing
         names = self._tries._dispatch.names
-        left = max(1, int((outgoing.deadline - self._now()) * 1000))
-        return b"%b%b: %b\r\n%b: %d\r\n\r\n%b" % (
-            outgoing.head,
-            names.expected_searcher,
-            self.replica.searcher.id.encode(),
-            names.time_left,
-            left,
-            outgoing.body,
-        )
+        left = outgoing.deadline - self._now()
+        return render_call(outgoing.head, outgoing.body, names, self.replica.searcher.id, left)
 
     def _replied(self, reply: Reply) -> None:
         names = self._tries._dispatch.names
-        wanted = self._tries._outgoing.request_id
-        own_id = wanted is None or reply.header(names.request_id) == wanted
-        verdict = judge_reply(
-            reply.status,
-            own_id=own_id,
-            proved=reply.header(names.proof) is not None,
-            not_run=reply.header(names.not_run) is not None,
-            encoded=reply.header(b"content-encoding") is not None,
-        )
+        verdict = judge(reply, names, self._tries._outgoing.request_id)
         self._observe(verdict, reply.status)
-        self._tries._ended(self, verdict, reply, f"status_{reply.status}" if own_id else "wrong_id")
+        self._tries.ended(self, verdict, reply, f"status_{reply.status}")
 
     def _failed(self, error: Exception) -> None:
         verdict = Verdict.UNKNOWN if self.call.sent else Verdict.NOT_SENT
         self._observe(verdict, 0)
-        self._tries._ended(self, verdict, None, repr(error))
+        self._tries.ended(self, verdict, None, repr(error))
 
     def _observe(self, verdict: Verdict, status: int) -> None:
         now = self._now()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/checks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/checks.py
@@ -27,20 +27,22 @@
         on_back: Called when the store answers again.
     """
 
-    __slots__ = ("_kind", "_name", "_on_back", "_store", "away")
+    __slots__ = ("_kind", "_name", "_on_back", "_store", "active", "away")
 
     def __init__(self, store: Store, kind: str, name: str, on_back: Callable[[], None]) -> None:
         self._store = store
         self._kind = kind
         self._name = name
         self._on_back = on_back
+        self.active = True
         self.away = False
 
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            await self._check()
+            if self.active:
+                await self._check()
 
     async def _check(self) -> None:
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import (
     CallerLimits,
     Route,
@@ -142,6 +143,21 @@
     )
 
 
+def decode_instance(stored: StoredObject) -> Instance:
+    """Decode an instance's own object.
+
+    Raises:
+        BadRequest: It can't be read.
+    """
+    try:
+        instance = msgspec.convert(stored.spec, Instance)
+    except msgspec.ValidationError as error:
+        raise BadRequest(f"The instance {stored.name!r} can't be read: {error}.") from None
+    if instance.name != stored.name:
+        raise BadRequest(f"The instance {stored.name!r} calls itself {instance.name!r}.")
+    return instance
+
+
 def _decode_route(route: _Route) -> Route:
     targets: tuple[WeightedService, ...] = ()
     if route.traffic_split:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -3,8 +3,8 @@
 import asyncio
 from random import Random
 
-from limpethollow_node.platform.codec import StoredObject
-from limpethollow_node.platform.store import Changes, HistoryGone, Listing, Store
+from limpethollow_node.platform.sinks import Sink
+from limpethollow_node.platform.store import Changes, HistoryGone, Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.backoffs import Backoff
 from limpethollow_wire.exceptions import LimpethollowError
@@ -17,23 +17,13 @@
 _FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 1.0
 
 
-class Sink:
-    """Takes what a feed reads; a subclass for each kind."""
-
-    def listed(self, objects: list[StoredObject]) -> None:
-        """Take all objects of the kind; what is not among them is gone."""
-        raise NotImplementedError
-
-    def changed(self, stored: StoredObject, *, deleted: bool) -> None:
-        """Take one change."""
-        raise NotImplementedError
-
-    def confirmed(self) -> None:
-        """Note that all changes up to now are known."""
-
-
 class Feed:
-    """Lists a kind once and watches it from then on.
+    """Lists a kind once, and watches it from then on while it is told to.
+
+    Usage:
+        feed = Feed(store, "servers", sink, rng)
+        feed.set_active(True)
+        await feed.run()
 
     Args:
         store: The store.
@@ -44,15 +34,16 @@
     """
 
     __slots__ = (
+        "_active",
         "_backoff",
         "_gather",
         "_kind",
+        "_must_list",
         "_rng",
         "_sink",
         "_store",
         "_watch",
         "connected",
-        "revision",
     )
 
     def __init__(
@@ -65,8 +56,23 @@
         self._gather = gather
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._watch: asyncio.Future[Changes] | None = None
+        self._must_list = False
+        self._active = asyncio.Event()
         self.connected = False
-        self.revision: int | None = None
+
+    @property
+    def listed(self) -> bool:
+        """Return whether the kind was read once, here or by a peer."""
+        return self._sink.revision is not None
+
+    def set_active(self, active: bool) -> None:
+        """Watch from now on, or leave that to others whose news come by links."""
+        if active:
+            self._active.set()
+        elif self._active.is_set():
+            self._active.clear()
+            self.connected = False
+            self.restart()
 
     def restart(self) -> None:
         """Watch anew from the same revision: the store may have forgotten the watch."""
@@ -76,10 +82,11 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
+            await self._active.wait()
             try:
                 await self._step()
             except HistoryGone:
-                self.revision = None
+                self._must_list = True
                 await asyncio.sleep(self._rng.random() * _FIRST_PAUSE)
             except LimpethollowError as error:
                 self._lost(error)
@@ -90,19 +97,18 @@
                 await asyncio.sleep(self._backoff.failed())
 
     async def _step(self) -> None:
-        if self.revision is None:
+        revision = self._sink.revision
+        if self._must_list or revision is None:
             listing = await self._store.list(self._kind)
             self._found()
-            self._take(listing)
+            self._sink.listed(listing.objects, listing.revision)
+            self._must_list = False
             return
-        changes = await self._changes(self.revision)
+        changes = await self._changes(revision)
         if changes is None:
             return
         self._found()
-        for change in changes.events:
-            self._sink.changed(change.object, deleted=change.deleted)
-        self.revision = changes.revision
-        self._sink.confirmed()
+        self._sink.changed(changes.events, changes.revision)
         if changes.events and self._gather:
             await asyncio.sleep(self._gather)
 
@@ -115,18 +121,13 @@
             watch.cancel()
         return None if watch.cancelled() else watch.result()
 
-    def _take(self, listing: Listing) -> None:
-        self._sink.listed(listing.objects)
-        self.revision = listing.revision
-        self._sink.confirmed()
-
     def _found(self) -> None:
         self._backoff.succeeded()
         if not self.connected:
             self.connected = True
-            events.FEED_BACK.log(kind=self._kind, revision=self.revision)
+            events.FEED_BACK.log(kind=self._kind, revision=self._sink.revision)
 
     def _lost(self, error: LimpethollowError) -> None:
         if self.connected:
-            events.FEED_LOST.log(kind=self._kind, revision=self.revision, error=str(error))
+            events.FEED_LOST.log(kind=self._kind, revision=self._sink.revision, error=str(error))
         self.connected = False
--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -1,13 +1,10 @@
-"""This instance's own object in the store, and those of the others."""
+"""This instance's own object in the store, written when it joins and removed when it leaves."""
 
 import asyncio
 from random import Random
 
 import msgspec
 
-from limpethollow_node.engine.process.roster import Roster
-from limpethollow_node.platform.codec import StoredObject
-from limpethollow_node.platform.feeds import Sink
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.backoffs import Backoff
@@ -20,38 +17,6 @@
 _LEAVE_SECONDS = 0.5
 
 
-class InstanceSink(Sink):
-    """Keeps the roster as the store lists the instances.
-
-    Args:
-        roster: The instances.
-    """
-
-    def __init__(self, roster: Roster) -> None:
-        self._roster = roster
-
-    def listed(self, objects: list[StoredObject]) -> None:
-        """Take all instances."""
-        listed = {stored.name for stored in objects}
-        for stored in objects:
-            self.changed(stored, deleted=False)
-        for instance in self._roster.known:
-            if instance.name not in listed:
-                self._roster.remove(instance.name)
-
-    def changed(self, stored: StoredObject, *, deleted: bool) -> None:
-        """Take one instance."""
-        if deleted:
-            self._roster.remove(stored.name)
-            return
-        try:
-            instance = msgspec.convert(stored.spec, Instance)
-        except msgspec.ValidationError as error:
-            events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
-            return
-        self._roster.put(instance)
-
-
 class Membership:
     """Writes this instance's own object: when it starts and when it leaves, and never between.
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -9,27 +9,31 @@
 
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.engine import Engine
+from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.platform.checks import StoreCheck
 from limpethollow_node.platform.directory import DirectoryAnswers, ReadyAnswers
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_node.platform.membership import KIND, InstanceSink, Membership
+from limpethollow_node.platform.membership import KIND, Membership
 from limpethollow_node.platform.settings import PlatformSettings, split_address
-from limpethollow_node.platform.sinks import ConfigurationSink, SearcherSink
+from limpethollow_node.platform.sinks import sinks_for
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.placements import Instance, entries_for
 from limpethollow_policy.process.sendbudgets import SendBudget
+from limpethollow_policy.process.topology import WatchRole
 from limpethollow_policy.version.routes import RoutingVersion, VersionBook
 from limpethollow_wire.exceptions import LimpethollowError
 
-# Changes of searchers that come within this many seconds cost one call to the store.
-_GATHER_SECONDS = 0.25
+# Changes of a kind that come within this many seconds cost one call to the store.
+_GATHER_SECONDS = {"servers": 0.25, "instances": 0.25}
 _TICK_SECONDS = 0.5
 
 
@@ -55,9 +59,18 @@
         self._dispatch = Dispatch(Fleet(settings.zone), budget, HEADERS, self.metrics)
         self._engine = Engine(self._dispatch, VersionBook())
         self._roster = Roster(_own_instance(settings), self._instances_changed)
+        self._catalog = Catalog(
+            self._dispatch,
+            self._engine,
+            self._roster,
+            settings.removal_delay,
+            self._version_came,
+        )
+        self._role = WatchRole(settings.node_name, self._rng)
+        self._peers = Peers(self._roster, self._catalog, self._role, self._rng, settings.seed_hosts)
+        self._engine.desk = BatchDesk(self._dispatch, self._peers)
         self._store = Store(settings.platform.addr, self.metrics)
         self._membership = Membership(self._store, self._roster.own, self._rng)
-        self._searchers = SearcherSink(self._dispatch, settings.removal_delay)
         self._servers: list[CallerServer] = []
         self._front = self._server(self._engine.handle)
         self._leaving = asyncio.Event()
@@ -82,32 +95,31 @@
         self._leaving.set()
 
     def _jobs(self) -> list:
-        store, rng = self._store, self._rng
-        configuration = ConfigurationSink(self._engine, self._version_came)
-        instances = InstanceSink(self._roster)
+        sinks = sinks_for(self._catalog, self._peers.broadcast)
         self._feeds = [
-            Feed(store, "config", configuration, rng),
-            Feed(store, "servers", self._searchers, rng, gather=_GATHER_SECONDS),
-            Feed(store, KIND, instances, rng, gather=_GATHER_SECONDS),
+            Feed(self._store, kind, sink, self._rng, gather=_GATHER_SECONDS.get(kind, 0.0))
+            for kind, sink in sinks.items()
         ]
-        check = StoreCheck(store, KIND, self._settings.node_name, self._store_is_back)
+        self._check = StoreCheck(self._store, KIND, self._settings.node_name, self._store_is_back)
+        self._choose_feeds(asyncio.get_running_loop().time())
         return [
             *(feed.run() for feed in self._feeds),
-            check.run(),
+            self._check.run(),
+            self._peers.run(),
             self._membership.join(),
             self._tick(),
         ]
 
     async def _listen(self) -> None:
         listen = self._settings.listen
-        directory = DirectoryAnswers(self._addresses_for)
         await self._front.listen(*split_address(listen.front))
-        await self._server(ReadyAnswers(lambda: self._ready).handle).listen(
-            *split_address(listen.ready)
-        )
-        await self._server(directory.handle).listen(*split_address(listen.directory))
-        port = self._settings.internal_port_range[1]
-        await self._server(self._show_metrics).listen("0.0.0.0", port)
+        ready = self._server(ReadyAnswers(lambda: self._ready).handle)
+        await ready.listen(*split_address(listen.ready))
+        directory = self._server(DirectoryAnswers(self._addresses_for).handle)
+        await directory.listen(*split_address(listen.directory))
+        first, last = self._settings.internal_port_range
+        await self._peers.serve(self._settings.ip, first)
+        await self._server(self._show_metrics).listen("0.0.0.0", last)
 
     def _store_is_back(self) -> None:
         for feed in self._feeds:
@@ -125,11 +137,24 @@
 
     def _do_tick(self, now: float) -> None:
         self._roster.ready = self._ready
-        self._searchers.tick(now)
+        self._choose_feeds(now)
+        self._catalog.tick(now)
         self._dispatch.sweep(now)
         for server in self._servers:
             server.sweep(now)
 
+    def _choose_feeds(self, now: float) -> None:
+        """Watch the store while that is this instance's role, or nobody else is heard to."""
+        # The first lists are read by each instance itself: it knows no relay yet.
+        known = all(feed.listed for feed in self._feeds)
+        watch = not known or self._role.should_watch(self._roster.live, now)
+        for feed in self._feeds:
+            feed.set_active(watch)
+        self._check.active = watch
+        self._peers.follows = (
+            watch and not self._check.away and all(feed.connected for feed in self._feeds)
+        )
+
     async def _leave(self) -> None:
         """Take no new callers, serve the open connections, and end before the platform ends us."""
         events.STOPPING.log()
@@ -139,6 +164,7 @@
         self._roster.ready = False
         for server in self._servers:
             server.leaving = True
+        self._peers.leave()
         await self._membership.leave()
         quiet_from = begun + grace * _STAY_SHARE
         while loop.time() < begun + grace * _LAST_SHARE:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -77,6 +77,7 @@
         limits: What the instance may use.
         bounds: Bounds to keep.
         platform: The store.
+        seeds: Addresses of a few instances.
     """
 
     node_name: str
@@ -88,6 +89,12 @@
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
     heartbeat_ms: float = 1200
+    seeds: tuple[str, ...] = ()
+
+    @property
+    def seed_hosts(self) -> tuple[str, ...]:
+        """Return the IP addresses of instances that may be asked before any is known."""
+        return tuple(split_address(seed)[0] for seed in self.seeds)
 
     @property
     def removal_delay(self) -> float:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -1,126 +1,162 @@
 """Where the kinds of the store end up in the product."""
 
 from collections.abc import Callable
-
-from limpethollow_node.engine.process.dispatch import Dispatch
-from limpethollow_node.engine.process.engine import Engine
-from limpethollow_node.platform.codec import StoredObject, decode_searcher, decode_version
-from limpethollow_node.platform.feeds import Sink
+from typing import Generic, TypeVar
+
+from limpethollow_node.engine.frames import Frame, InstanceNews, SearcherNews, VersionNews
+from limpethollow_node.engine.process.catalog import Catalog
+from limpethollow_node.platform.codec import (
+    StoredObject,
+    decode_instance,
+    decode_searcher,
+    decode_version,
+)
+from limpethollow_node.platform.store import Change
 from limpethollow_node.process import events
-from limpethollow_policy.process.removals import RemovalDelay
-from limpethollow_policy.version.routes import RoutingVersion
+from limpethollow_policy.process.beliefs import Belief
 from limpethollow_wire.exceptions import BadRequest
 
+T = TypeVar("T")
+Tell = Callable[[Frame], None]
+
+STORE = "store"
 CONFIGURATION_NAME = "main"
 
 
+class Sink:
+    """Takes what a feed reads; a subclass for each kind."""
+
+    @property
+    def revision(self) -> int | None:
+        """Return the revision from which the kind can be watched; None where it must be listed."""
+        raise NotImplementedError
+
+    def listed(self, objects: list[StoredObject], revision: int) -> None:
+        """Take all objects of the kind."""
+        raise NotImplementedError
+
+    def changed(self, changes: list[Change], revision: int) -> None:
+        """Take the changes up to a revision."""
+        raise NotImplementedError
+
+
 class ConfigurationSink(Sink):
-    """Puts the operator's newest configuration in force.
+    """Puts the operator's newest configuration in force and tells the peers.
 
     Args:
-        engine: The request path.
-        on_version: Called with each version that came into force.
+        catalog: Gets the versions.
+        tell: Sends a frame to the peers.
     """
 
-    def __init__(self, engine: Engine, on_version: Callable[[RoutingVersion], None]) -> None:
-        self._engine = engine
-        self._on_version = on_version
+    def __init__(self, catalog: Catalog, tell: Tell) -> None:
+        self._catalog = catalog
+        self._tell = tell
+        self._revision: int | None = None
+
+    @property
+    def revision(self) -> int | None:
+        """Return the revision from which the configuration can be watched."""
+        return self._revision
 
-    def listed(self, objects: list[StoredObject]) -> None:
+    def listed(self, objects: list[StoredObject], revision: int) -> None:
         """Take the configuration among all objects of its kind."""
         for stored in objects:
-            self.changed(stored, deleted=False)
+            self._take(stored)
+        self._revision = revision
+        self._catalog.confirm_version()
 
-    def changed(self, stored: StoredObject, *, deleted: bool) -> None:
+    def changed(self, changes: list[Change], revision: int) -> None:
         """Put a configuration in force; a deletion leaves the last one as it is."""
-        if deleted or stored.name != CONFIGURATION_NAME:
+        for change in changes:
+            if not change.deleted:
+                self._take(change.object)
+        self._revision = revision
+        self._catalog.confirm_version()
+
+    def _take(self, stored: StoredObject) -> None:
+        if stored.name != CONFIGURATION_NAME:
             return
         try:
             version = decode_version(stored)
         except BadRequest as error:
             events.RECORD_UNREADABLE.log(object=stored.name, error=str(error))
             return
-        if self._engine.use_version(version):
-            events.VERSION_IN_FORCE.log(
-                version=version.number, revision=stored.revision, routes=len(version.routes)
-            )
-            self._on_version(version)
-
-    def confirmed(self) -> None:
-        """Note that no newer configuration exists now."""
-        self._engine.versions.confirm(self._engine.now())
+        if self._catalog.offer_version(version, STORE):
+            self._tell(VersionNews(version))
 
 
-class SearcherSink(Sink):
-    """Keeps the searchers as the store lists them.
-
-    An entry that is gone is kept as a last choice for a moment: entries lapse while the store is
-    away, and come back with the searcher's next heartbeat.
+class BeliefSink(Sink, Generic[T]):
+    """Keeps a belief as the store has it, and tells the peers what changed.
 
     Args:
-        dispatch: Gets the searchers.
-        delay: Seconds for which an entry that is gone is kept.
+        belief: The belief.
+        decode: Decodes an object; raises `BadRequest` where it can't be used.
+        news: The kind of frame that tells peers.
+        tell: Sends a frame to the peers.
     """
 
-    def __init__(self, dispatch: Dispatch, delay: float) -> None:
-        self._dispatch = dispatch
-        self._removals = RemovalDelay(delay)
-
-    def listed(self, objects: list[StoredObject]) -> None:
-        """Take all entries."""
-        listed = {stored.name for stored in objects}
-        for stored in objects:
-            self.changed(stored, deleted=False)
-        for replica in list(self._dispatch.fleet):
-            if replica.searcher.id not in listed:
-                self._gone(replica.searcher.id, "not_listed")
-
-    def changed(self, stored: StoredObject, *, deleted: bool) -> None:
-        """Take one entry."""
-        if deleted:
-            self._gone(stored.name, "deleted")
+    def __init__(
+        self,
+        belief: Belief[T],
+        decode: Callable[[StoredObject], T],
+        news: type[SearcherNews] | type[InstanceNews],
+        tell: Tell,
+    ) -> None:
+        self._belief = belief
+        self._decode = decode
+        self._news = news
+        self._tell = tell
+
+    @property
+    def revision(self) -> int | None:
+        """Return the revision up to which the belief is known, from whomever."""
+        return self._belief.revision or None
+
+    def listed(self, objects: list[StoredObject], revision: int) -> None:
+        """Take all objects."""
+        items = {name: item for name, item in map(self._read, objects) if item is not None}
+        known_at = self._belief.changed_at
+        if self._belief.replace(items, revision) and self._belief.changed_at != known_at:
+            self._tell(self._news(None, revision, list(items.values()), []))
+
+    def changed(self, changes: list[Change], revision: int) -> None:
+        """Take changes."""
+        put: dict[str, T] = {}
+        gone: set[str] = set()
+        for change in changes:
+            name, item = change.object.name, None
+            if not change.deleted:
+                name, item = self._read(change.object)
+            put.pop(name, None)
+            gone.discard(name)
+            if item is None:
+                gone.add(name)
+            else:
+                put[name] = item
+        base = self._belief.changed_at
+        if revision <= self._belief.revision:
             return
+        self._belief.change(self._belief.revision, revision, put, sorted(gone))
+        if changes:
+            self._tell(self._news(base, revision, list(put.values()), sorted(gone)))
+
+    def _read(self, stored: StoredObject) -> tuple[str, T | None]:
         try:
-            searcher = decode_searcher(stored)
+            return stored.name, self._decode(stored)
         except BadRequest as error:
             events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
-            self._remove(stored.name, "unreadable")
-            return
-        self._removals.cancel(stored.name)
-        known = self._dispatch.fleet.get(stored.name)
-        self._dispatch.put_searcher(searcher)
-        if known is None or known.searcher.draining != searcher.draining:
-            events.SEARCHER_LISTED.log(
-                searcher=searcher.id,
-                service=searcher.service,
-                state="draining" if searcher.draining else "ready",
-                revision=stored.revision,
-            )
-
-    def tick(self, now: float) -> None:
-        """Remove the searchers whose time is over; called a few times a second."""
-        for searcher_id in self._removals.due(now):
-            self._remove(searcher_id, "delay_over")
-
-    def _gone(self, searcher_id: str, why: str) -> None:
-        replica = self._dispatch.fleet.get(searcher_id)
-        if replica is None:
-            return
-        if replica.searcher.draining:
-            self._remove(searcher_id, why)
-            return
-        replica.unlisted = True
-        self._removals.add(searcher_id, self._dispatch.loop.time())
-        events.SEARCHER_LISTED.log(
-            searcher=searcher_id, service=replica.searcher.service, state="unlisted", reason=why
-        )
-
-    def _remove(self, searcher_id: str, why: str) -> None:
-        self._removals.cancel(searcher_id)
-        replica = self._dispatch.fleet.get(searcher_id)
-        if replica is None:
-            return
-        self._dispatch.remove_searcher(searcher_id)
-        events.SEARCHER_LISTED.log(
-            searcher=searcher_id, service=replica.searcher.service, state="gone", reason=why
-        )
+            return stored.name, None
+
+
+def sinks_for(catalog: Catalog, tell: Tell) -> dict[str, Sink]:
+    """Return the sinks of all kinds that are followed.
+
+    Args:
+        catalog: What this instance believes.
+        tell: Sends a frame to the peers.
+    """
+    return {
+        "config": ConfigurationSink(catalog, tell),
+        "servers": BeliefSink(catalog.searchers, decode_searcher, SearcherNews, tell),
+        "instances": BeliefSink(catalog.instances, decode_instance, InstanceNews, tell),
+    }
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/beliefs.py
@@ -0,0 +1,67 @@
+"""What this instance believes of one kind of objects, at which revision of the platform's store."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Belief(Generic[T]):
+    """Objects of one kind by name, as they were at one revision of the store.
+
+    The store counts all its changes with one revision, so two sources can be compared: whatever is
+    newer wins, and nothing older is taken in after it, no matter how late it comes or from whom.
+
+    Args:
+        put: Called with each object that came or changed.
+        gone: Called with the name of each object that went.
+    """
+
+    __slots__ = ("_gone", "_put", "changed_at", "items", "revision")
+
+    def __init__(self, put: Callable[[T], None], gone: Callable[[str], None]) -> None:
+        self._put = put
+        self._gone = gone
+        self.items: dict[str, T] = {}
+        self.revision = 0
+        self.changed_at = 0
+
+    def replace(self, items: Mapping[str, T], revision: int) -> bool:
+        """Take in all objects at a revision; return whether they are not older than the belief."""
+        if revision < self.revision:
+            return False
+        gone = [name for name in self.items if name not in items]
+        changed = [name for name, item in items.items() if self.items.get(name) != item]
+        self._apply({name: items[name] for name in changed}, gone, revision)
+        return True
+
+    def change(self, base: int, revision: int, put: Mapping[str, T], gone: Iterable[str]) -> bool:
+        """Take in the changes between two revisions.
+
+        Args:
+            base: Revision after which the changes happened.
+            revision: Revision up to which they are told.
+            put: Objects that came or changed.
+            gone: Names of the objects that went.
+
+        Returns:
+            False where changes before `base` are missing here; all objects are needed then.
+        """
+        if revision <= self.revision:
+            return True
+        if base > self.revision:
+            return False
+        self._apply(put, [name for name in gone if name in self.items], revision)
+        return True
+
+    def _apply(self, put: Mapping[str, T], gone: list[str], revision: int) -> None:
+        self.revision = revision
+        if put or gone:
+            self.changed_at = revision
+        for name in gone:
+            del self.items[name]
+        self.items.update(put)
+        for name in gone:
+            self._gone(name)
+        for item in put.values():
+            self._put(item)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -148,6 +148,11 @@
     def __iter__(self) -> Iterable[Replica]:
         return iter(self._by_id.values())
 
+    @property
+    def own_domain(self) -> str:
+        """Return the failure domain of this instance."""
+        return self._own_domain
+
     def get(self, searcher_id: str) -> Replica | None:
         """Return a searcher by its id."""
         return self._by_id.get(searcher_id)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -63,8 +63,8 @@
 
     The bound holds for all instances together: a ratio of the requests for a service, and a fixed
     slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes an
-    equal part of the slack. It may be cut off from the others, so a part never grows because
-    some of them are not heard: the number of instances only counts up within a window.
+    equal part of the slack. An instance that has left still has its repeats in the window, so the
+    greatest number of instances within a window counts.
 
     Args:
         ratio: Repeats allowed for each request.
@@ -72,18 +72,24 @@
         window: Length of the sliding window in seconds.
     """
 
-    __slots__ = ("_instances", "_ratio", "_slack", "_window", "_windows")
+    __slots__ = ("_counts", "_ratio", "_slack", "_window", "_windows")
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._instances = 1
+        self._counts: list[tuple[float, int]] = []
         self._windows: dict[str, SendWindow] = {}
 
-    def share_among(self, instances: int) -> None:
-        """Set how many instances share the slack."""
-        self._instances = max(1, instances)
+    def share_among(self, instances: int, now: float) -> None:
+        """Set how many instances share the slack from now on."""
+        over = now + self._window
+        earlier = [(min(until, over), count) for until, count in self._counts if until > now]
+        self._counts = [(until, count) for until, count in earlier if count > instances]
+        self._counts.append((float("inf"), instances))
+
+    def _sharing(self, now: float) -> int:
+        return max((count for until, count in self._counts if until > now), default=1)
 
     def request(self, service: str, now: float) -> None:
         """Count a caller's request for a service."""
@@ -99,7 +105,7 @@
                 leave some, so that a request whose only send failed can still be repeated.
         """
         window = self._of(service)
-        slack = self._slack / self._instances
+        slack = self._slack / self._sharing(now)
         if window.room(now, self._ratio, slack) < 1 + reserve * slack:
             return False
         window.repeat(now)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -0,0 +1,83 @@
+"""Which instances link to each other, and which of them read the platform's store for the rest."""
+
+from collections.abc import Collection
+from hashlib import blake2b
+from random import Random
+
+from limpethollow_policy.process.placements import Instance
+
+# Up to this many instances link to all others: 16 links with two heartbeats a second each cost an
+# instance under half a percent of a core.
+FULL_MESH = 16
+# Beyond it, each links to this many in every failure domain, besides the relays.
+LINKS_PER_DOMAIN = 2
+# A watching relay that was not heard for this long is taken for lost.
+RELAY_SILENCE = 1.5
+# What is added at random, so that all instances that lost a relay don't call the store at once.
+_JITTER = 0.5
+
+
+def relays_among(live: Collection[Instance]) -> frozenset[str]:
+    """Return the names of the instances that watch the store: one in each failure domain.
+
+    Each instance works this out from its own view. Two that disagree watch both, or hear a relay
+    of another failure domain, which costs some calls and never an answer; no lease guards the role.
+    """
+    best: dict[str, Instance] = {}
+    for instance in live:
+        domain = instance.failure_domain
+        known = best.get(domain)
+        if known is None or _weight("relay", instance.name) > _weight("relay", known.name):
+            best[domain] = instance
+    return frozenset(instance.name for instance in best.values())
+
+
+def links_of(own: Instance, known: Collection[Instance]) -> frozenset[str]:
+    """Return the names of the instances that this one keeps a link to."""
+    others = [instance for instance in known if instance.name != own.name]
+    if len(others) < FULL_MESH:
+        return frozenset(instance.name for instance in others)
+    wanted = set(relays_among(known))
+    by_domain: dict[str, list[Instance]] = {}
+    for instance in others:
+        by_domain.setdefault(instance.failure_domain, []).append(instance)
+    for members in by_domain.values():
+        members.sort(key=lambda instance: _weight(own.name, instance.name), reverse=True)
+        wanted.update(instance.name for instance in members[:LINKS_PER_DOMAIN])
+    wanted.discard(own.name)
+    return frozenset(wanted)
+
+
+class WatchRole:
+    """Decides whether this instance watches the store itself.
+
+    Relays do. Others do while they hear no relay that follows the store: one that died, froze or
+    was cut off from the store shows only by what it no longer says.
+
+    Args:
+        own: Name of this instance.
+        rng: Source for jitter.
+    """
+
+    __slots__ = ("_heard_at", "_jitter", "_own", "_rng")
+
+    def __init__(self, own: str, rng: Random) -> None:
+        self._own = own
+        self._rng = rng
+        self._heard_at = float("-inf")
+        self._jitter = 0.0
+
+    def relay_heard(self, now: float) -> None:
+        """Note that an instance that follows the store spoke."""
+        self._heard_at = now
+        self._jitter = self._rng.random() * _JITTER
+
+    def should_watch(self, live: Collection[Instance], now: float) -> bool:
+        """Return whether to watch the store now."""
+        if self._own in relays_among(live):
+            return True
+        return now - self._heard_at > RELAY_SILENCE + self._jitter
+
+
+def _weight(key: str, name: str) -> bytes:
+    return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
@@ -1,7 +1,7 @@
 """Which route a request takes in one version of the configuration."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,10 +100,28 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceLimits]
     limits: CallerLimits
-    _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
 
-    def __post_init__(self) -> None:
-        object.__setattr__(self, "_by_host", _index(self.routes))
+    def service_names(self) -> frozenset[str]:
+        """Return every service that some route sends requests to."""
+        names = {target.name for route in self.routes for target in route.targets}
+        for route in self.routes:
+            names.update(route.shards)
+        return frozenset(names)
+
+
+class RouteTable:
+    """The routes of one version, indexed by host and path prefix.
+
+    Args:
+        routes: The routes.
+    """
+
+    __slots__ = ("_by_host",)
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path.
@@ -125,13 +143,6 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def service_names(self) -> frozenset[str]:
-        """Return every service that some route sends requests to."""
-        names = {target.name for route in self.routes for target in route.targets}
-        for route in self.routes:
-            names.update(route.shards)
-        return frozenset(names)
-
 
 class VersionBook:
     """The version in force at this instance; it only ever rises within one process.
@@ -140,10 +151,11 @@
     one was used. Callers would see a removed route come back; so an older version is ignored.
     """
 
-    __slots__ = ("_confirmed_at", "_current")
+    __slots__ = ("_confirmed_at", "_current", "_table")
 
     def __init__(self) -> None:
         self._current: RoutingVersion | None = None
+        self._table = RouteTable(())
         self._confirmed_at = float("-inf")
 
     @property
@@ -156,8 +168,13 @@
         if self._current is not None and version.number <= self._current.number:
             return False
         self._current = version
+        self._table = RouteTable(version.routes)
         return True
 
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route in force for a host and path, None where there is none."""
+        return self._table.find(host, path)
+
     def confirm(self, now: float) -> None:
         """Note that the platform's store had nothing newer at this monotonic second."""
         self._confirmed_at = max(self._confirmed_at, now)
@@ -195,10 +212,3 @@
     def forget(self) -> None:
         """Start over, as when the weights have changed."""
         self._credits.clear()
-
-
-def _index(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
-    by_host: dict[str, dict[str, Route]] = {}
-    for route in routes:
-        by_host.setdefault(route.host, {})[route.prefix] = route
-    return by_host
--- a/tests/unit/engine/test_budgets.py
+++ b/tests/unit/engine/test_budgets.py
@@ -47,7 +47,7 @@
         rng = Random(seed)
         budgets = [SendBudget(RATIO, SLACK, WINDOW) for _ in range(instances)]
         for budget in budgets:
-            budget.share_among(instances)
+            budget.share_among(instances, 0.0)
         requests, repeats = [], []
         now = 0.0
         for _ in range(1500):
@@ -62,3 +62,19 @@
             extra = sum(begin < at <= end for at in repeats)
             asked = sum(begin < at <= end for at in requests)
             assert extra <= RATIO * asked + SLACK
+
+
+class TestSharing:
+    def test_the_part_grows_only_a_window_after_an_instance_left(self):
+        """The bound was broken while instances were restarted one after the other.
+
+        Each that left made the parts of the others larger at once, while its own repeats were
+        still in the window.
+        """
+        budget = SendBudget(RATIO, SLACK, WINDOW)
+        budget.share_among(8, 0.0)
+        budget.share_among(4, 5.0)
+        allowed = sum(budget.take("s", 5.1) for _ in range(100))
+        assert allowed <= SLACK / 8
+        later = sum(budget.take("s", 5.0 + WINDOW + 2.0) for _ in range(100))
+        assert SLACK / 8 < later <= SLACK / 4
--- a/tests/unit/engine/test_routes.py
+++ b/tests/unit/engine/test_routes.py
@@ -5,6 +5,7 @@
 from limpethollow_policy.version.routes import (
     CallerLimits,
     Route,
+    RouteTable,
     RoutingVersion,
     VersionBook,
     WeightedService,
@@ -30,7 +31,7 @@
 
 
 class TestFind:
-    ROUTES = version(1, route("/"), route("/a/"), route("/a/b/"), route("/a/", "b.example"))
+    ROUTES = RouteTable((route("/"), route("/a/"), route("/a/b/"), route("/a/", "b.example")))
 
     @pytest.mark.parametrize(
         ("host", "path", "expected"),
