Peers let a restarted instance in while the store is away, and keep one link a pair

Ruled out: the seeds (only three, and none of them was the refusing side). Change: a listed address stays a member; an instance that leaves keeps its object, relays remove those silent for 30 s; the link dialled by the smaller name stays; a refused dial counts as dead.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
 from limpethollow_node.engine.connection.clients import set_probes
@@ -29,13 +30,29 @@
         socket: The open websocket.
         on_frame: Called with this link and each frame.
         now: When the link was opened, in monotonic seconds.
+        dialled: Whether this end opened it.
     """
 
-    __slots__ = ("_on_frame", "_outbox", "_socket", "heard_at", "incarnation", "name", "ready")
+    __slots__ = (
+        "_on_frame",
+        "_outbox",
+        "_socket",
+        "dialled",
+        "heard_at",
+        "incarnation",
+        "name",
+        "ready",
+    )
 
     def __init__(
-        self, socket, on_frame: Callable[["PeerLink", AnyFrame], None], now: float
+        self,
+        socket: Connection,
+        on_frame: Callable[["PeerLink", AnyFrame], None],
+        now: float,
+        *,
+        dialled: bool,
     ) -> None:
+        self.dialled = dialled
         self._socket = socket
         self._on_frame = on_frame
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(_MAX_WAITING)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
@@ -79,6 +80,8 @@
         self._backoffs: dict[str, Backoff] = {}
         self._heard_by: dict[str, frozenset[str]] = {}
         self._told_heard: frozenset[str] = frozenset()
+        self._refusing: set[str] = set()
+        self._member_hosts: set[str] = set(seeds)
         self._suspects: dict[str, float] = {}
         self._known_since: dict[str, float] = {}
         self._turn = 0
@@ -155,15 +158,17 @@
         """Tell the roster who is silent.
 
         An instance that hears nobody can't tell whether the others are gone or it is cut off
-        itself. It counts all as live: callers that still reach it shall be told of them.
+        itself. It counts all as live, but for those whose machines answer that nothing listens
+        there: callers that still reach it shall be told of them.
         """
         reported = heard.union(*self._heard_by.values())
         for instance in self._roster.known:
             name = instance.name
             since = self._known_since.setdefault(name, now)
             young = now - since < _LINK_UP_SECONDS
-            lives = not self._links or name in reported or (young and name not in self._links)
-            self._roster.set_silent(name, not lives)
+            unknown = not self._links and instance.peer_address not in self._refusing
+            lives = unknown or name in reported or (young and name not in self._links)
+            self._roster.set_silent(name, not lives, now)
 
     def _dial_missing(self) -> None:
         own = self._roster.own
@@ -174,7 +179,7 @@
             both = own.name in links_of(other, list(known.values()))
             if name not in self._links and (own.name < name or not both):
                 self._dial(other.peer_address)
-        if len(known) == 1:
+        if len(known) == 1 and not self._links:
             port = own.peer_address.rpartition(":")[2]
             for host in self._seeds:
                 if f"{host}:{port}" != own.peer_address:
@@ -195,32 +200,38 @@
                 f"ws://{address}/", open_timeout=_CONNECT_SECONDS, proxy=None, **LINK_OPTIONS
             )
         except (OSError, WebSocketException) as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._refusing.add(address)
             events.SEED_FAILED.log(address=address, error=repr(error))
             await asyncio.sleep(backoff.failed())
             return
         backoff.succeeded()
-        await self._run(socket)
+        self._refusing.discard(address)
+        await self._run(socket, dialled=True)
 
-    async def _accepted(self, socket) -> None:
+    async def _accepted(self, socket: Connection) -> None:
         host = socket.remote_address[0]
         if not self._is_member(host):
             events.PEER_REFUSED.log(address=host, reason="not a member")
             socket.transport.abort()
             return
-        await self._run(socket)
+        await self._run(socket, dialled=False)
 
     def _is_member(self, host: str) -> bool:
         """Return whether an address belongs to an instance that the store lists.
 
         Anyone who reaches the internal ports could otherwise hand out configurations. Before any
-        instance is known, as after a restart with the store away, the seeds are believed.
+        instance is known, as after a restart with the store away, the seeds are believed. One that
+        was listed stays a member: it may be back before the store lists it again.
         """
-        known = {i.peer_address.rpartition(":")[0] for i in self._roster.known}
-        return host in known or host in self._seeds
+        self._member_hosts.update(
+            instance.peer_address.rpartition(":")[0] for instance in self._roster.known
+        )
+        return host in self._member_hosts
 
-    async def _run(self, socket) -> None:
+    async def _run(self, socket: Connection, *, dialled: bool) -> None:
         loop = asyncio.get_running_loop()
-        link = PeerLink(socket, self._on_frame, loop.time())
+        link = PeerLink(socket, self._on_frame, loop.time(), dialled=dialled)
         own = self._roster.own
         catalog = self._catalog
         link.send(
@@ -262,6 +273,9 @@
     def _on_hello(self, link: PeerLink, hello: Hello) -> None:
         link.name, link.incarnation = hello.name, hello.incarnation
         older = self._links.get(hello.name)
+        if older is not None and not self._replaces(link, older):
+            link.close()
+            return
         self._links[hello.name] = link
         self._known_since[hello.name] = link.heard_at
         if older is not None:
@@ -272,6 +286,16 @@
         if self._told_heard:
             link.send(Heard(sorted(self._told_heard)))
 
+    def _replaces(self, link: PeerLink, older: PeerLink) -> bool:
+        """Return whether a second link to the same instance replaces the first.
+
+        Where two instances dial each other at once, both must keep the same link, or each closes
+        the one that the other keeps, again and again. The one dialled by the smaller name stays.
+        """
+        if link.incarnation != older.incarnation or link.dialled == older.dialled:
+            return link.incarnation >= older.incarnation
+        return link.dialled == (self._roster.own.name < link.name)
+
     def _tell_missing(self, link: PeerLink, hello: Hello) -> None:
         catalog = self._catalog
         if catalog.version is not None and catalog.version_number > hello.version:
@@ -289,7 +313,7 @@
             if beat.version == self._catalog.version_number:
                 self._catalog.confirm_version()
         if link.name is not None and beat.ready:
-            self._roster.set_silent(link.name, False)
+            self._roster.set_silent(link.name, False, link.heard_at)
 
     @_handles(Heard)
     def _on_heard(self, link: PeerLink, heard: Heard) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -13,13 +13,14 @@
         on_change: Called when an instance came or went.
     """
 
-    __slots__ = ("_known", "_leaving", "_on_change", "_silent", "own", "ready")
+    __slots__ = ("_known", "_leaving", "_on_change", "_silent", "_silent_since", "own", "ready")
 
     def __init__(self, own: Instance, on_change: Callable[[], None]) -> None:
         self.own = own
         self.ready = False
         self._known: dict[str, Instance] = {own.name: own}
         self._silent: set[str] = set()
+        self._silent_since: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._on_change = on_change
 
@@ -59,15 +60,22 @@
         """Forget an instance."""
         if name != self.own.name and self._known.pop(name, None) is not None:
             self._silent.discard(name)
+            self._silent_since.pop(name, None)
             self._leaving.discard(name)
             self._on_change()
 
-    def set_silent(self, name: str, silent: bool) -> None:
+    def set_silent(self, name: str, silent: bool, now: float) -> None:
         """Note whether an instance answers its peers."""
         if silent:
             self._silent.add(name)
+            self._silent_since.setdefault(name, now)
         else:
             self._silent.discard(name)
+            self._silent_since.pop(name, None)
+
+    def silent_for(self, seconds: float, now: float) -> list[str]:
+        """Return the instances that have been silent at least this long."""
+        return [name for name, since in self._silent_since.items() if now - since >= seconds]
 
     def set_leaving(self, name: str) -> None:
         """Note that an instance takes no new callers; a new start of it clears that."""
--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -1,4 +1,4 @@
-"""This instance's own object in the store, written when it joins and removed when it leaves."""
+"""This instance's own object in the store, and the removal of those that are gone for good."""
 
 import asyncio
 from random import Random
@@ -13,12 +13,16 @@
 
 KIND = "instances"
 _FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 2.0
-# A process that leaves tells the store once and doesn't wait long: peers are told directly too.
-_LEAVE_SECONDS = 0.5
+# An instance that was silent this long is gone for good; one that is only restarted is back within
+# seconds. It would otherwise count for ever where connections and repeated sends are shared.
+GONE_SECONDS = 30.0
 
 
 class Membership:
-    """Writes this instance's own object: when it starts and when it leaves, and never between.
+    """Writes this instance's own object when it starts, and never again while it runs.
+
+    A process that leaves keeps its object: most are back within seconds, and its peers are told
+    directly that it leaves.
 
     Args:
         store: The store.
@@ -41,13 +45,13 @@
                 events.PLATFORM_FAILED.log(call="join", error=str(error))
                 await asyncio.sleep(self._backoff.failed())
 
-    async def leave(self) -> None:
-        """Remove the own object, if the store answers soon."""
+    async def remove(self, name: str) -> None:
+        """Remove the object of an instance that is gone for good."""
         try:
-            async with asyncio.timeout(_LEAVE_SECONDS):
-                await self._store.delete(KIND, self._own.name)
-        except (LimpethollowError, TimeoutError) as error:
-            events.PLATFORM_FAILED.log(call="leave", error=repr(error))
+            await self._store.delete(KIND, name)
+            events.MEMBER_REMOVED.log(member=name, silent_s=GONE_SECONDS)
+        except LimpethollowError as error:
+            events.PLATFORM_FAILED.log(call="remove", error=str(error))
 
     async def _put(self) -> None:
         spec = msgspec.to_builtins(self._own)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -19,7 +19,7 @@
 from limpethollow_node.platform.directory import DirectoryAnswers, ReadyAnswers
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_node.platform.membership import KIND, Membership
+from limpethollow_node.platform.membership import GONE_SECONDS, KIND, Membership
 from limpethollow_node.platform.settings import PlatformSettings, split_address
 from limpethollow_node.platform.sinks import sinks_for
 from limpethollow_node.platform.store import Store
@@ -75,6 +75,7 @@
         self._front = self._server(self._engine.handle)
         self._leaving = asyncio.Event()
         self._feeds: list[Feed] = []
+        self._removing: dict[str, asyncio.Task[None]] = {}
         self._services: frozenset[str] = frozenset()
 
     async def run(self) -> None:
@@ -142,6 +143,16 @@
         self._dispatch.sweep(now)
         for server in self._servers:
             server.sweep(now)
+        if self._peers.follows:
+            self._remove_gone(now)
+
+    def _remove_gone(self, now: float) -> None:
+        """Remove instances that were silent for long; only who watches the store does."""
+        for name in self._roster.silent_for(GONE_SECONDS, now):
+            if name not in self._removing:
+                task = asyncio.create_task(self._membership.remove(name))
+                self._removing[name] = task
+                task.add_done_callback(lambda _, gone=name: self._removing.pop(gone, None))
 
     def _choose_feeds(self, now: float) -> None:
         """Watch the store while that is this instance's role, or nobody else is heard to."""
@@ -165,7 +176,6 @@
         for server in self._servers:
             server.leaving = True
         self._peers.leave()
-        await self._membership.leave()
         quiet_from = begun + grace * _STAY_SHARE
         while loop.time() < begun + grace * _LAST_SHARE:
             if loop.time() > quiet_from and not any(c.busy for c in self._front.connections):
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -81,6 +81,7 @@
 PEER_LOST = _event(301, logging.WARNING, "link to peer lost")
 PEER_REFUSED = _event(302, logging.WARNING, "peer refused because of its key or its frames")
 MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
+MEMBER_REMOVED = _event(304, logging.INFO, "an instance that is gone for good was removed")
 
 # 400: searchers
 SEARCHER_DRAINS = _event(451, logging.INFO, "searcher is leaving, or is back")
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -27,6 +27,7 @@
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.calls: Counter[str] = Counter()
+        self.watching: Counter[str] = Counter()
         self.silent = False
         self.refuses = False
         self.loses_replies = False
@@ -76,6 +77,11 @@
         with self.changed:
             return {name for found, name in self.objects if found == kind}
 
+    def waiting(self) -> dict[str, int]:
+        """Return how many watches wait now, by kind."""
+        with self.changed:
+            return dict(self.watching)
+
     def forget_history(self) -> None:
         """Drop all changes up to now, and cut waiting watches."""
         with self.changed:
@@ -131,9 +137,11 @@
         with self.changed:
             if after + 1 < self.oldest:
                 return 410, None
+            self.watching[kind] += 1
             self.changed.wait_for(
                 lambda: news() or self.silent or after + 1 < self.oldest, timeout=wait
             )
+            self.watching[kind] -= 1
             silent, found = self.silent, news()
             if after + 1 < self.oldest:
                 raise DropConnection
