Logs go to standard output, bounded by event and without blocking; settings are read again when they change

Cause: the users' engineers have only standard output; a reader that stops would have held all requests.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -103,6 +103,10 @@
             return self.instances.replace(put, news.revision)
         return self.instances.change(news.base, news.revision, put, news.gone)
 
+    def set_removal_delay(self, seconds: float) -> None:
+        """Change for how long searchers whose entries went are kept."""
+        self._removals.seconds = seconds
+
     def tick(self, now: float) -> None:
         """Remove the searchers whose time is over; called a few times a second."""
         for searcher_id in self._removals.due(now):
--- a/packages/limpethollow-node/src/limpethollow_node/platform/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -7,7 +7,7 @@
 
 from limpethollow_node.platform.process import PlatformProcess
 from limpethollow_node.platform.settings import PlatformSettings, load_settings, settings_path
-from limpethollow_node.process.logs import start_logs
+from limpethollow_node.process.stdoutlogs import StdoutHandler, start_stdout_logs
 from limpethollow_wire.exceptions import SettingsError
 
 EXIT_OK = 0
@@ -30,9 +30,9 @@
         return EXIT_SETTINGS
     if options.check:
         return EXIT_OK
-    start_logs("INFO", settings.node_name)
+    logs = start_stdout_logs(settings.node_name)
     try:
-        asyncio.run(_serve(settings))
+        asyncio.run(_serve(settings, logs))
     except OSError as error:
         print(f"limpethollow-platform: 'listen': {error}. Free the port.", file=sys.stderr)
         return EXIT_LISTEN
@@ -48,12 +48,12 @@
     return parser
 
 
-async def _serve(settings: PlatformSettings) -> None:
-    process = PlatformProcess(settings)
+async def _serve(settings: PlatformSettings, logs: StdoutHandler) -> None:
+    process = PlatformProcess(settings, logs)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, process.ask_to_leave)
     loop.add_signal_handler(signal.SIGINT, process.ask_to_leave)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, process.reload_settings)
     await process.run()
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from random import Random
 
-import msgspec
-
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.catalog import Catalog
@@ -20,17 +18,23 @@
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.platform.membership import GONE_SECONDS, KIND, Membership
-from limpethollow_node.platform.settings import PlatformSettings, split_address
+from limpethollow_node.platform.settings import (
+    PlatformSettings,
+    SettingsFile,
+    settings_path,
+    split_address,
+)
 from limpethollow_node.platform.sinks import sinks_for
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.stdoutlogs import StdoutHandler
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.placements import Instance, entries_for
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.topology import WatchRole
 from limpethollow_policy.version.routes import RoutingVersion, VersionBook
-from limpethollow_wire.exceptions import LimpethollowError
+from limpethollow_wire.exceptions import LimpethollowError, SettingsError
 
 # Changes of a kind that come within this many seconds cost one call to the store.
 _GATHER_SECONDS = {"servers": 0.25, "instances": 0.25}
@@ -46,17 +50,20 @@
 
     Args:
         settings: The platform's settings.
+        logs: Where log lines go.
     """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, logs: StdoutHandler) -> None:
         self._settings = settings
+        self._logs = logs
+        self._settings_file = SettingsFile(settings_path())
         self._rng = Random()
         self.metrics = Metrics()
         bounds = settings.bounds
-        budget = SendBudget(
+        self._budget = SendBudget(
             bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
         )
-        self._dispatch = Dispatch(Fleet(settings.zone), budget, HEADERS, self.metrics)
+        self._dispatch = Dispatch(Fleet(settings.zone), self._budget, HEADERS, self.metrics)
         self._engine = Engine(self._dispatch, VersionBook())
         self._roster = Roster(_own_instance(settings), self._instances_changed)
         self._catalog = Catalog(
@@ -91,6 +98,26 @@
                 task.cancel()
         events.STOPPED.log()
 
+    def reload_settings(self) -> None:
+        """Read the settings file again; a file with a mistake changes nothing."""
+        try:
+            settings = self._settings_file.read()
+        except SettingsError as error:
+            events.SETTINGS_REFUSED.log(error=str(error))
+            return
+        if settings != self._settings:
+            self._apply(settings)
+
+    def _apply(self, settings: PlatformSettings) -> None:
+        """Take over what can change while the process runs: the bounds."""
+        bounds = settings.bounds
+        self._settings = settings
+        self._budget.set_bounds(
+            bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
+        )
+        self._catalog.set_removal_delay(settings.removal_delay)
+        events.SETTINGS_RELOADED.log(bounds=str(bounds))
+
     def ask_to_leave(self) -> None:
         """Begin the graceful shutdown."""
         self._leaving.set()
@@ -137,6 +164,9 @@
                 events.DEFECT.log(where="tick", error=repr(error), exc_info=True)
 
     def _do_tick(self, now: float) -> None:
+        self._logs.report()
+        if self._settings_file.changed():
+            self.reload_settings()
         self._roster.ready = self._ready
         self._choose_feeds(now)
         self._catalog.tick(now)
@@ -241,8 +271,3 @@
         strength=settings.limits.cpu_share * settings.limits.cores,
         incarnation=time.time_ns() // 1_000_000,
     )
-
-
-def reload_settings(current: PlatformSettings, data: bytes) -> PlatformSettings:
-    """Return changed settings; what can't change while the process runs stays as it is."""
-    return msgspec.json.decode(data, type=type(current))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -130,6 +130,41 @@
         raise SettingsError(f"{path}: {error}.") from None
 
 
+class SettingsFile:
+    """The settings file, which may change with a signal or without any.
+
+    Args:
+        path: Where it is.
+    """
+
+    __slots__ = ("_path", "_seen")
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._seen = self._stamp()
+
+    def changed(self) -> bool:
+        """Return whether the file is another one than at the last call."""
+        stamp = self._stamp()
+        changed, self._seen = stamp != self._seen, stamp
+        return changed
+
+    def read(self) -> PlatformSettings:
+        """Read and check the file.
+
+        Raises:
+            SettingsError: It can't be used.
+        """
+        return load_settings(self._path)
+
+    def _stamp(self) -> tuple[int, int, int] | None:
+        try:
+            found = self._path.stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of an address."""
     host, _, port = address.rpartition(":")
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -56,6 +56,8 @@
 DRAINED = _event(110, logging.INFO, "waiting before the exit ended")
 PEER_NOT_TOLD = _event(111, logging.WARNING, "a peer could not be told that this instance leaves")
 EXIT_FORCED = _event(112, logging.ERROR, "exit forced because closing hung")
+LINES_SUPPRESSED = _event(113, logging.WARNING, "log lines were not written")
+CLOCK_GAP = _event(114, logging.WARNING, "the instance stood still")
 
 # 200: configuration and platform
 RECORDS_APPLIED = _event(200, logging.INFO, "configuration records came into force")
@@ -82,6 +84,8 @@
 PEER_REFUSED = _event(302, logging.WARNING, "peer refused because of its key or its frames")
 MEMBERS_CHANGED = _event(303, logging.INFO, "list of instances changed")
 MEMBER_REMOVED = _event(304, logging.INFO, "an instance that is gone for good was removed")
+ISOLATED = _event(305, logging.WARNING, "no peer and no searcher answers; new requests are refused")
+REJOINED = _event(306, logging.INFO, "peers or searchers answer again")
 
 # 400: searchers
 SEARCHER_DRAINS = _event(451, logging.INFO, "searcher is leaving, or is back")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/removals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/removals.py
@@ -13,15 +13,15 @@
             must get no more requests, since a leaving one may lose its entry in the same way.
     """
 
-    __slots__ = ("_due", "_seconds")
+    __slots__ = ("_due", "seconds")
 
     def __init__(self, seconds: float) -> None:
-        self._seconds = seconds
+        self.seconds = seconds
         self._due: dict[str, float] = {}
 
     def add(self, searcher_id: str, now: float) -> None:
         """Note that an entry is gone; one that was gone already keeps its time."""
-        self._due.setdefault(searcher_id, now + self._seconds)
+        self._due.setdefault(searcher_id, now + self.seconds)
 
     def cancel(self, searcher_id: str) -> None:
         """Note that an entry is there."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -81,6 +81,13 @@
         self._counts: list[tuple[float, int]] = []
         self._windows: dict[str, SendWindow] = {}
 
+    def set_bounds(self, ratio: float, slack: float, window: float) -> None:
+        """Take over changed bounds; a window of another length begins empty."""
+        self._ratio, self._slack = ratio, slack
+        if window != self._window:
+            self._window = window
+            self._windows.clear()
+
     def share_among(self, instances: int, now: float) -> None:
         """Set how many instances share the slack from now on."""
         over = now + self._window
--- a/tests/system/platform/test_path.py
+++ b/tests/system/platform/test_path.py
@@ -1,5 +1,7 @@
 """The whole path on the platform: a caller, an instance, searchers."""
 
+import json
+
 import pytest
 
 from tests.standins.backends import PROOF, REQUEST_ID
@@ -156,3 +158,22 @@
         wait_for(lambda: all(b.connections for b in backends), "connections are open")
         assert instance.ask("/find/x").status == 200
         assert [backend.connections for backend in backends] == [1, 1, 1]
+
+
+class TestReload:
+    def test_changed_settings_come_into_force_without_a_signal(self, system):
+        system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        instance.settings["bounds"]["retryBudgetSlack"] = 7
+        instance.settings_path.write_text(json.dumps(instance.settings))
+        wait_for(lambda: instance.events(215), "the settings are read again")
+        assert "retry_budget_slack=7" in instance.events(215)[0]["bounds"]
+
+    def test_settings_with_a_mistake_leave_the_old_ones(self, system):
+        system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        instance.settings_path.write_text("{")
+        wait_for(lambda: instance.events(216), "the log says so")
+        assert instance.ask("/get/x").status == 200
