A request that may run once goes on a connection that was just opened or used; cut-off instances refuse at once

Change: FRESH_SECONDS 2 -> 0.15, so that a connect of 2 ms proves the searcher first. Test: TestDarkSearchers (failed before).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -7,6 +7,7 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
+from limpethollow_policy.process.isolation import Isolation
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.timings import RouteTimings
 from limpethollow_policy.version.routes import Route, RoutingVersion
@@ -32,11 +33,13 @@
     __slots__ = (
         "_instances",
         "_pools",
+        "_probed",
         "_service_limits",
         "_services_in_use",
         "_timings",
         "budget",
         "fleet",
+        "isolation",
         "loop",
         "metrics",
         "names",
@@ -50,9 +53,11 @@
         self.names = names
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
+        self.isolation = Isolation()
         self._pools: dict[str, Pool] = {}
         self._timings: dict[str, RouteTimings] = {}
         self._service_limits: dict[str, int] = {}
+        self._probed = 0
         self._services_in_use: frozenset[str] = frozenset()
         self._instances = 1
 
@@ -65,8 +70,16 @@
 
     def send(self, replica: Replica, call: Call) -> None:
         """Send a call to a searcher."""
+        self.isolation.called(self.loop.time())
         self._pool_of(replica).send(call)
 
+    def probe(self) -> None:
+        """Try to connect to a searcher; a success ends the isolation."""
+        pools = list(self._pools.values())
+        if pools:
+            self._probed += 1
+            pools[self._probed % len(pools)].probe()
+
     def warm(self) -> None:
         """Open a connection to each searcher in use in the own failure domain.
 
@@ -129,7 +142,8 @@
                 blocked_s=round(replica.blocked_until - self.loop.time(), 3),
             )
 
-        return Pool(replica.searcher.address, self._limit(replica.searcher.service), unreachable)
+        limit = self._limit(replica.searcher.service)
+        return Pool(replica.searcher.address, limit, unreachable, self.isolation.answered)
 
     def _drop_pool(self, searcher_id: str) -> None:
         pool = self._pools.pop(searcher_id, None)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -6,7 +6,7 @@
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
-from limpethollow_node.engine.request.searches import Search
+from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, Search
 from limpethollow_node.engine.request.tries import Outgoing
 from limpethollow_node.process import events
 from limpethollow_policy.version.routes import Route, RoutingVersion, VersionBook, WeightedTurns
@@ -31,12 +31,13 @@
         desk: Sends calls to instances near the searchers; set before the first request.
     """
 
-    __slots__ = ("_dispatch", "_turns", "desk", "versions")
+    __slots__ = ("_dispatch", "_running", "_turns", "desk", "versions")
 
     def __init__(self, dispatch: Dispatch, versions: VersionBook) -> None:
         self._dispatch = dispatch
         self._turns = WeightedTurns()
         self.desk: BatchDesk | None = None
+        self._running: set[Search | Forward] = set()
         self.versions = versions
 
     def use_version(self, version: RoutingVersion) -> bool:
@@ -61,6 +62,10 @@
 
     def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
+        if self._dispatch.isolation.is_isolated:
+            raise Unavailable(
+                "This instance is cut off; the others are not.", retry_after=RETRY_ELSEWHERE
+            )
         version = self.versions.current
         if version is None:
             raise Unavailable("No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION)
@@ -68,11 +73,24 @@
         deadline = self._deadline(exchange, route)
         outgoing = Outgoing.of(request, route, deadline, self._dispatch)
         log = self._logger(exchange, route)
+        running: Search | Forward
+
+        def ended(outcome: Outcome) -> None:
+            self._running.discard(running)
+            log(outcome)
+
         if route.shards:
-            Search(self._dispatch, exchange, outgoing, self.desk, log).start()
+            running = Search(self._dispatch, exchange, outgoing, self.desk, ended)
         else:
             service = self._turns.next(route)
-            Forward(self._dispatch, exchange, outgoing, service, log).start()
+            running = Forward(self._dispatch, exchange, outgoing, service, ended)
+        self._running.add(running)
+        running.start()
+
+    def end_repeatable(self) -> None:
+        """Answer all requests that their callers may repeat elsewhere; this instance is cut off."""
+        for running in list(self._running):
+            running.cut_off()
 
     def _route(self, request: Request) -> Route:
         host = (request.header(b"host") or b"").decode("latin-1")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -127,6 +127,10 @@
         self._turn += 1
         return found[self._turn % len(found)]
 
+    def heard_count(self, now: float) -> int:
+        """Return how many instances are heard now."""
+        return sum(now - link.heard_at < SILENCE_SECONDS for link in self._links.values())
+
     def suspect(self, link: PeerLink, until: float) -> None:
         """Give an instance no batches for a while: it was silent on one."""
         if link.name is not None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -13,9 +13,10 @@
 # A call that nobody waits for may go on this long, so that its connection can be kept. Longer ones
 # are cut, since the searcher shall stop its work within half a second of the caller's leaving.
 ABANDON_SECONDS = 0.25
-# A request that may run once is sent only on a connection used this recently: a searcher may be
-# closing an idle one, and then nobody could say whether the request has run.
-FRESH_SECONDS = 2.0
+# A request that may run once is sent only on a connection that was opened or used this recently.
+# An older one may be about to be closed, or its searcher may have gone dark; then nobody could say
+# whether the request has run. A connect of some 2 ms shows that the searcher is there.
+FRESH_SECONDS = 0.15
 # A kept connection is closed this long before the searcher would close it.
 _CLOSE_EARLY_SECONDS = 1.0
 # Idle connections of a searcher that names no timeout are closed after this time.
@@ -103,6 +104,7 @@
         address: Host and port.
         limit: Connections that this instance may have open.
         on_unreachable: Called with the error when a connection can't be opened.
+        on_sign: Called when the searcher took a connection or replied.
     """
 
     __slots__ = (
@@ -110,6 +112,7 @@
         "_host",
         "_idle",
         "_loop",
+        "_on_sign",
         "_on_unreachable",
         "_open",
         "_opening",
@@ -120,8 +123,13 @@
     )
 
     def __init__(
-        self, address: str, limit: int, on_unreachable: Callable[[Exception], None]
+        self,
+        address: str,
+        limit: int,
+        on_unreachable: Callable[[Exception], None],
+        on_sign: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_sign = on_sign
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self.limit = limit
@@ -153,6 +161,11 @@
         if not self._open and not self._opening and not self._closed:
             self._start_connect()
 
+    def probe(self) -> None:
+        """Open a connection to see whether the searcher answers."""
+        if not self._opening and not self._closed:
+            self._start_connect()
+
     def withdraw(self, call: Call) -> None:
         """Forget a call that was not sent yet."""
         if call in self._waiting:
@@ -190,6 +203,7 @@
             self._fail_waiting(error)
             return
         self.opened += 1
+        self._on_sign()
         self._open.add(connection)
         if connection.usable:
             self._became_idle(connection)
@@ -204,6 +218,8 @@
         if self._closed:
             connection.close()
             return
+        # Every whole reply ends here, or with a connection that the searcher closes.
+        self._on_sign()
         while self._waiting:
             call = self._waiting.popleft()
             call.write_to(connection)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -4,6 +4,7 @@
 from limpethollow_node.engine.messages import Reply, end_to_end
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE
 from limpethollow_node.engine.request.tries import Outgoing, Tries
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
@@ -52,6 +53,13 @@
             self._timers.append(loop.call_at(late_at, self._tries.hedge))
         self._tries.start()
 
+    def cut_off(self) -> None:
+        """Give up because this instance reaches nobody, if the caller may repeat the request."""
+        if self._outgoing.route.idempotent:
+            self._tries.abandon(at_once=True)
+            error = NoUsableReply("This instance is cut off.", retry_after=RETRY_ELSEWHERE)
+            self._fail(error, "isolated")
+
     def _done(self, tries: Tries) -> None:
         if tries.verdict is Verdict.ANSWERED:
             self._pass_on(tries.reply, "answered")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -20,6 +20,8 @@
 # the whole service is slow, and second sends would only add to that.
 _MOST_HEDGED = 0.5
 _RETRY_AFTER = 0.25
+# A caller that goes to another instance need not wait.
+RETRY_ELSEWHERE = 0.02
 
 
 class Search:
@@ -91,6 +93,11 @@
                 tries.start()
         self._carrier.flush()
 
+    def cut_off(self) -> None:
+        """Give up because this instance reaches nobody; the caller may repeat the search."""
+        error = NoUsableReply("This instance is cut off.", retry_after=RETRY_ELSEWHERE)
+        self._fail(error, "isolated")
+
     def _patience(self, route: Route) -> float:
         """Return for how many seconds after its arrival the search waits for all shards."""
         return max(route.objective - WAY_BACK - self._outgoing.spent, route.objective / 2)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -167,6 +167,7 @@
         self._logs.report()
         if self._settings_file.changed():
             self.reload_settings()
+        self._look_around(now)
         self._roster.ready = self._ready
         self._choose_feeds(now)
         self._catalog.tick(now)
@@ -178,6 +179,20 @@
         if self._peers.follows:
             self._remove_gone(now)
 
+    def _look_around(self, now: float) -> None:
+        """Stop taking requests while nothing that serves them can be reached."""
+        isolation = self._dispatch.isolation
+        was_isolated = self._front.leaving and not self._leaving.is_set()
+        others = len(self._roster) - 1
+        if isolation.look(others, self._peers.heard_count(now), now):
+            events.ISOLATED.log(others=others)
+            self._engine.end_repeatable()
+        elif was_isolated and not isolation.is_isolated:
+            events.REJOINED.log()
+        if isolation.is_isolated:
+            self._dispatch.probe()
+        self._front.leaving = isolation.is_isolated or self._leaving.is_set()
+
     def _remove_gone(self, now: float) -> None:
         """Remove instances that were silent for long; only who watches the store does."""
         for name in self._roster.silent_for(GONE_SECONDS, now):
@@ -223,6 +238,7 @@
     def _ready(self) -> bool:
         return (
             not self._leaving.is_set()
+            and not self._dispatch.isolation.is_isolated
             and self._engine.versions.current is not None
             and len(self._dispatch.fleet) > 0
         )
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -194,3 +194,25 @@
         reply = system.instance().ask("/find/x")
         assert reply.status == 200
         assert reply.headers["X-Limpethollow-Part-Stamps"] == "i-2.r1.200"
+
+
+class TestDarkSearchers:
+    def test_a_booking_is_not_sent_into_the_dark(self, system):
+        """Bookings hung for three seconds and ended as unknown, though another searcher lived.
+
+        Three of four searchers lost their network. Connections to them stayed open, and bookings
+        were written to them; only a new connection would have shown that nobody was there.
+        """
+        one = system.backend("desk", "i-1", zone="zone-a", answer=_once_then_hang)
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk", type="unsafe"))
+        instance = system.instance()
+        assert instance.ask("/get/x", method="POST", body=b"book").headers[PROOF] == "i-1.r1.200"
+        one.__exit__()
+        time.sleep(0.5)
+        reply = instance.ask("/get/x", method="POST", body=b"book", request_id="r2")
+        assert reply.headers[PROOF] == "i-2.r2.200"
+
+
+def _once_then_hang(me, seen):
+    return me.success(seen) if len(me.seen) == 1 else Hang()
