--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -168,6 +168,7 @@
             self.hedges += 1
             self._dispatch.metrics.count("hedges")
             self._launch()
+            self._log_again("hedge")
 
     def abandon(self, *, at_once: bool = False) -> None:
         """Want no outcome any more.
@@ -243,10 +244,24 @@
             return
         if self._may_send() and self._take() and self._launch():
             self._dispatch.metrics.count("retries", verdict.value)
+            self._log_again(verdict.value)
             return
         if not self._under_way:
             self._finish(verdict, reason)
 
+    def _log_again(self, why: str) -> None:
+        now = self._dispatch.loop.time()
+        first = self._under_way[0].started
+        events.SENT_AGAIN.log(
+            request=_text(self._outgoing.request_id),
+            service=self.service,
+            why=why,
+            searchers=list(self._used),
+            after_ms=round((now - first) * 1000, 1),
+            usual_ms=round(self._outgoing.timings.usual * 1000, 1),
+            room=round(self._dispatch.budget.room(self.service, now), 1),
+        )
+
     def _log_failed(self, send: "Send", verdict: Verdict, reply: Reply | None, reason: str) -> None:
         replica = send.replica
         events.SEND_FAILED.log(
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -94,6 +94,7 @@
 SEARCHER_UNREACHABLE = _event(401, logging.INFO, "no connection to a searcher could be opened")
 SEND_FAILED = _event(402, logging.INFO, "a send to a searcher gave no answer")
 SEARCHER_LISTED = _event(403, logging.INFO, "a searcher's entry came, changed or went")
+SENT_AGAIN = _event(404, logging.INFO, "a request was sent to another searcher as well")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -95,6 +95,11 @@
         self._counts = [(until, count) for until, count in earlier if count > instances]
         self._counts.append((float("inf"), instances))
 
+    def room(self, service: str, now: float) -> float:
+        """Return how many repeats of a service are left now."""
+        slack = self._slack / self._sharing(now)
+        return self._of(service).room(now, self._ratio, slack)
+
     def _sharing(self, now: float) -> int:
         return max((count for until, count in self._counts if until > now), default=1)
 
--- a/packages/limpethollow/src/limpethollow/commands.py
+++ b/packages/limpethollow/src/limpethollow/commands.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from limpethollow.exceptions import SettingsError
+from limpethollow.explanations import explain
 from limpethollow.models import BookingOutcome, Confirmation, Intent, OutcomeState, SearchAnswer
 from limpethollow.operators import Operator
 from limpethollow.sessions import Session
@@ -136,6 +137,13 @@
     parser.add_argument("path", help="settings file of an instance")
 
 
+def _explain_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("request", metavar="REQUEST-ID", help="id of the request")
+    parser.add_argument(
+        "--logs", nargs="+", required=True, metavar="FILE", help="logs of the processes"
+    )
+
+
 def _key_file_option(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("key_file", metavar="FILE", help="file with a caller's key")
 
@@ -226,6 +234,11 @@
     return {"key_sha256": key_digest(_key(options.key_file, ""))}
 
 
+@command("explain", "tell the story of one request from logs", _explain_options)
+def _explain(options: argparse.Namespace) -> Any:
+    return explain(options.request, [Path(name) for name in options.logs])
+
+
 @command("version", "show the version")
 def _version(options: argparse.Namespace) -> Any:
     return {"limpethollow": version("limpethollow")}
--- a/packages/limpethollow/src/limpethollow/views.py
+++ b/packages/limpethollow/src/limpethollow/views.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from limpethollow.explanations import Story
 from limpethollow.models import BookingOutcome, Confirmation, OutcomeState, Plan, SearchAnswer
 from limpethollow_wire.instances import InstanceStatus
 
@@ -28,6 +29,17 @@
     return "\n".join(_VIEWS[type(result)](result))
 
 
+@view(Story)
+def _story(story: Story) -> list[str]:
+    lines = [f"Request {story.request}: {story.outcome}"]
+    for line in story.lines:
+        facts = ", ".join(f"{key}={value}" for key, value in line.facts.items())
+        lines.append(f"{line.at}  {line.instance}  [{line.event}] {line.text}: {facts}")
+        if line.remedy:
+            lines.append(f"    -> {line.remedy}")
+    return lines
+
+
 @view(Plan)
 def _plan(plan: Plan) -> list[str]:
     lines = [f"Plan {plan.id}", f"  {plan.action} service {plan.service}"]
