--- /dev/null
+++ b/tests/unit/engine/test_topology.py
@@ -0,0 +1,84 @@
+"""Who links to whom, who watches the store, and parts merged elsewhere."""
+
+from random import Random
+
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.topology import (
+    FULL_MESH,
+    RELAY_SILENCE,
+    WatchRole,
+    links_of,
+    relays_among,
+)
+from limpethollow_policy.request.parts import PartSet
+
+
+def instances(count: int, domains: int = 4) -> list[Instance]:
+    return [Instance(f"i-{n}", f"{n}:1", f"{n}:2", f"zone-{n % domains}") for n in range(count)]
+
+
+class TestRelays:
+    def test_each_failure_domain_has_one(self):
+        found = relays_among(instances(12))
+        assert len(found) == 4
+
+    def test_the_loss_of_others_moves_no_relay(self):
+        everyone = instances(12)
+        relays = relays_among(everyone)
+        some = [i for i in everyone if i.name in relays or i.name in ("i-1", "i-2")]
+        assert relays_among(some) == relays
+
+
+class TestLinks:
+    def test_few_instances_link_to_all(self):
+        everyone = instances(FULL_MESH)
+        assert len(links_of(everyone[0], everyone)) == FULL_MESH - 1
+
+    def test_many_link_to_relays_and_a_few_in_each_failure_domain(self):
+        everyone = instances(400)
+        for own in everyone[:20]:
+            links = links_of(own, everyone)
+            assert relays_among(everyone) - {own.name} <= links
+            domains = {i.failure_domain for i in everyone if i.name in links}
+            assert len(domains) == 4
+            assert len(links) <= 12
+
+
+class TestWatchRole:
+    def test_a_relay_watches_and_others_only_without_a_relay(self):
+        everyone = instances(4, domains=1)
+        relay = next(iter(relays_among(everyone)))
+        other = next(i.name for i in everyone if i.name != relay)
+        assert WatchRole(relay, Random(1)).should_watch(everyone, 0.0)
+        role = WatchRole(other, Random(1))
+        assert role.should_watch(everyone, 0.0)
+        role.relay_heard(10.0)
+        assert not role.should_watch(everyone, 10.0 + RELAY_SILENCE)
+        assert role.should_watch(everyone, 10.0 + 2 * RELAY_SILENCE)
+
+
+class TestParts:
+    def test_a_group_replaces_the_part_of_a_hedge(self):
+        """A search's answer held a shard's records twice.
+
+        A hedge answered for the shard, and then the group came in which the same shard's records
+        were merged with others.
+        """
+        parts = PartSet()
+        assert parts.add("x", b"p1", [b"hedge"])
+        assert parts.add_group({"x": b"p2", "y": b"p3"}, [b"group"])
+        assert len(parts) == 2
+        assert sorted(parts.proofs()) == [b"p2", b"p3"]
+        assert parts.records() == [[b"group"]]
+
+    def test_a_shard_of_a_group_counts_once(self):
+        parts = PartSet()
+        parts.add_group({"x": b"p2"}, [b"group"])
+        assert not parts.add("x", b"p1", [b"late"])
+        assert not parts.add_group({"x": b"p2", "y": b"p3"}, [b"again"])
+        assert len(parts) == 1
+
+    def test_the_same_signature_for_two_shards_does_not_count(self):
+        parts = PartSet()
+        assert parts.add("x", b"p", [])
+        assert not parts.add("y", b"p", [])
