--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from demo.checks import WrongAnswer, require
+from demo.platform import run_platform_steps
 from limpethollow import OutcomeState, SearchAnswer, Session
 from limpethollow.exceptions import Conflict
 from limpethollow.models import Intent
@@ -53,10 +55,6 @@
 }
 
 
-class WrongAnswer(Exception):
-    """A step's answer was not what it must be."""
-
-
 def main() -> int:
     """Run all steps."""
     with Cluster() as cluster:
@@ -64,6 +62,7 @@
             for step in (_confirm, _conflict, _route, _search, _book, _kill):
                 print(f"{step.__doc__}")
                 print(f"    {step(cluster)}")
+            run_platform_steps()
         except WrongAnswer as error:
             print(f"WRONG: {error}", file=sys.stderr)
             return 1
@@ -71,11 +70,6 @@
     return 0
 
 
-def _require(holds: bool, complaint: str) -> None:
-    if not holds:
-        raise WrongAnswer(complaint)
-
-
 def _confirm(cluster: Cluster) -> str:
     """An operator states an intent for each service, reads the plans and confirms them."""
     cluster.start_instances(INSTANCES)
@@ -83,7 +77,7 @@
         _confirm_service(cluster, name, size)
     with cluster.operator("n3") as operator:
         known = {service["name"] for service in operator.services()["services"]}
-    _require(known == set(TAS_NORTH), f"n3 knows {sorted(known)} only")
+    require(known == set(TAS_NORTH), f"n3 knows {sorted(known)} only")
     return f"{len(known)} services in force at {INSTANCES} instances"
 
 
@@ -98,11 +92,11 @@
     intent = Intent(service=cluster.service_spec(name, searchers))
     with cluster.operator() as operator:
         plan = operator.plan(intent)
-        _require(plan.action == "create", f"the plan for {name} would {plan.action}")
+        require(plan.action == "create", f"the plan for {name} would {plan.action}")
         status = operator.status()
-        _require(name not in status.versions, f"{name} is in force before its plan is confirmed")
+        require(name not in status.versions, f"{name} is in force before its plan is confirmed")
         confirmation = operator.confirm(plan.id)
-    _require(len(confirmation.in_force) == INSTANCES, f"{name} lacks {confirmation.lacking}")
+    require(len(confirmation.in_force) == INSTANCES, f"{name} lacks {confirmation.lacking}")
 
 
 def _conflict(cluster: Cluster) -> str:
@@ -116,7 +110,7 @@
         try:
             second.confirm(late.id)
         except Conflict as conflict:
-            _require(first.status().versions[name] == done.version, "the version moved on")
+            require(first.status().versions[name] == done.version, "the version moved on")
             return f"{conflict}"
     raise WrongAnswer("both plans were carried out")
 
@@ -130,7 +124,7 @@
     with cluster.session() as session:
         route = session.route(SERVICE)
     domains = [instance.failure_domain for instance in route.instances]
-    _require(len(set(domains)) == INSTANCES, f"the route lies in {domains}")
+    require(len(set(domains)) == INSTANCES, f"the route lies in {domains}")
     return ", ".join(f"{i.id} ({i.failure_domain})" for i in route.instances)
 
 
@@ -146,9 +140,9 @@
         outcome = session.book(SERVICE, shard=2, booking={"bay": 12}, deadline=5.0)
         again = session.book(SERVICE, shard=2, booking={"bay": 12}, token=outcome.token)
     counts = [s.stats()["executions"].get(outcome.token, 0) for s in cluster.searchers.values()]
-    _require(outcome.state == OutcomeState.BOOKED, f"the booking is {outcome.state}")
-    _require(again == outcome, f"the second answer is {again}")
-    _require(sum(counts) == 1, f"the booking ran {sum(counts)} times")
+    require(outcome.state == OutcomeState.BOOKED, f"the booking is {outcome.state}")
+    require(again == outcome, f"the second answer is {again}")
+    require(sum(counts) == 1, f"the booking ran {sum(counts)} times")
     return f"{outcome.state}, ran once, visible from version {outcome.visible_version}"
 
 
@@ -177,7 +171,7 @@
             raise WrongAnswer(f"a search failed: {answer}")
         _check(answer, complete=False)
     complete = sum(answer.coverage.complete for answer in answers)
-    _require(_check_last(cluster), "no complete answer after the kill")
+    require(_check_last(cluster), "no complete answer after the kill")
     return f"{complete} of {len(answers)} answers complete, every label true"
 
 
@@ -199,10 +193,10 @@
     covered = tuple(part.shard for part in answer.parts)
     versions = {row["version"] for part in answer.parts for row in part.rows}
     missing = {shard.shard for shard in coverage.missing}
-    _require(covered == coverage.covered, f"rows of {covered}, label says {coverage.covered}")
-    _require(versions == {coverage.version}, f"rows of versions {versions}")
-    _require(missing == set(SHARDS) - set(covered), f"missing shards are {missing}")
-    _require(coverage.complete or not complete, f"only {covered} are covered")
+    require(covered == coverage.covered, f"rows of {covered}, label says {coverage.covered}")
+    require(versions == {coverage.version}, f"rows of versions {versions}")
+    require(missing == set(SHARDS) - set(covered), f"missing shards are {missing}")
+    require(coverage.complete or not complete, f"only {covered} are covered")
     return f"{len(covered)} of {coverage.wanted} shards at version {coverage.version}"
 
 
