--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -87,7 +87,7 @@
     # one after the latest share comes too late to be answered within the objective.
     _EARLIEST_HEDGE = 0.18
     _LATEST_HEDGE = 0.45
-    _LATE_QUANTILE = 0.92
+    _LATE_QUANTILE = 0.97
 
     def __init__(self, objective: float) -> None:
         self._objective = objective
