--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -6,8 +6,8 @@
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, Search
-from limpethollow_node.engine.request.tries import Outgoing
 from limpethollow_node.process import events
 from limpethollow_policy.version.routes import Route, RoutingVersion, VersionBook, WeightedTurns
 from limpethollow_wire.exceptions import BadRequest, LimpethollowError, NoRoute, Unavailable
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -16,12 +16,8 @@
     BatchFailure,
     BatchParts,
 )
-from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
-from limpethollow_node.engine.process.pools import Call
-from limpethollow_node.engine.request.judging import judge, render_call
-from limpethollow_policy.process.fleets import Replica
-from limpethollow_policy.request.records import merge_records, split_records
+from limpethollow_node.engine.request.batchworks import WorkedBatch
 from limpethollow_policy.request.verdicts import Verdict
 
 # Fewer calls than this to one failure domain are made directly: a frame there and back costs about
@@ -134,7 +130,7 @@
         self._links = links
         self._numbers = itertools.count(1)
         self._sent: dict[int, SentBatch] = {}
-        self._worked: dict[tuple[int, int], _Worked] = {}
+        self._worked: dict[tuple[int, int], WorkedBatch] = {}
         links.on_batch_frame = self._on_frame
         links.on_link_lost = self._on_link_lost
 
@@ -175,7 +171,7 @@
     def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
         if isinstance(frame, Batch):
             key = (id(link), frame.number)
-            worked = _Worked(self._dispatch, link, frame, lambda: self._worked.pop(key, None))
+            worked = WorkedBatch(self._dispatch, link, frame, lambda: self._worked.pop(key, None))
             self._worked[key] = worked
             worked.start()
         elif isinstance(frame, BatchEnd):
@@ -199,135 +195,3 @@
             sent.lost()
         for key in [key for key in self._worked if key[0] == id(link)]:
             self._worked.pop(key).end()
-
-
-class _Worked:
-    """A batch that this instance works on for another one."""
-
-    __slots__ = (
-        "_batch",
-        "_calls",
-        "_deadline",
-        "_dispatch",
-        "_done",
-        "_link",
-        "_merging",
-        "_proofs",
-        "_records",
-        "_timer",
-    )
-
-    def __init__(
-        self, dispatch: Dispatch, link: PeerLink, batch: Batch, done: Callable[[], None]
-    ) -> None:
-        self._dispatch = dispatch
-        self._link = link
-        self._batch = batch
-        self._done = done
-        self._calls: dict[str, _WorkedCall] = {}
-        self._proofs: dict[str, bytes] = {}
-        self._records: list[list[bytes]] = []
-        self._merging = True
-        self._deadline = dispatch.loop.time() + batch.left
-        self._timer = None
-
-    def start(self) -> None:
-        """Make the calls."""
-        loop = self._dispatch.loop
-        self._timer = loop.call_later(self._batch.merge_for, self._merge_over)
-        for call in self._batch.calls:
-            replica = self._dispatch.fleet.get(call.searcher)
-            if replica is None or replica.searcher.draining:
-                self._fail(call.shard, Verdict.NOT_SENT, "searcher_not_known_there")
-                continue
-            self._calls[call.shard] = _WorkedCall(self, call.shard, replica)
-        for call in list(self._calls.values()):
-            self._dispatch.send(call.replica, call.call)
-        self._check()
-
-    def end(self) -> None:
-        """Stop: nobody waits for the rest."""
-        self._timer.cancel()
-        for call in self._calls.values():
-            call.drop()
-        self._calls.clear()
-
-    def replied(self, shard: str, reply: Reply) -> None:
-        """Take in a searcher's reply."""
-        names = self._dispatch.names
-        verdict = judge(reply, names, self._batch.request_id or None)
-        del self._calls[shard]
-        if verdict is Verdict.ANSWERED:
-            self._proofs[shard] = reply.header(names.proof)
-            self._records.append(split_records(reply.body, self._batch.top))
-        else:
-            self._fail(shard, verdict, f"status_{reply.status}")
-        self._check()
-
-    def broke(self, shard: str, error: Exception, *, sent: bool) -> None:
-        """Take in that a call gets no reply."""
-        del self._calls[shard]
-        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, repr(error))
-        self._check()
-
-    def render(self, searcher: str) -> bytes:
-        """Return the request to one searcher."""
-        left = self._deadline - self._dispatch.loop.time()
-        names = self._dispatch.names
-        return render_call(self._batch.head, self._batch.body, names, searcher, left)
-
-    def _fail(self, shard: str, verdict: Verdict, reason: str) -> None:
-        self._link.send(BatchFailure(self._batch.number, shard, verdict.value, reason))
-
-    def _merge_over(self) -> None:
-        self._merging = False
-        self._tell()
-
-    def _check(self) -> None:
-        if not self._calls or not self._merging:
-            self._tell()
-        if not self._calls:
-            self._timer.cancel()
-            self._done()
-
-    def _tell(self) -> None:
-        if self._proofs:
-            body = merge_records(self._records, self._batch.top)
-            self._link.send(BatchParts(self._batch.number, self._proofs, body))
-            self._proofs, self._records = {}, []
-
-
-class _WorkedCall:
-    """One call of a batch that this instance works on."""
-
-    __slots__ = ("_number", "_shard", "_worked", "call", "replica")
-
-    _numbers = itertools.count(-1, -1)
-
-    def __init__(self, worked: _Worked, shard: str, replica: Replica) -> None:
-        self._worked = worked
-        self._shard = shard
-        # Negative, so that it differs from the numbers of this instance's own sends.
-        self._number = next(self._numbers)
-        self.replica = replica
-        replica.in_flight[self._number] = worked._dispatch.loop.time()
-        self.call = Call(
-            lambda: worked.render(replica.searcher.id),
-            self._replied,
-            self._broke,
-            fresh=False,
-            head=False,
-        )
-
-    def drop(self) -> None:
-        """Want no reply any more."""
-        self.replica.in_flight.pop(self._number, None)
-        self.call.abandon()
-
-    def _replied(self, reply: Reply) -> None:
-        self.replica.in_flight.pop(self._number, None)
-        self._worked.replied(self._shard, reply)
-
-    def _broke(self, error: Exception) -> None:
-        self.replica.in_flight.pop(self._number, None)
-        self._worked.broke(self._shard, error, sent=self.call.sent)
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -0,0 +1,153 @@
+"""A batch of calls that this instance makes for another one, near its own searchers."""
+
+import itertools
+from collections.abc import Callable
+
+from limpethollow_node.engine.connection.peerlinks import PeerLink
+from limpethollow_node.engine.frames import Batch, BatchFailure, BatchParts
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.request.judging import judge, render_call
+from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.request.records import merge_records, split_records
+from limpethollow_policy.request.verdicts import Verdict
+
+
+class WorkedBatch:
+    """Makes the calls of a batch, and sends back merged parts and single failures.
+
+    Args:
+        dispatch: What the process shares.
+        link: Link to the instance that asked.
+        batch: What it asked for.
+        done: Called once all calls have ended.
+    """
+
+    __slots__ = (
+        "_batch",
+        "_calls",
+        "_deadline",
+        "_dispatch",
+        "_done",
+        "_link",
+        "_merging",
+        "_proofs",
+        "_records",
+        "_timer",
+    )
+
+    def __init__(
+        self, dispatch: Dispatch, link: PeerLink, batch: Batch, done: Callable[[], None]
+    ) -> None:
+        self._dispatch = dispatch
+        self._link = link
+        self._batch = batch
+        self._done = done
+        self._calls: dict[str, _Call] = {}
+        self._proofs: dict[str, bytes] = {}
+        self._records: list[list[bytes]] = []
+        self._merging = True
+        self._deadline = dispatch.loop.time() + batch.left
+        self._timer = None
+
+    def start(self) -> None:
+        """Make the calls."""
+        loop = self._dispatch.loop
+        self._timer = loop.call_later(self._batch.merge_for, self._merge_over)
+        for call in self._batch.calls:
+            replica = self._dispatch.fleet.get(call.searcher)
+            if replica is None or replica.searcher.draining:
+                self._fail(call.shard, Verdict.NOT_SENT, "searcher_not_known_there")
+                continue
+            self._calls[call.shard] = _Call(self, call.shard, replica, loop.time())
+        for call in list(self._calls.values()):
+            self._dispatch.send(call.replica, call.call)
+        self._check()
+
+    def end(self) -> None:
+        """Stop: nobody waits for the rest."""
+        self._timer.cancel()
+        for call in self._calls.values():
+            call.drop()
+        self._calls.clear()
+
+    def replied(self, shard: str, reply: Reply) -> None:
+        """Take in a searcher's reply."""
+        names = self._dispatch.names
+        verdict = judge(reply, names, self._batch.request_id or None)
+        del self._calls[shard]
+        if verdict is Verdict.ANSWERED:
+            self._proofs[shard] = reply.header(names.proof)
+            self._records.append(split_records(reply.body, self._batch.top))
+        else:
+            self._fail(shard, verdict, f"status_{reply.status}")
+        self._check()
+
+    def broke(self, shard: str, error: Exception, *, sent: bool) -> None:
+        """Take in that a call gets no reply."""
+        del self._calls[shard]
+        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, repr(error))
+        self._check()
+
+    def render(self, searcher: str) -> bytes:
+        """Return the request to one searcher."""
+        left = self._deadline - self._dispatch.loop.time()
+        names = self._dispatch.names
+        return render_call(self._batch.head, self._batch.body, names, searcher, left)
+
+    def _fail(self, shard: str, verdict: Verdict, reason: str) -> None:
+        self._link.send(BatchFailure(self._batch.number, shard, verdict.value, reason))
+
+    def _merge_over(self) -> None:
+        self._merging = False
+        self._tell()
+
+    def _check(self) -> None:
+        if not self._calls or not self._merging:
+            self._tell()
+        if not self._calls:
+            self._timer.cancel()
+            self._done()
+
+    def _tell(self) -> None:
+        if self._proofs:
+            body = merge_records(self._records, self._batch.top)
+            self._link.send(BatchParts(self._batch.number, self._proofs, body))
+            self._proofs, self._records = {}, []
+
+
+class _Call:
+    """One call of a batch that this instance works on."""
+
+    __slots__ = ("_number", "_shard", "_worked", "call", "replica")
+
+    _numbers = itertools.count(-1, -1)
+
+    def __init__(self, worked: WorkedBatch, shard: str, replica: Replica, now: float) -> None:
+        self._worked = worked
+        self._shard = shard
+        # Negative, so that it differs from the numbers of this instance's own sends.
+        self._number = next(self._numbers)
+        self.replica = replica
+        replica.in_flight[self._number] = now
+        self.call = Call(
+            lambda: worked.render(replica.searcher.id),
+            self._replied,
+            self._broke,
+            fresh=False,
+            head=False,
+        )
+
+    def drop(self) -> None:
+        """Want no reply any more."""
+        self.replica.in_flight.pop(self._number, None)
+        self.call.abandon()
+
+    def _replied(self, reply: Reply) -> None:
+        self.replica.in_flight.pop(self._number, None)
+        self._worked.replied(self._shard, reply)
+
+    def _broke(self, error: Exception) -> None:
+        self.replica.in_flight.pop(self._number, None)
+        self._worked.broke(self._shard, error, sent=self.call.sent)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -6,7 +6,8 @@
 from limpethollow_node.engine.frames import Batch, BatchCall
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.batches import LEAST_CALLS, BatchDesk, SentBatch
-from limpethollow_node.engine.request.tries import Outgoing, Send
+from limpethollow_node.engine.request.outgoing import Outgoing
+from limpethollow_node.engine.request.sends import Send
 from limpethollow_policy.request.records import split_records
 from limpethollow_policy.request.verdicts import Verdict
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -4,8 +4,9 @@
 from limpethollow_node.engine.messages import Reply, end_to_end
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
+from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE
-from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_node.engine.request.tries import Tries
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -6,7 +6,8 @@
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.carriers import ShardCarrier
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
-from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_node.engine.request.outgoing import Outgoing
+from limpethollow_node.engine.request.tries import Tries
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.records import merge_records, split_records
 from limpethollow_policy.request.verdicts import Verdict
@@ -42,7 +43,6 @@
         "_carrier",
         "_dispatch",
         "_exchange",
-        "_failed",
         "_log",
         "_outgoing",
         "_parts",
@@ -67,7 +67,6 @@
         self._parts = PartSet()
         self._carrier = ShardCarrier(dispatch, desk, outgoing, self._group_came)
         self._pending = len(outgoing.route.shards)
-        self._failed = 0
         self._waits_for_floor = False
         self._timers: list = []
         self._tries: list[Tries] = []
@@ -104,13 +103,10 @@
 
     def _part_done(self, tries: Tries) -> None:
         self._pending -= 1
-        if tries.verdict is not Verdict.ANSWERED:
-            self._failed += 1
-        elif tries.service not in self._parts:
+        if tries.verdict is Verdict.ANSWERED and tries.service not in self._parts:
             proof = tries.reply.header(self._dispatch.names.proof)
             records = split_records(tries.reply.body, self._outgoing.route.top)
-            # The same signature for two shards can't be: the caller would refuse the answer.
-            self._failed += not self._parts.add(tries.service, proof, records)
+            self._parts.add(tries.service, proof, records)
         self._decide()
 
     def _group_came(self, proofs: dict[str, bytes], records: list[bytes]) -> None:
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -0,0 +1,131 @@
+"""One send of a request to one searcher."""
+
+import itertools
+from typing import Protocol
+
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.request.judging import judge, render_call
+from limpethollow_node.engine.request.outgoing import Outgoing
+from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.request.verdicts import Verdict
+
+# A searcher that says its address belongs to another one now is left alone this long; by then the
+# list of searchers has the change.
+_MISDIRECTED_BLOCK = 1.0
+_MISDIRECTED = 421
+
+
+class SendOwner(Protocol):
+    """What makes sends and takes in how they end.
+
+    Attributes:
+        dispatch: What the process shares.
+        outgoing: The request.
+        service: The service that the request goes to.
+    """
+
+    dispatch: Dispatch
+    outgoing: Outgoing
+    service: str
+
+    def ended(self, send: "Send", verdict: Verdict, reply: Reply | None, reason: str) -> None:
+        """Take in the end of a send."""
+
+    def is_under_way(self, send: "Send") -> bool:
+        """Return whether an outcome of the send still counts."""
+
+
+class Send:
+    """One send to one searcher."""
+
+    __slots__ = ("_number", "_owner", "call", "replica", "started")
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, owner: SendOwner, replica: Replica, now: float) -> None:
+        outgoing = owner.outgoing
+        self._owner = owner
+        self._number = next(self._numbers)
+        self.replica = replica
+        self.started = now
+        replica.in_flight[self._number] = now
+        self.call = Call(
+            self._render,
+            self._replied,
+            self._failed,
+            fresh=not outgoing.route.idempotent,
+            head=outgoing.is_head,
+        )
+
+    @property
+    def service(self) -> str:
+        """Return the service that the send is for."""
+        return self._owner.service
+
+    def carried(self, proof: bytes) -> None:
+        """Take in that another instance made the send and has the answer.
+
+        Args:
+            proof: The searcher's signature under the answer.
+        """
+        if self.is_open:
+            self._observe(Verdict.ANSWERED, 200)
+            reply = Reply(200, [(self._owner.dispatch.names.proof, proof)])
+            self._owner.ended(self, Verdict.ANSWERED, reply, "")
+
+    def carried_failed(self, verdict: Verdict, reason: str) -> None:
+        """Take in that another instance made the send and has no answer."""
+        if self.is_open:
+            self._observe(verdict, 0)
+            self._owner.ended(self, verdict, None, reason)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether an outcome of the send still counts."""
+        return self._owner.is_under_way(self)
+
+    def drop(self, *, at_once: bool) -> None:
+        """Give up on the send; it took at least this long."""
+        now = self._now()
+        self.replica.in_flight.pop(self._number, None)
+        usual = self._owner.outgoing.timings.usual
+        self.replica.observe_at_least((now - self.started) / usual, now)
+        if at_once:
+            self.call.cancel()
+        else:
+            self.call.abandon()
+
+    def _now(self) -> float:
+        return self._owner.dispatch.loop.time()
+
+    def _render(self) -> bytes:
+        outgoing = self._owner.outgoing
+        names = self._owner.dispatch.names
+        left = outgoing.deadline - self._now()
+        return render_call(outgoing.head, outgoing.body, names, self.replica.searcher.id, left)
+
+    def _replied(self, reply: Reply) -> None:
+        names = self._owner.dispatch.names
+        verdict = judge(reply, names, self._owner.outgoing.request_id)
+        self._observe(verdict, reply.status)
+        self._owner.ended(self, verdict, reply, f"status_{reply.status}")
+
+    def _failed(self, error: Exception) -> None:
+        verdict = Verdict.UNKNOWN if self.call.sent else Verdict.NOT_SENT
+        self._observe(verdict, 0)
+        self._owner.ended(self, verdict, None, repr(error))
+
+    def _observe(self, verdict: Verdict, status: int) -> None:
+        now = self._now()
+        seconds = now - self.started
+        self.replica.in_flight.pop(self._number, None)
+        timings = self._owner.outgoing.timings
+        if verdict is Verdict.ANSWERED:
+            self.replica.observe(seconds / timings.usual, now)
+            timings.add(seconds)
+        elif verdict is not Verdict.NOT_SENT:
+            self.replica.failed(now)
+        if status == _MISDIRECTED:
+            self.replica.blocked_until = now + _MISDIRECTED_BLOCK
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/parts.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/parts.py
@@ -30,7 +30,11 @@
         return shard in self._single or any(shard in group.proofs for group in self._groups)
 
     def add(self, shard: str, proof: bytes, records: list[bytes]) -> bool:
-        """Add one shard's part; return whether it counts."""
+        """Add one shard's part; return whether it counts.
+
+        The same signature for two shards can't be right, and the caller would refuse the whole
+        answer for it; so the second one is left out.
+        """
         if shard in self or proof in self.proofs():
             return False
         self._single[shard] = (proof, records)
--- a/tests/unit/engine/test_tries.py
+++ b/tests/unit/engine/test_tries.py
@@ -3,7 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from limpethollow_node.engine.request.tries import Outgoing, Tries
+from limpethollow_node.engine.request.outgoing import Outgoing
+from limpethollow_node.engine.request.tries import Tries
 from limpethollow_policy.request.verdicts import Verdict
 from tests.support.virtual import VirtualDispatch, break_of, reply_of, request, route
 
