An instance whose own object was removed writes it again

Cause: found while reading: the removal after 30 s of silence may cross the instance's return; nothing would have listed it again before its next start. Test: test_store.py (failed before: never listed again).

--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -17,9 +17,12 @@
 # seconds. It would otherwise count for ever where connections and repeated sends are shared.
 GONE_SECONDS = 30.0
 
+# The own object may be missing from the list this long after it was written: the news is on its way.
+MISSING_SECONDS = 3.0
+
 
 class Membership:
-    """Writes this instance's own object when it starts, and never again while it runs.
+    """Writes this instance's own object when it starts, and again only where it was removed.
 
     A process that leaves keeps its object: most are back within seconds, and its peers are told
     directly that it leaves.
@@ -34,12 +37,33 @@
         self._store = store
         self._own = own
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
+        self._joining = False
+        self._missing_since: float | None = None
+
+    def look(self, listed: bool, now: float) -> bool:
+        """Return whether to join again: the own object is gone though this instance runs.
+
+        Another instance removes it after a long silence, and that may cross a return. Nobody would
+        then link to this one or name it to callers until its next start.
+
+        Args:
+            listed: Whether the own object is in the newest list.
+            now: Monotonic second.
+        """
+        if listed or self._joining:
+            self._missing_since = None
+            return False
+        if self._missing_since is None:
+            self._missing_since = now
+        return now - self._missing_since > MISSING_SECONDS
 
     async def join(self) -> None:
         """Write the own object, however long that takes."""
+        self._joining = True
         while True:
             try:
                 await self._put()
+                self._joining = False
                 return
             except LimpethollowError as error:
                 events.PLATFORM_FAILED.log(call="join", error=str(error))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -82,6 +82,7 @@
         self._front = self._server(self._engine.handle)
         self._leaving = asyncio.Event()
         self._feeds: list[Feed] = []
+        self._rejoin: asyncio.Task[None] | None = None
         self._removing: dict[str, asyncio.Task[None]] = {}
         self._services: frozenset[str] = frozenset()
 
@@ -184,6 +185,14 @@
             server.sweep(now)
         if self._peers.follows:
             self._remove_gone(now)
+        self._stay_listed(now)
+
+    def _stay_listed(self, now: float) -> None:
+        """Join again where the own object is gone."""
+        listed = self._roster.own.name in self._catalog.instances.items
+        if self._membership.look(listed, now):
+            events.OWN_OBJECT_GONE.log()
+            self._rejoin = asyncio.create_task(self._membership.join())
 
     def _look_around(self, now: float) -> None:
         """Stop taking requests while nothing that serves them can be reached."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -86,6 +86,7 @@
 MEMBER_REMOVED = _event(304, logging.INFO, "an instance that is gone for good was removed")
 ISOLATED = _event(305, logging.WARNING, "no peer and no searcher answers; new requests are refused")
 REJOINED = _event(306, logging.INFO, "peers or searchers answer again")
+OWN_OBJECT_GONE = _event(307, logging.WARNING, "the own object was removed; it is written again")
 
 # 400: searchers
 SEARCHER_DRAINS = _event(451, logging.INFO, "searcher is leaving, or is back")
--- a/tests/system/platform/test_store.py
+++ b/tests/system/platform/test_store.py
@@ -116,6 +116,18 @@
         wait_for(lambda: "front-1" in system.store.names("instances"), "it is listed")
         instance.wait_ready()
 
+    def test_an_instance_whose_object_was_removed_writes_it_again(self, system):
+        """An instance came back after a long silence and was named to no caller until its restart.
+
+        Another one had removed its object at the moment of its return.
+        """
+        system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk"))
+        system.instance("front-1")
+        wait_for(lambda: "front-1" in system.store.names("instances"), "it is listed")
+        system.store.take_away("instances", "front-1")
+        wait_for(lambda: "front-1" in system.store.names("instances"), "it is listed again")
+
 
 def _states(instance, searcher: str) -> list[str]:
     return [event["state"] for event in instance.events(403) if event["searcher"] == searcher]
