--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -17,7 +17,7 @@
 # seconds. It would otherwise count for ever where connections and repeated sends are shared.
 GONE_SECONDS = 30.0
 
-# The own object may be missing from the list this long after it was written: the news is on its way.
+# The own object may be missing from the list this long after it was written: news takes a moment.
 MISSING_SECONDS = 3.0
 
 
