A restarted instance is live again although the time of day jumped back

Cause: found while reading: incarnations come from the time of day and were compared by order; after a step back between two starts the news of the new one was ignored, and its 'leaving' stayed. Change: any other incarnation is a new start. Test: test_roster.py (failed before).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -307,7 +307,7 @@
         the one that the other keeps, again and again. The one dialled by the smaller name stays.
         """
         if link.incarnation != older.incarnation or link.dialled == older.dialled:
-            return link.incarnation >= older.incarnation
+            return True
         return link.dialled == (self._roster.own.name < link.name)
 
     def _tell_missing(self, link: PeerLink, hello: Hello) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -43,13 +43,15 @@
         ]
 
     def put(self, instance: Instance) -> None:
-        """Add or update an instance; a new start of one counts as live again."""
+        """Add or update an instance; a new start of one counts as live again.
+
+        Incarnations come from the time of day, which may have jumped back between two starts; so
+        any other one is a new start. News come in the store's order, never an old one after it.
+        """
         if instance.name == self.own.name:
             return
         known = self._known.get(instance.name)
-        if known is not None and known.incarnation > instance.incarnation:
-            return
-        if known is None or known.incarnation < instance.incarnation:
+        if known is None or known.incarnation != instance.incarnation:
             self._silent.discard(instance.name)
             self._leaving.discard(instance.name)
         self._known[instance.name] = instance
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -39,6 +39,11 @@
 # Changes of a kind that come within this many seconds cost one call to the store.
 _GATHER_SECONDS = {"servers": 0.25, "instances": 0.25}
 _TICK_SECONDS = 0.25
+# A leaving instance stays for this share of the time that it is given, since callers keep what the
+# directory said for up to three times as long as it asks them to, and then connect here; and it is
+# gone at the second share whatever is still open.
+_STAY_SHARE = 0.6
+_LAST_SHARE = 0.93
 
 
 class PlatformProcess:
@@ -285,13 +290,6 @@
         exchange.respond(Reply(200, kind, self.metrics.render().encode()))
 
 
-# A leaving instance stays for this share of the time that it is given, since callers keep what the
-# directory said for up to three times as long as it asks them to, and then connect here; and it is
-# gone at the second share whatever is still open.
-_STAY_SHARE = 0.6
-_LAST_SHARE = 0.93
-
-
 def _own_instance(settings: PlatformSettings) -> Instance:
     first, _ = settings.internal_port_range
     return Instance(
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
@@ -20,7 +20,7 @@
         peer_address: Where other instances connect.
         failure_domain: Where it runs.
         strength: Processor that it may use, in cores.
-        incarnation: Start of its process; grows with each start.
+        incarnation: Start of its process; another value means that it has started anew.
     """
 
     name: str
--- /dev/null
+++ b/tests/unit/engine/test_roster.py
@@ -0,0 +1,49 @@
+"""The instances as one of them knows them."""
+
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_policy.process.placements import Instance
+
+
+def instance(name: str, incarnation: int = 5) -> Instance:
+    return Instance(name, f"{name}:1", f"{name}:2", "zone-a", 1.0, incarnation)
+
+
+class TestNewStart:
+    def test_one_that_left_is_live_again_after_its_start_although_the_clock_jumped_back(self):
+        """An instance was named to no caller after it had been restarted on purpose.
+
+        It had said that it leaves. The time of day had jumped back before its new start, so its
+        incarnation was smaller than the old one, and the news of it was taken for old.
+        """
+        roster = Roster(instance("own"), lambda: None)
+        roster.put(instance("other", 5000))
+        roster.set_leaving("other")
+        roster.set_silent("other", True, 1.0)
+        assert roster.live == []
+        roster.put(instance("other", 3000))
+        assert [each.name for each in roster.live] == ["other"]
+
+    def test_the_same_start_told_again_changes_nothing(self):
+        roster = Roster(instance("own"), lambda: None)
+        roster.put(instance("other"))
+        roster.set_leaving("other")
+        roster.put(instance("other"))
+        assert roster.live == []
+
+
+class TestSilence:
+    def test_it_is_counted_from_its_begin(self):
+        roster = Roster(instance("own"), lambda: None)
+        roster.put(instance("other"))
+        roster.set_silent("other", True, 10.0)
+        roster.set_silent("other", True, 20.0)
+        assert roster.silent_for(30.0, 39.0) == []
+        assert roster.silent_for(30.0, 40.0) == ["other"]
+        roster.set_silent("other", False, 41.0)
+        assert roster.silent_for(30.0, 80.0) == []
+
+    def test_the_own_instance_is_live_only_while_ready(self):
+        roster = Roster(instance("own"), lambda: None)
+        assert roster.live == []
+        roster.ready = True
+        assert roster.live == [roster.own]
