Remove what nothing used: an event that was never logged, a count of connections, a read, a setting

Found while reading the whole change once more. Event 114 stood in the catalogue though no code wrote it; Pool.opened, Store.get, the revision of Store.delete, Fleet's iteration and the heartbeat setting had no reader. No change of behaviour.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -126,7 +126,7 @@
                 metrics.count("unserved", outcome.reason[:40])
             metrics.observe("request", seconds)
             events.REQUEST_ENDED.log(
-                request=request_id.decode("latin-1") if request_id else None,
+                request=_text(request_id),
                 route=route.name if route else None,
                 version=current.number if current else None,
                 version_age_s=round(self.versions.age(now), 2) if current else None,
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -119,7 +119,6 @@
         "_port",
         "_waiting",
         "limit",
-        "opened",
     )
 
     def __init__(
@@ -140,7 +139,6 @@
         self._opening: set[asyncio.Task[None]] = set()
         self._waiting: deque[Call] = deque()
         self._closed = False
-        self.opened = 0
 
     def send(self, call: Call) -> None:
         """Send a call on an idle connection, or as soon as one is open or idle."""
@@ -202,7 +200,6 @@
             self._on_unreachable(error)
             self._fail_waiting(error)
             return
-        self.opened += 1
         self._on_sign()
         self._open.add(connection)
         if connection.usable:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -88,7 +88,6 @@
     platform: Platform
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
-    heartbeat_ms: float = 1200
     seeds: tuple[str, ...] = ()
 
     @property
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -116,14 +116,6 @@
         ]
         return Changes(changes, found.revision)
 
-    async def get(self, kind: str, name: str) -> StoredObject:
-        """Read one object.
-
-        Raises:
-            NotFound: There is none of this name.
-        """
-        return await self._get("get", f"/objects/{kind}/{name}", StoredObject)
-
     async def check(self, kind: str, name: str, patience: float) -> None:
         """Ask for an object in the cheapest way, only to learn whether the store answers.
 
@@ -158,17 +150,13 @@
         body = {"meta": {"name": name, "finalizers": []}, "spec": spec}
         return await self._write("replace", b"PUT", f"/objects/{kind}/{name}", body)
 
-    async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
-        """Remove an object; only where it still has the given revision, if one is given.
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object.
 
         Raises:
-            Conflict: It has another revision.
             NotFound: There is none of this name.
         """
-        target = f"/objects/{kind}/{name}"
-        if revision is not None:
-            target += f"?revision={revision}"
-        await self._ask("delete", b"DELETE", target, _TIMEOUT)
+        await self._ask("delete", b"DELETE", f"/objects/{kind}/{name}", _TIMEOUT)
 
     def close(self) -> None:
         """Close the connections."""
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -57,7 +57,6 @@
 PEER_NOT_TOLD = _event(111, logging.WARNING, "a peer could not be told that this instance leaves")
 EXIT_FORCED = _event(112, logging.ERROR, "exit forced because closing hung")
 LINES_SUPPRESSED = _event(113, logging.WARNING, "log lines were not written")
-CLOCK_GAP = _event(114, logging.WARNING, "the instance stood still")
 
 # 200: configuration and platform
 RECORDS_APPLIED = _event(200, logging.INFO, "configuration records came into force")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -145,9 +145,6 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
-    def __iter__(self) -> Iterable[Replica]:
-        return iter(self._by_id.values())
-
     @property
     def own_domain(self) -> str:
         """Return the failure domain of this instance."""
