--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -42,8 +42,8 @@
     return {
         "resident MB, largest": max(map(_resident_mb, pids)),
         "threads, most": max(map(_threads, pids)),
-        "CPU seconds, largest": max(map(_cpu_seconds, pids)),
-        "CPU seconds, all instances": sum(map(_cpu_seconds, pids)),
+        "CPU seconds, largest": max(map(cpu_seconds, pids)),
+        "CPU seconds, all instances": sum(map(cpu_seconds, pids)),
         "platform calls": cluster.platform.stats()["total"],
         "searcher requests": sum(_requests(stats["counts"]) for stats in searchers),
         "searcher connections open": sum(stats["connections"] - _OWN for stats in searchers),
@@ -83,6 +83,7 @@
     raise KeyError(field)
 
 
-def _cpu_seconds(pid: int) -> float:
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used so far."""
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
