Strong relays, compressed lists, late batches refused; soak; status and check-config for the platform

Change: relays, and the peers that calls are given to, are chosen among the strong ones (processor and network); frames over 2 kB are compressed (400 searchers 58 to 9.3 kB in 0.3 ms); a batch that comes 0.3 s later than the quickest on its link is answered not sent. An instance that stands in for lost relays asks the store the cheap way first.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 PACKAGES := packages/limpethollow-wire packages/limpethollow-policy packages/limpethollow-node \
             packages/limpethollow
 TOOLS := pytest pytest-bdd pytest-xdist hypothesis black ruff
-SOURCES := packages tests benchmarks demo
+SOURCES := packages tests benchmarks demo soak
+SEEDS ?= 1 2 3
 WORKERS ?= 4
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench soak clean
 
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -34,5 +35,8 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak $(SEEDS)
+
 clean:
 	rm -rf $(VENV)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_metrics",
+        "_offset",
         "_on_frame",
         "_outbox",
         "_socket",
@@ -67,6 +68,7 @@
         self._on_frame = on_frame
         self._metrics = metrics
         self.source = Source()
+        self._offset = float("inf")
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(_MAX_WAITING)
         self.name: str | None = None
         self.incarnation = 0
@@ -79,6 +81,19 @@
         """Return the other end's IP address."""
         return self._socket.remote_address[0]
 
+    def lag(self, sent_at: float) -> float:
+        """Return how many seconds later than the quickest a frame came.
+
+        The two ends' clocks differ by an amount that doesn't change, so the least difference that
+        was seen stands for a frame that nothing held up.
+
+        Args:
+            sent_at: The other end's monotonic second at which it sent the frame.
+        """
+        passed = self.heard_at - sent_at
+        self._offset = min(self._offset, passed)
+        return passed - self._offset
+
     def send(self, frame: Frame) -> None:
         """Send a frame; never waits."""
         self.send_encoded(encode_frame(frame), frame)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -1,6 +1,6 @@
 """What instances say to each other: CBOR frames over websockets."""
 
-from typing import Any
+import zlib
 
 import msgspec
 
@@ -9,6 +9,15 @@
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import RoutingVersion
 from limpethollow_wire.codecs import convert, from_cbor, to_cbor
+from limpethollow_wire.exceptions import BadRequest
+from limpethollow_wire.limits import MAX_FRAME_BYTES
+
+# Frames over this size are lists of searchers, instances or routes, whose fields repeat: 400 of
+# them take a sixth of their bytes at the fastest level, in 0.3 ms. Records of parts do not shrink.
+_SMALL_BYTES = 2048
+_LEVEL = 1
+# First byte of compressed data. A frame is a CBOR array, whose first byte is 0x80 to 0x9f.
+_COMPRESSED = b"\x78"
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -38,11 +47,13 @@
         ready: Whether callers may use the instance.
         follows: Whether it watches the store itself and nothing stands in the way.
         known: How much it knows; a peer that knows less asks for the rest.
+        sent_at: The sender's monotonic second; only differences between two frames mean something.
     """
 
     ready: bool
     follows: bool
     known: Known
+    sent_at: float
 
 
 class Silent(Frame, frozen=True, tag="silent"):
@@ -127,6 +138,7 @@
         top: Records wanted.
         left: Seconds until nobody waits for the answer.
         merge_for: Seconds for which results are collected; later ones are told one by one.
+        sent_at: As in `Heartbeat`.
     """
 
     number: int
@@ -137,6 +149,7 @@
     top: int
     left: float
     merge_for: float
+    sent_at: float
 
 
 class BatchParts(Frame, frozen=True, tag="parts"):
@@ -196,14 +209,27 @@
 
 
 def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame."""
-    return to_cbor(frame)
+    """Encode a frame; large ones are compressed."""
+    data = to_cbor(frame)
+    return zlib.compress(data, _LEVEL) if len(data) > _SMALL_BYTES else data
 
 
-def decode_frame(data: Any) -> AnyFrame:
+def decode_frame(data: bytes) -> AnyFrame:
     """Decode a frame.
 
     Raises:
-        BadRequest: The bytes are no frame.
+        BadRequest: The bytes are no frame, or a compressed one that is too large.
     """
-    return convert(from_cbor(data), AnyFrame)
+    return convert(from_cbor(_unpack(data) if data[:1] == _COMPRESSED else data), AnyFrame)
+
+
+def _unpack(data: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    try:
+        # Bounded: a few bytes could otherwise unpack to all of the memory.
+        plain = unpacker.decompress(data, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise BadRequest(f"The frame can't be unpacked: {error}.") from None
+    if not unpacker.eof:
+        raise BadRequest(f"The frame is cut off or unpacks to over {MAX_FRAME_BYTES} bytes.")
+    return plain
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -8,6 +8,7 @@
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
+from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.beliefs import Belief
 from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.fleets import Searcher
@@ -39,6 +40,7 @@
         "_on_version",
         "_removals",
         "_roster",
+        "_searchers_confirmed_at",
         "instances",
         "searchers",
     )
@@ -56,6 +58,7 @@
         self._roster = roster
         self._removals = RemovalDelay(removal_delay)
         self._on_version = on_version
+        self._searchers_confirmed_at = float("-inf")
         self.searchers: Belief[Searcher] = Belief(self._searcher_put, self._searcher_gone)
         self.instances: Belief[Instance] = Belief(roster.put, roster.remove)
 
@@ -84,6 +87,19 @@
         """Note that the store has no newer version now."""
         self._engine.versions.confirm(self._engine.now())
 
+    def confirm_searchers(self) -> None:
+        """Note that the store has no newer list of searchers now."""
+        self._searchers_confirmed_at = self._engine.now()
+
+    def show_ages(self, metrics: Metrics) -> None:
+        """Show what is known, and how old it is, among the metrics."""
+        now = self._engine.now
+        metrics.gauge("version", lambda: self.version_number)
+        metrics.gauge("version_age_seconds", lambda: self._engine.versions.age(now()))
+        metrics.gauge("searchers_known", lambda: len(self.searchers.items))
+        metrics.gauge("searchers_age_seconds", lambda: now() - self._searchers_confirmed_at)
+        metrics.gauge("instances_known", lambda: len(self._roster))
+
     @property
     def known(self) -> Known:
         """Return how much this instance can tell others."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -124,6 +124,8 @@
             metrics.count("requests", str(outcome.status))
             if outcome.status != 200:
                 metrics.count("unserved", outcome.reason[:40])
+                if route is not None:
+                    metrics.count("route_unserved", f"{route.name}/{outcome.status}")
             metrics.observe("request", seconds)
             events.REQUEST_ENDED.log(
                 request=_text(request_id),
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -36,15 +36,18 @@
     """Asks the store now and then whether it is there.
 
     Attributes:
-        active: Whether to ask.
         away: Whether the last answer was missing.
+        answers: Whether the last answer was there.
         urgent: Whether callers are refused until the store is back.
     """
 
-    active: bool
     away: bool
+    answers: bool
     urgent: bool
 
+    def set_active(self, active: bool) -> None:
+        """Ask from now on, or leave that to others."""
+
 
 class OwnEntry(Protocol):
     """This instance's entry in the store, and those of others."""
@@ -108,11 +111,15 @@
         """Begin or stop to follow; called at the start and a few times a second."""
         # The first lists are read by each instance itself: it knows no relay yet.
         known = all(feed.listed for feed in self._feeds)
-        follow = not known or self._role.should_watch(self._roster.live, now)
+        live = self._roster.live
+        wanted = not known or self._role.should_watch(live, now)
+        self._health.set_active(wanted)
+        self._health.urgent = not known
+        # Where no relay follows the store, it may be away for all. Those that would stand in ask it
+        # the cheap way first: 60 instances with three feeds each made 1,500 calls in an outage.
+        follow = wanted and (not known or self._role.is_relay(live) or self._health.answers)
         for feed in self._feeds:
             feed.set_active(follow)
-        self._health.active = follow
-        self._health.urgent = not known
         self._peers.follows = (
             follow and not self._health.away and all(feed.connected for feed in self._feeds)
         )
@@ -121,6 +128,7 @@
         """Do what has no event of its own to wait for; called a few times a second."""
         self.choose(now)
         if self._peers.follows:
+            self._catalog.confirm_searchers()
             self._remove_gone(now)
         self._stay_listed(now)
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -173,7 +173,8 @@
         self._broadcast(self._heartbeat())
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(self._roster.ready, self.follows, self._catalog.known)
+        now = asyncio.get_running_loop().time()
+        return Heartbeat(self._roster.ready, self.follows, self._catalog.known, now)
 
     def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
         """Return the instances that this one misses as a relay; None where it is none."""
@@ -363,12 +364,15 @@
     @_handles(Heartbeat)
     def _on_heartbeat(self, link: PeerLink, beat: Heartbeat) -> None:
         link.ready = beat.ready
+        link.lag(beat.sent_at)
         if link.name is None:
             return
         if beat.follows:
             self._role.relay_heard(link.name, link.heard_at)
             if beat.known.version == self._catalog.version_number:
                 self._catalog.confirm_version()
+            if beat.known.searchers <= self._catalog.searchers.revision:
+                self._catalog.confirm_searchers()
         else:
             self._role.relay_stopped(link.name, link.heard_at)
         self._note_known(link, beat.known)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -26,6 +26,9 @@
 # An instance that let a batch wait until the hedges get no batches for this long. Its heartbeats
 # stop within that time if it is frozen or cut off.
 SUSPECT_SECONDS = 1.5
+# A batch that came this much later than others on its link is not worked on: searchers shall get
+# nothing more half a second after a caller has left.
+MOST_LAG = 0.3
 
 OnParts = Callable[[dict[str, bytes], bytes], None]
 OnFailure = Callable[[str, Verdict, str], None]
@@ -170,10 +173,7 @@
 
     def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
         if isinstance(frame, Batch):
-            key = (id(link), frame.number)
-            worked = WorkedBatch(self._dispatch, link, frame, lambda: self._worked.pop(key, None))
-            self._worked[key] = worked
-            worked.start()
+            self._work(link, frame)
         elif isinstance(frame, BatchEnd):
             worked = self._worked.pop((id(link), frame.number), None)
             if worked is not None:
@@ -181,6 +181,22 @@
         elif isinstance(frame, BatchParts | BatchFailure):
             self._on_result(frame)
 
+    def _work(self, link: PeerLink, frame: Batch) -> None:
+        if link.lag(frame.sent_at) > MOST_LAG:
+            # It was held up on the way. Its caller may have left, and the word of that is behind it
+            # on the same link; the search's hedges have replaced it.
+            self._dispatch.metrics.count("batches_late")
+            for call in frame.calls:
+                failure = BatchFailure(
+                    frame.number, call.shard, Verdict.NOT_SENT.value, "came_too_late"
+                )
+                link.send(failure)
+            return
+        key = (id(link), frame.number)
+        worked = WorkedBatch(self._dispatch, link, frame, lambda: self._worked.pop(key, None))
+        self._worked[key] = worked
+        worked.start()
+
     def _on_result(self, frame: BatchParts | BatchFailure) -> None:
         sent = self._sent.get(frame.number)
         if sent is None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -83,6 +83,7 @@
                 outgoing.route.top,
                 outgoing.deadline - now,
                 outgoing.timings.hedge_delay * _MERGE_SHARE,
+                now,
             )
 
         sent = self._desk.send(link, frame, self._parts_came, self._call_failed)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -209,15 +209,16 @@
                 tries.abandon()
 
     def _report(self, status: int, reason: str) -> None:
+        missing = [tries for tries in self._tries if tries.service not in self._parts]
+        for tries in missing:
+            self._dispatch.metrics.count("parts_missing", tries.service)
         self._log(
             Outcome(
                 status,
                 reason,
                 parts=len(self._parts),
                 missing=[
-                    f"{t.service}:{t.reason or 'late'}:{'+'.join(t.searchers)}"
-                    for t in self._tries
-                    if t.service not in self._parts
+                    f"{t.service}:{t.reason or 'late'}:{'+'.join(t.searchers)}" for t in missing
                 ],
                 hedges=sum(t.hedges for t in self._tries),
             )
--- a/packages/limpethollow-node/src/limpethollow_node/platform/checks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/checks.py
@@ -28,8 +28,8 @@
     Checks fail during the outage, so the first one that succeeds shows that watches are doubtful.
 
     Attributes:
-        active: Whether to check.
         away: Whether the last check failed.
+        answers: Whether the last check succeeded, of those made since checks began.
         urgent: Whether callers are refused until the store is back.
 
     Args:
@@ -40,7 +40,17 @@
         on_back: Called when it answers again.
     """
 
-    __slots__ = ("_kind", "_name", "_on_away", "_on_back", "_store", "active", "away", "urgent")
+    __slots__ = (
+        "_active",
+        "_kind",
+        "_name",
+        "_on_away",
+        "_on_back",
+        "_store",
+        "answers",
+        "away",
+        "urgent",
+    )
 
     def __init__(
         self,
@@ -55,27 +65,38 @@
         self._kind = kind
         self._name = name
         self._on_back = on_back
-        self.active = True
+        self._active = asyncio.Event()
+        self.answers = False
         self.away = False
         self.urgent = False
 
+    def set_active(self, active: bool) -> None:
+        """Check from now on, at once for the first time, or leave that to others."""
+        if active:
+            self._active.set()
+        else:
+            self._active.clear()
+            self.answers = False
+
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
+            await self._active.wait()
+            await self._check()
             await asyncio.sleep(URGENT_CHECK_SECONDS if self.urgent else CHECK_SECONDS)
-            if self.active:
-                await self._check()
 
     async def _check(self) -> None:
         patience = URGENT_PATIENCE_SECONDS if self.urgent else PATIENCE_SECONDS
         try:
             await self._store.check(self._kind, self._name, patience)
         except Unavailable as error:
+            self.answers = False
             if not self.away:
                 self.away = True
                 events.PLATFORM_FAILED.log(call="check", error=str(error))
                 self._on_away()
             return
+        self.answers = self._active.is_set()
         if self.away:
             self.away = False
             events.PLATFORM_BACK.log()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -23,6 +23,7 @@
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.platform.membership import KIND, Membership
 from limpethollow_node.platform.settings import (
+    Limits,
     PlatformSettings,
     SettingsFile,
     settings_path,
@@ -43,6 +44,8 @@
 # Changes of a kind that come within this many seconds cost one call to the store.
 _GATHER_SECONDS = {"servers": 0.25, "instances": 0.25}
 _TICK_SECONDS = 0.25
+# Bandwidth that goes with a core: a core carries some 9,000 calls a second of 400 bytes, 30 Mbit/s.
+_MBPS_PER_CORE = 30.0
 
 
 class PlatformProcess:
@@ -112,6 +115,7 @@
             self._membership,
         )
         self._services: frozenset[str] = frozenset()
+        self._show_state()
 
     async def run(self) -> None:
         """Serve until asked to leave and everything under way has ended."""
@@ -151,6 +155,13 @@
         """Begin the graceful shutdown."""
         self._life.ask_to_leave()
 
+    def _show_state(self) -> None:
+        self._catalog.show_ages(self.metrics)
+        loop = asyncio.get_running_loop()
+        self.metrics.gauge("ready", lambda: self._life.is_ready)
+        self.metrics.gauge("follows_store", lambda: self._peers.follows)
+        self.metrics.gauge("instances_heard", lambda: self._peers.heard_count(loop.time()))
+
     def _new_feeds(self) -> list[Feed]:
         sinks = sinks_for(self._catalog, self._peers.tell)
         return [
@@ -227,6 +238,10 @@
         exchange.respond(Reply(200, kind, self.metrics.render().encode()))
 
 
+def _strength(limits: Limits) -> float:
+    return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
+
+
 def _own_instance(settings: PlatformSettings) -> Instance:
     first, _ = settings.internal_port_range
     return Instance(
@@ -234,6 +249,6 @@
         address=settings.listen.front,
         peer_address=f"{settings.ip}:{first}",
         failure_domain=settings.zone,
-        strength=settings.limits.cpu_share * settings.limits.cores,
+        strength=_strength(settings.limits),
         incarnation=time.time_ns() // 1_000_000,
     )
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -31,12 +31,14 @@
         cores: How many times as fast as one core that share runs.
         memory_mb: Memory of a process in megabytes.
         max_fds: Descriptors of a process.
+        link_mbps: Bandwidth of its network.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     memory_mb: float = 256
     max_fds: int = 1024
+    link_mbps: float = 1000
 
 
 class Bounds(msgspec.Struct, frozen=True, rename="camel"):
--- a/packages/limpethollow-node/src/limpethollow_node/process/metrics.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/metrics.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -21,6 +22,7 @@
         self._lock = threading.Lock()
         self._counters: Counter[tuple[str, str]] = Counter()
         self._histograms: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
 
     def count(self, name: str, reason: str = "", amount: int = 1) -> None:
         """Raise a counter.
@@ -33,6 +35,15 @@
         with self._lock:
             self._counters[name, reason] += amount
 
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value as it is whenever metrics are asked for.
+
+        Args:
+            name: Name of the gauge.
+            read: Returns the value.
+        """
+        self._gauges[name] = read
+
     def value(self, name: str, reason: str = "") -> int:
         """Return a counter's value."""
         with self._lock:
@@ -65,6 +76,7 @@
                     seconds = histogram.get_value_at_percentile(quantile) / 1_000_000
                     labels = {"quantile": f"{quantile / 100:g}"}
                     lines.append(_line(f"{name}_seconds", labels, seconds))
+        lines += [_line(name, {}, read()) for name, read in sorted(self._gauges.items())]
         lines += _process_lines()
         return "\n".join(lines) + "\n"
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
@@ -5,8 +5,8 @@
 
 # Callers are not told of more instances than this.
 MOST_ENTRIES = 64
-# An instance with less than this share of the strongest one's processor is named only where no
-# stronger one is left.
+# An instance with less than this share of the strongest one's strength is named to callers, and
+# asked to work for others, only where no stronger one is left.
 _LEAST_STRENGTH = 0.4
 
 
@@ -19,7 +19,7 @@
         address: Where callers connect.
         peer_address: Where other instances connect.
         failure_domain: Where it runs.
-        strength: Processor that it may use, in cores.
+        strength: Processor that it may use, in cores; less where its network is the narrower.
         incarnation: Start of its process; another value means that it has started anew.
     """
 
@@ -49,14 +49,15 @@
         usual: All instances that are expected; where under half of those that would be chosen
             are live, the choice widens to the other failure domains.
     """
-    strong = _strong(live)
+    strong = strong_among(live)
     near = [instance for instance in strong if searchers.get(instance.failure_domain)]
-    wanted = [i for i in _strong(usual) if searchers.get(i.failure_domain)]
+    wanted = [i for i in strong_among(usual) if searchers.get(i.failure_domain)]
     chosen = near if near and 2 * len(near) >= len(wanted) else strong
     ordered = sorted(chosen, key=lambda i: (i.failure_domain != caller_domain, i.name))
     return ordered[:MOST_ENTRIES]
 
 
-def _strong(instances: Collection[Instance]) -> list[Instance]:
+def strong_among(instances: Collection[Instance]) -> list[Instance]:
+    """Return the instances that can take their part of the common work."""
     strongest = max((instance.strength for instance in instances), default=0.0)
     return [i for i in instances if i.strength >= _LEAST_STRENGTH * strongest]
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -1,10 +1,10 @@
 """Which instances link to each other, and which of them read the platform's store for the rest."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from hashlib import blake2b
 from random import Random
 
-from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.placements import Instance, strong_among
 
 # Up to this many instances link to all others: 16 links with two heartbeats a second each cost an
 # instance under half a percent of a core.
@@ -24,14 +24,14 @@
 
     Each instance works this out from its own view. Two that disagree watch both, or hear a relay
     of another failure domain, which costs some calls and never an answer; no lease guards the role.
+    Weak instances take it only where no stronger one is left: a list of 400 searchers for a dozen
+    others filled a link of 7 Mbit/s for a second, and calls made there for others came that late.
     """
-    best: dict[str, Instance] = {}
-    for instance in live:
-        domain = instance.failure_domain
-        known = best.get(domain)
-        if known is None or _weight("relay", instance.name) > _weight("relay", known.name):
-            best[domain] = instance
-    return frozenset(instance.name for instance in best.values())
+    found = set()
+    for members in _by_domain(live).values():
+        strong = strong_among(members)
+        found.add(max(strong, key=lambda instance: _weight("relay", instance.name)).name)
+    return frozenset(found)
 
 
 def links_of(own: Instance, known: Collection[Instance]) -> frozenset[str]:
@@ -40,15 +40,10 @@
     if len(others) < FULL_MESH:
         return frozenset(instance.name for instance in others)
     wanted = set(relays_among(known))
-    by_domain: dict[str, list[Instance]] = {}
-    for instance in others:
-        if instance.name in wanted:
-            continue
-        by_domain.setdefault(instance.failure_domain, []).append(instance)
-    for domain, members in by_domain.items():
+    for domain, members in _by_domain(i for i in others if i.name not in wanted).items():
         count = LINKS_NEAR if domain == own.failure_domain else LINKS_FAR
-        members.sort(key=lambda instance: _weight(own.name, instance.name), reverse=True)
-        wanted.update(instance.name for instance in members[:count])
+        strong = sorted(strong_among(members), key=lambda i: _weight(own.name, i.name))
+        wanted.update(instance.name for instance in strong[-count:])
     wanted.discard(own.name)
     return frozenset(wanted)
 
@@ -83,9 +78,13 @@
         if self._following.pop(name, None) is not None:
             self._note_loss(now)
 
+    def is_relay(self, live: Collection[Instance]) -> bool:
+        """Return whether to watch the store for the own failure domain."""
+        return self._own in relays_among(live)
+
     def should_watch(self, live: Collection[Instance], now: float) -> bool:
         """Return whether to watch the store now."""
-        if self._own in relays_among(live):
+        if self.is_relay(live):
             return True
         for name in [n for n, at in self._following.items() if now - at > RELAY_SILENCE]:
             del self._following[name]
@@ -97,5 +96,12 @@
         self._jitter = self._rng.random() * _JITTER
 
 
+def _by_domain(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
+    found: dict[str, list[Instance]] = {}
+    for instance in instances:
+        found.setdefault(instance.failure_domain, []).append(instance)
+    return found
+
+
 def _weight(key: str, name: str) -> bytes:
     return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/packages/limpethollow/src/limpethollow/commands.py
+++ b/packages/limpethollow/src/limpethollow/commands.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from importlib.metadata import version
@@ -15,6 +16,7 @@
 from limpethollow.models import BookingOutcome, Confirmation, Intent, OutcomeState, SearchAnswer
 from limpethollow.operators import Operator
 from limpethollow.sessions import Session
+from limpethollow.statuses import ProcessStatus, read_status
 from limpethollow_wire.keys import key_digest
 from limpethollow_wire.settings import NodeSettings, load_toml
 
@@ -60,6 +62,8 @@
         return EXIT_PARTIAL
     if isinstance(result, Confirmation) and result.lacking:
         return EXIT_PARTIAL
+    if isinstance(result, ProcessStatus) and result.missing:
+        return EXIT_PARTIAL
     if isinstance(result, BookingOutcome):
         return _outcome_code(result)
     return EXIT_OK
@@ -134,7 +138,17 @@
 
 
 def _path_option(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("path", help="settings file of an instance")
+    parser.add_argument(
+        "path", help="settings file of an instance, the platform's (JSON), or a deploy file"
+    )
+
+
+def _metrics_address_option(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--metrics",
+        metavar="HOST:PORT/PATH",
+        help="ask a process on the platform by its metrics address instead",
+    )
 
 
 def _explain_options(parser: argparse.ArgumentParser) -> None:
@@ -178,8 +192,12 @@
         return operator.instances()
 
 
-@command("status", "show what one instance says of itself", _operator_options)
+@command(
+    "status", "show what one instance says of itself", _operator_options, _metrics_address_option
+)
 def _status(options: argparse.Namespace) -> Any:
+    if options.metrics:
+        return read_status(options.metrics)
     with _operator(options) as operator:
         return operator.status()
 
@@ -225,10 +243,30 @@
 
 @command("check-config", "check an instance's settings file", _path_option)
 def _check_config(options: argparse.Namespace) -> Any:
+    path = Path(options.path)
+    if path.suffix == ".json" or _has_roles(path):
+        return {"path": options.path, "for": _platform_check(path), "valid": True}
     settings = NodeSettings.load(options.path)
     return {"path": options.path, "instance": settings.instance.id, "valid": True}
 
 
+def _has_roles(path: Path) -> bool:
+    """Return whether a file is a deploy file, by its table of roles."""
+    return path.is_file() and re.search(rb"^\s*\[roles\.", path.read_bytes(), re.M) is not None
+
+
+def _platform_check(path: Path) -> str:
+    """Check a file of the platform; its names are known to the daemon's package alone."""
+    try:
+        from limpethollow_node.platform.filechecks import check_file
+    except ImportError:
+        raise SettingsError(
+            f"{path}: this is a file of the platform.",
+            remedy="Install limpethollow-node, which can check it.",
+        ) from None
+    return check_file(path)
+
+
 @command("key-digest", "print the digest of a caller's key, for a service file", _key_file_option)
 def _key_digest(options: argparse.Namespace) -> Any:
     return {"key_sha256": key_digest(_key(options.key_file, ""))}
--- a/packages/limpethollow/src/limpethollow/views.py
+++ b/packages/limpethollow/src/limpethollow/views.py
@@ -5,6 +5,7 @@
 
 from limpethollow.explanations import Story
 from limpethollow.models import BookingOutcome, Confirmation, OutcomeState, Plan, SearchAnswer
+from limpethollow.statuses import ProcessStatus
 from limpethollow_wire.instances import InstanceStatus
 
 T = TypeVar("T")
@@ -40,6 +41,19 @@
     return lines
 
 
+@view(ProcessStatus)
+def _process_status(status: ProcessStatus) -> list[str]:
+    follows = "itself" if status.follows_store else "through a relay"
+    return [
+        "ready" if status.ready else "NOT READY",
+        f"  version {status.version}, confirmed {status.version_age:.1f} s ago",
+        f"  {status.searchers} searchers, confirmed {status.searchers_age:.1f} s ago",
+        f"  {status.instances} instances, {status.linked} others heard",
+        f"  follows the store {follows}",
+        *(f"  missing: {line}" for line in status.missing),
+    ]
+
+
 @view(Plan)
 def _plan(plan: Plan) -> list[str]:
     lines = [f"Plan {plan.id}", f"  {plan.action} service {plan.service}"]
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,97 @@
+"""Runs the soak: `python -m soak SEED...`; each seed is a run of its own, the same each time."""
+
+import argparse
+import shutil
+import sys
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+from tempfile import mkdtemp
+
+from soak.callers import Caller, Outcome
+from soak.faults import Planned, act, plan
+from soak.promises import RECOVER_SECONDS, Seen, broken
+from soak.world import World
+
+_CALLERS = 6
+_CALM_SECONDS = RECOVER_SECONDS + 2.0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run all seeds; return 1 where one broke a promise."""
+    options = _parser().parse_args(arguments)
+    failed = [seed for seed in options.seeds if run(seed, options.seconds, options.instances)]
+    print(f"{len(options.seeds)} seeds, {len(failed)} broke a promise: {failed}", flush=True)
+    return 1 if failed else 0
+
+
+def run(seed: int, seconds: float, instances: int) -> list[str]:
+    """Run one seed, print what came of it, and return the broken promises.
+
+    The logs of a run that broke one are kept.
+
+    Args:
+        seed: Draws the faults and the load.
+        seconds: How long faults are injected.
+        instances: How many instances.
+    """
+    folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
+    rng = Random(seed)
+    faults = plan(rng, seconds)
+    outcomes: list[Outcome] = []
+    with World(folder, instances) as world:
+        callers = [Caller(f"c{n}", world, Random(seed + n), outcomes) for n in range(_CALLERS)]
+        for caller in callers:
+            caller.start()
+        _inject(faults, world, rng)
+        over = time.monotonic()
+        time.sleep(_CALM_SECONDS)
+        for caller in callers:
+            caller.stopping.set()
+        for caller in callers:
+            caller.join()
+        found = broken(Seen(world, outcomes, list(world.runs), over))
+    _print(seed, faults, outcomes, found, folder)
+    if not found:
+        shutil.rmtree(folder)
+    return found
+
+
+def _inject(faults: list[Planned], world: World, rng: Random) -> None:
+    begun = time.monotonic()
+    threads = []
+    for number, planned in enumerate(faults):
+        time.sleep(max(0.0, begun + planned.at - time.monotonic()))
+        own = Random(rng.random() + number)
+        thread = threading.Thread(target=act, args=(planned, world, own), daemon=True)
+        thread.start()
+        threads.append(thread)
+    for thread in threads:
+        thread.join()
+
+
+def _print(
+    seed: int, faults: list[Planned], outcomes: list[Outcome], found: list[str], folder: Path
+) -> None:
+    statuses = Counter(outcome.status for outcome in outcomes)
+    print(f"seed {seed}: {len(faults)} faults, {len(outcomes)} requests, {dict(statuses)}")
+    if found:
+        for planned in faults:
+            print(f"    {planned.at:5.1f} s  {planned.name}, {planned.seconds:.1f} s")
+        for line in found[:20]:
+            print(f"  BROKEN {line}")
+        print(f"  {len(found)} in all; logs are kept in {folder}", flush=True)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("seeds", nargs="+", type=int, metavar="SEED")
+    parser.add_argument("--seconds", type=float, default=10.0, help="time of faults a seed")
+    parser.add_argument("--instances", type=int, default=3)
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,131 @@
+"""Callers that keep their connections open, and what became of each of their requests."""
+
+import http.client
+import threading
+import time
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from soak.world import World, request_header
+from tests.support.platforms import HOST
+
+# Seconds that callers wait; the routes allow as much.
+DEADLINE_SECONDS = 1.5
+_PAUSE_SECONDS = (0.01, 0.06)
+_RESOLVE_SECONDS = 1.0
+
+
+class Kind(Enum):
+    """Kinds of requests."""
+
+    SEARCH = "/find/x"
+    BOOKING = "/get/x"
+    LOOK_UP = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """What became of a request.
+
+    Attributes:
+        request: Its id.
+        kind: Its kind.
+        path: Its path.
+        instance: Index of the instance that was asked.
+        begun: When it was sent.
+        ended: When the answer was whole, or the connection broke.
+        status: The answer's status; None without an answer.
+        headers: The answer's headers, names in lower case.
+        body: The answer's body.
+        kept: Whether the connection had carried a request before.
+    """
+
+    request: str
+    kind: Kind
+    path: str
+    instance: int
+    begun: float
+    ended: float
+    status: int | None
+    headers: dict[str, str]
+    body: bytes
+    kept: bool
+
+
+class Caller(threading.Thread):
+    """Sends one request after the other until told to stop.
+
+    Args:
+        name: Makes its request ids unlike those of others.
+        world: The system.
+        rng: Draws what it does.
+        outcomes: Takes each outcome.
+    """
+
+    def __init__(self, name: str, world: World, rng: Random, outcomes: list[Outcome]) -> None:
+        super().__init__(daemon=True)
+        self._name = name
+        self._world = world
+        self._rng = rng
+        self._outcomes = outcomes
+        self._connections: dict[int, http.client.HTTPConnection] = {}
+        self._addresses: list[str] = []
+        self._resolved_at = float("-inf")
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        """Send requests until told to stop."""
+        number = 0
+        while not self.stopping.is_set():
+            index = self._choose()
+            if index is not None:
+                number += 1
+                self._outcomes.append(self._ask(f"{self._name}-{number}", index))
+            time.sleep(self._rng.uniform(*_PAUSE_SECONDS))
+
+    def _choose(self) -> int | None:
+        """Return an instance that a directory names; None where no directory answers."""
+        now = time.monotonic()
+        if now - self._resolved_at > _RESOLVE_SECONDS:
+            self._addresses = self._resolve() or self._addresses
+            self._resolved_at = now
+        by_address = {each.address: n for n, each in enumerate(self._world.instances)}
+        named = [by_address[address] for address in self._addresses if address in by_address]
+        return self._rng.choice(named) if named else None
+
+    def _resolve(self) -> list[str]:
+        for instance in self._rng.sample(self._world.instances, len(self._world.instances)):
+            try:
+                return instance.process.addresses()
+            except Exception:  # noqa: S112 - a dead directory; the next one is asked
+                continue
+        return []
+
+    def _ask(self, request: str, index: int) -> Outcome:
+        kind = self._rng.choice((Kind.SEARCH, Kind.SEARCH, Kind.BOOKING, Kind.LOOK_UP))
+        path = kind.value or f"{self._rng.choice(self._world.routes)[0]}x"
+        kept = index in self._connections
+        connection = self._connections.pop(index, None) or self._connect(index)
+        begun = time.monotonic()
+        status, headers, body = None, {}, b""
+        try:
+            method = "POST" if kind is Kind.BOOKING else "GET"
+            sent = {"Host": HOST, **request_header(request, DEADLINE_SECONDS)}
+            connection.request(method, path, b"bay" if method == "POST" else None, sent)
+            reply = connection.getresponse()
+            body = reply.read()
+            status = reply.status
+            headers = {name.lower(): value for name, value in reply.getheaders()}
+            if reply.will_close:
+                connection.close()
+            else:
+                self._connections[index] = connection
+        except (OSError, http.client.HTTPException):
+            connection.close()
+        ended = time.monotonic()
+        return Outcome(request, kind, path, index, begun, ended, status, headers, body, kept)
+
+    def _connect(self, index: int) -> http.client.HTTPConnection:
+        port = self._world.instances[index].process.front
+        return http.client.HTTPConnection("127.0.0.1", port, timeout=2 * DEADLINE_SECONDS)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,207 @@
+"""The faults of the soak, each registered under its name, and random plans of them."""
+
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from soak.world import DESK, Mood, SoakInstance, SoakSearcher, World
+from tests.standins.proxy import ProxyStandIn
+
+Fault = Callable[[World, Random, float], None]
+_FAULTS: dict[str, Fault] = {}
+# An instance whose kept connections were harmed counts as rough for this long after it.
+_SETTLE_SECONDS = 0.5
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault; it lasts for the seconds it is given, and then cleans up."""
+
+    def register(act: Fault) -> Fault:
+        _FAULTS[name] = act
+        return act
+
+    return register
+
+
+@dataclass(slots=True, frozen=True)
+class Planned:
+    """A fault at a time.
+
+    Attributes:
+        at: Seconds after the start.
+        name: The fault.
+        seconds: How long it lasts.
+    """
+
+    at: float
+    name: str
+    seconds: float
+
+
+def plan(rng: Random, until: float) -> list[Planned]:
+    """Return a random plan: faults in series and overlapping, some kinds twice."""
+    found = []
+    at = 1.0
+    names = sorted(_FAULTS)
+    while at < until - 2.0:
+        seconds = rng.uniform(0.4, 2.5)
+        found.append(Planned(at, rng.choice(names), min(seconds, until - at)))
+        at += rng.choice((0.0, 0.3, 0.8, 1.5))
+    return found
+
+
+def act(planned: Planned, world: World, rng: Random) -> None:
+    """Carry out a planned fault."""
+    _FAULTS[planned.name](world, rng, planned.seconds)
+
+
+@fault("instance killed")
+def _kill(world: World, rng: Random, seconds: float) -> None:
+    _kill_and_restart(rng.choice(world.instances), seconds)
+
+
+@fault("all instances killed")
+def _kill_all(world: World, rng: Random, seconds: float) -> None:
+    threads = [
+        threading.Thread(target=_kill_and_restart, args=(instance, seconds))
+        for instance in world.instances
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@fault("instance stopped")
+def _stop(world: World, rng: Random, seconds: float) -> None:
+    instance = rng.choice(world.instances)
+    with instance.claim() as free:
+        if not free:
+            return
+        with instance.stopped.span():
+            instance.process.terminate()
+            instance.process.child.wait()
+        time.sleep(min(seconds, 1.0))
+        instance.process.start()
+        instance.process.wait_ready()
+
+
+@fault("instance paused")
+def _pause(world: World, rng: Random, seconds: float) -> None:
+    instance = rng.choice(world.instances)
+    with instance.claim() as free:
+        if not free:
+            return
+        with instance.rough.span():
+            instance.process.signal(signal.SIGSTOP)
+            time.sleep(seconds)
+            instance.process.signal(signal.SIGCONT)
+            time.sleep(_SETTLE_SECONDS)
+
+
+@fault("settings signalled")
+def _hup(world: World, rng: Random, seconds: float) -> None:
+    for instance in world.instances:
+        with instance.claim() as free:
+            if free:
+                instance.process.signal(signal.SIGHUP)
+
+
+@fault("store silent")
+def _silent(world: World, rng: Random, seconds: float) -> None:
+    with world.store_rough.span():
+        world.store.go_silent()
+        time.sleep(seconds)
+        world.store.come_back()
+
+
+@fault("store refuses")
+def _refuses(world: World, rng: Random, seconds: float) -> None:
+    _set_store(world, "refuses", seconds)
+
+
+@fault("store loses replies")
+def _loses(world: World, rng: Random, seconds: float) -> None:
+    _set_store(world, "loses_replies", seconds)
+
+
+@fault("store forgets its history")
+def _forgets(world: World, rng: Random, seconds: float) -> None:
+    world.store.forget_history()
+
+
+@fault("instance cut from the store")
+def _cut_from_store(world: World, rng: Random, seconds: float) -> None:
+    instance = rng.choice(world.instances)
+    with world.store_rough.span():
+        _disturb(instance.proxy, rng, seconds)
+
+
+@fault("searcher in a bad mood")
+def _mood(world: World, rng: Random, seconds: float) -> None:
+    searcher = rng.choice(world.searchers)
+    searcher.mood = rng.choice([mood for mood in Mood if mood is not Mood.WELL])
+    time.sleep(seconds)
+    searcher.mood = Mood.WELL
+
+
+@fault("way to a searcher disturbed")
+def _way(world: World, rng: Random, seconds: float) -> None:
+    _disturb(rng.choice(world.searchers).proxy, rng, seconds)
+
+
+@fault("configuration changed")
+def _configure(world: World, rng: Random, seconds: float) -> None:
+    world.configure()
+
+
+@fault("searcher drained")
+def _drain(world: World, rng: Random, seconds: float) -> None:
+    searcher = rng.choice(world.searchers)
+    name, service = searcher.backend.name, searcher.backend.service
+    partner = _partner(world, searcher)
+    if name in world.drained or partner.backend.name in world.drained or service == DESK:
+        return
+    world.drain(searcher)
+
+
+def _partner(world: World, searcher: SoakSearcher) -> SoakSearcher:
+    return next(
+        other
+        for other in world.searchers
+        if other.backend.service == searcher.backend.service and other is not searcher
+    )
+
+
+def _set_store(world: World, name: str, seconds: float) -> None:
+    with world.store_rough.span():
+        setattr(world.store, name, True)
+        time.sleep(seconds)
+        setattr(world.store, name, False)
+
+
+def _disturb(proxy: ProxyStandIn, rng: Random, seconds: float) -> None:
+    """Delay, reset, silence or cut one way all connections through a proxy for a while."""
+    how = rng.choice(("delay", "refuse", "silent", "hold_requests", "hold_replies"))
+    proxy.control({how: 0.05 if how == "delay" else True}, {})
+    if how == "refuse":
+        proxy.control({"cut": True}, {})
+    time.sleep(seconds)
+    proxy.control({how: 0.0 if how == "delay" else False}, {})
+    if how == "silent":
+        proxy.control({"cut": True}, {})
+
+
+def _kill_and_restart(instance: SoakInstance, seconds: float) -> None:
+    with instance.claim() as free:
+        if not free:
+            return
+        with instance.rough.span():
+            instance.process.kill()
+            time.sleep(min(seconds, 1.0))
+            instance.process.start()
+            instance.process.wait_ready()
+            time.sleep(_SETTLE_SECONDS)
--- a/tests/system/platform/test_path.py
+++ b/tests/system/platform/test_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from limpethollow.main import main
 from tests.standins.backends import PROOF, REQUEST_ID
 from tests.support.platforms import forward_route, search_route
 from tests.support.processes import wait_for
@@ -189,3 +190,16 @@
         instance.settings_path.write_text("{")
         wait_for(lambda: instance.events(216), "the log says so")
         assert instance.ask("/get/x").status == 200
+
+
+class TestStatus:
+    def test_the_command_line_shows_it_from_the_metrics_address(self, system, capsys):
+        system.backend("desk", "i-1")
+        system.configure(3, forward_route("desk"))
+        instance = system.instance()
+        address = f"127.0.0.1:{instance.settings['internalPortRange'][1]}/metrics"
+        wait_for(lambda: main(["status", "--metrics", address]) == 0, "nothing is missing")
+        assert "version 3" in capsys.readouterr().out
+        instance.kill()
+        assert main(["status", "--metrics", address]) != 0
+        assert address in capsys.readouterr().err
--- /dev/null
+++ b/tests/unit/engine/test_followers.py
@@ -0,0 +1,66 @@
+"""Who follows the store, and who only asks whether it is there."""
+
+from random import Random
+
+from limpethollow_node.engine.process.followers import StoreFollower
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.topology import WatchRole, relays_among
+
+EVERYONE = [Instance(f"i-{n}", f"{n}:1", f"{n}:2", "zone-a") for n in range(8)]
+RELAY = next(iter(relays_among(EVERYONE)))
+OTHER = next(instance.name for instance in EVERYONE if instance.name != RELAY)
+
+
+class FakeFeed:
+    connected = True
+    listed = True
+    active = False
+
+    def set_active(self, active: bool) -> None:
+        self.active = active
+
+
+class FakeHealth:
+    away = answers = urgent = active = False
+
+    def set_active(self, active: bool) -> None:
+        self.active = active
+
+
+class FakeRoster:
+    live = EVERYONE
+
+
+class FakePeers:
+    follows = False
+
+
+def follower(name: str) -> tuple[StoreFollower, FakeFeed, FakeHealth]:
+    feed, health = FakeFeed(), FakeHealth()
+    role = WatchRole(name, Random(1))
+    made = StoreFollower([feed], health, role, FakeRoster(), None, FakePeers(), None)
+    return made, feed, health
+
+
+class TestStandingIn:
+    """The store went away, and each of 63 instances tried to follow it, with three feeds.
+
+    No relay followed it any more, so all stood in for them: 1,500 calls in six seconds, all failed.
+    """
+
+    def test_a_stand_in_waits_for_a_sign_of_the_store(self):
+        made, feed, health = follower(OTHER)
+        made.choose(100.0)
+        assert (health.active, feed.active) == (True, False)
+        health.answers = True
+        made.choose(100.25)
+        assert feed.active
+
+    def test_a_relay_and_one_that_knows_nothing_ask_the_store_itself(self):
+        made, feed, _ = follower(RELAY)
+        made.choose(100.0)
+        assert feed.active
+        made, feed, health = follower(OTHER)
+        feed.listed = False
+        made.choose(100.0)
+        assert (feed.active, health.urgent) == (True, True)
--- a/tests/unit/engine/test_topology.py
+++ b/tests/unit/engine/test_topology.py
@@ -1,5 +1,6 @@
 """Who links to whom, who watches the store, and parts merged elsewhere."""
 
+from dataclasses import replace
 from random import Random
 
 from limpethollow_policy.process.placements import Instance
@@ -29,6 +30,28 @@
         assert relays_among(some) == relays
 
 
+class TestWeakInstances:
+    """Calls reached searchers 1.1 s after their caller had left.
+
+    A relay with a link of 7 Mbit/s sent the list of searchers to instances that had just started.
+    A batch of calls for another instance waited behind it, and so did the word that it was over.
+    """
+
+    def test_they_relay_only_where_no_stronger_one_is_left(self):
+        weak = [replace(instance, strength=0.2) for instance in instances(8, domains=1)]
+        strong = Instance("strong", "1:1", "1:2", "zone-0", strength=1.0)
+        assert relays_among([*weak, strong]) == {"strong"}
+        assert len(relays_among(weak)) == 1
+
+    def test_links_for_calls_go_to_strong_ones(self):
+        everyone = [replace(i, strength=0.2 if n % 2 else 1.0) for n, i in enumerate(instances(64))]
+        weak = {instance.name for instance in everyone if instance.strength < 0.5}
+        domains = {i.failure_domain for i in everyone if i.name not in weak}
+        for own in everyone:
+            far = links_of(own, everyone) & weak
+            assert all(i.failure_domain not in domains for i in everyone if i.name in far)
+
+
 class TestLinks:
     def test_few_instances_link_to_all(self):
         everyone = instances(FULL_MESH)
--- a/tests/unit/platform/test_checks.py
+++ b/tests/unit/platform/test_checks.py
@@ -38,6 +38,30 @@
         assert told == ["away", "back"]
         assert not check.away
 
+    def test_it_answers_only_by_a_check_made_since_checks_began(self):
+        """An instance that stands in for lost relays asks the store the cheap way first.
+
+        What a check said minutes ago, when it stood in before, says nothing of the store now.
+        """
+        assert asyncio.run(self.answers()) == [False, True, False, False, True]
+
+    async def answers(self) -> list[bool]:
+        store = FakeStore()
+        check = StoreCheck(store, "kind", "name", lambda: None, lambda: None)
+        found = [check.answers]
+        check.set_active(True)
+        await check._check()
+        found.append(check.answers)
+        check.set_active(False)
+        found.append(check.answers)
+        store.away = True
+        check.set_active(True)
+        await check._check()
+        found.append(check.answers)
+        store.away = False
+        await check._check()
+        return [*found, check.answers]
+
     def test_an_outage_is_found_with_time_left_for_others_to_watch(self):
         """The bound is 3 s; others need a heartbeat's way, their jitter of 0.3 s and a tick."""
         assert CHECK_SECONDS + PATIENCE_SECONDS <= 1.5
--- /dev/null
+++ b/tests/unit/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak's own checks."""
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -10,6 +10,7 @@
 COUNTED = re.compile(r"\b[Cc]ount\(\s*\"(\w+)\"")
 COUNTED_BY_CONSTANT = re.compile(r"\b[Cc]ount\(\s*(_[A-Z_]+)\b")
 TIMED = re.compile(r"\b(?:timed|observe)\(\s*\"(\w+)\"")
+GAUGE = re.compile(r"\bgauge\(\s*\"(\w+)\"")
 
 
 def first_column(page: str) -> list[str]:
@@ -49,6 +50,11 @@
 class TestMetricCatalogue:
     def test_every_metric_in_the_code_stands_in_the_page_and_no_other(self):
         documented = set(first_column("METRICS.md"))
-        used = names_in_code(COUNTED) | names_in_code(TIMED) | constants_in_code()
+        used = (
+            names_in_code(COUNTED)
+            | names_in_code(TIMED)
+            | names_in_code(GAUGE)
+            | constants_in_code()
+        )
         used |= {"cpu_seconds_total", "resident_bytes_peak", "threads"}
         assert documented - {"metric"} == used
