--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -10,10 +10,8 @@
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, Search
 from limpethollow_node.process import events
 from limpethollow_policy.version.routes import Route, RoutingVersion, VersionBook, WeightedTurns
-from limpethollow_wire.exceptions import BadRequest, LimpethollowError, NoRoute, Unavailable
+from limpethollow_wire.exceptions import LimpethollowError, NoRoute, Unavailable
 
-# Answers at a deadline leave this early, so that they are there when the caller stops waiting.
-_ANSWER_EARLY = 0.012
 # A version that was last known to be the newest longer ago than this may lack a route that is in
 # force elsewhere; "no such route" would then be untrue.
 KNOWN_FOR = 13.0
@@ -70,8 +68,7 @@
         if version is None:
             raise Unavailable("No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION)
         route = self._route(request)
-        deadline = self._deadline(exchange, route)
-        outgoing = Outgoing.of(request, route, deadline, self._dispatch)
+        outgoing = Outgoing.of(request, route, exchange.arrived_at, self._dispatch)
         log = self._logger(exchange, route)
         running: Search | Forward
 
@@ -104,15 +101,6 @@
             )
         raise NoRoute("No route takes this host and path.")
 
-    def _deadline(self, exchange: Exchange, route: Route) -> float:
-        stated = exchange.request.header(self._dispatch.names.time_left)
-        seconds = route.timeout
-        if stated is not None:
-            if not stated.isdigit():
-                raise BadRequest("The time left is no whole number of milliseconds.")
-            seconds = min(seconds, int(stated) / 1000)
-        return exchange.arrived_at + max(seconds - _ANSWER_EARLY, seconds / 2)
-
     def _logger(self, exchange: Exchange, route: Route | None) -> OutcomeLog:
         request_id = exchange.request.header(self._dispatch.names.request_id)
         current = self.versions.current
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -2,10 +2,20 @@
 
 from dataclasses import dataclass
 
-from limpethollow_node.engine.messages import Request, end_to_end, find_header, render_headers
+from limpethollow_node.engine.messages import (
+    HeaderNames,
+    Request,
+    end_to_end,
+    find_header,
+    render_headers,
+)
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_policy.process.timings import RouteTimings
 from limpethollow_policy.version.routes import Route
+from limpethollow_wire.exceptions import BadRequest
+
+# Answers at a deadline leave this early, so that they are there when the caller stops waiting.
+_ANSWER_EARLY = 0.012
 
 
 @dataclass(slots=True)
@@ -33,11 +43,22 @@
     is_head: bool
 
     @classmethod
-    def of(cls, request: Request, route: Route, deadline: float, dispatch: Dispatch) -> "Outgoing":
-        """Prepare a caller's request to be sent on."""
+    def of(cls, request: Request, route: Route, arrived: float, dispatch: Dispatch) -> "Outgoing":
+        """Prepare a caller's request to be sent on.
+
+        Args:
+            request: The request.
+            route: Its route.
+            arrived: Monotonic second at which it had come whole.
+            dispatch: What the process shares.
+
+        Raises:
+            BadRequest: The time that the caller has left is no number.
+        """
         names = dispatch.names
         timings = dispatch.timings(route)
-        stated = request.header(names.time_left)
+        left = _time_left(request, names)
+        seconds = route.timeout if left is None else min(route.timeout, left)
         own = frozenset({names.time_left, names.expected_searcher})
         headers = end_to_end(request.headers, own)
         if request.body or find_header(request.headers, b"content-length") is not None:
@@ -46,8 +67,8 @@
             b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, render_headers(headers)),
             request.body,
             request.header(names.request_id),
-            deadline,
-            0.0 if stated is None else timings.patience.spent(int(stated) / 1000),
+            arrived + max(seconds - _ANSWER_EARLY, seconds / 2),
+            0.0 if left is None else timings.patience.spent(left),
             route,
             timings,
             request.method == b"HEAD",
@@ -57,3 +78,13 @@
     def id_text(self) -> str | None:
         """Return the caller's id for the request as logs show it."""
         return None if self.request_id is None else self.request_id.decode("latin-1")
+
+
+def _time_left(request: Request, names: HeaderNames) -> float | None:
+    """Return the seconds that the caller will still wait; None where it doesn't say."""
+    stated = request.header(names.time_left)
+    if stated is None:
+        return None
+    if not stated.isdigit():
+        raise BadRequest("The time left is no whole number of milliseconds.")
+    return int(stated) / 1000
--- a/tests/unit/engine/test_tries.py
+++ b/tests/unit/engine/test_tries.py
@@ -18,8 +18,7 @@
             self.dispatch.add("s", f"i-{number}")
         self.ended: list[Tries] = []
         taken = route(**fields)
-        deadline = self.dispatch.loop.time() + taken.timeout
-        outgoing = Outgoing.of(request(), taken, deadline, self.dispatch)
+        outgoing = Outgoing.of(request(), taken, self.dispatch.loop.time(), self.dispatch)
         self.tries = Tries(self.dispatch, outgoing, "s", self.ended.append)
         self.tries.start()
 
