The strongest of each failure domain take the callers; only relays follow the store before the first configuration

Change: of more than 16 strong instances the strongest of each failure domain are named to callers, relay and make calls for others, and share the searchers' connections; relays are elected among all known instances while none is ready. Pauses of feeds end when the store is back.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -31,11 +31,11 @@
     """
 
     __slots__ = (
-        "_instances",
         "_pools",
         "_probed",
         "_service_limits",
         "_services_in_use",
+        "_sharers",
         "_timings",
         "budget",
         "fleet",
@@ -59,7 +59,7 @@
         self._service_limits: dict[str, int] = {}
         self._probed = 0
         self._services_in_use: frozenset[str] = frozenset()
-        self._instances = 1
+        self._sharers = 1.0
 
     def timings(self, route: Route) -> RouteTimings:
         """Return the timings of a route, which outlive its versions."""
@@ -103,9 +103,15 @@
         self._services_in_use = version.service_names()
         self._apply_limits()
 
-    def share_among(self, instances: int) -> None:
-        """Divide connections and repeated sends among this many instances."""
-        self._instances = max(1, instances)
+    def share_among(self, instances: int, sharers: float) -> None:
+        """Divide repeated sends and connections among instances.
+
+        Args:
+            instances: Instances that may send repeats.
+            sharers: Instances among which a searcher's connections are divided, as one that opens
+                few counts in part.
+        """
+        self._sharers = max(1.0, sharers)
         self.budget.share_among(instances, self.loop.time())
         self._apply_limits()
 
@@ -152,7 +158,7 @@
 
     def _limit(self, service: str) -> int:
         allowed = self._service_limits.get(service, _DEFAULT_CONNECTIONS)
-        return max(1, int(allowed * _CONNECTION_SHARE / self._instances))
+        return max(1, int(allowed * _CONNECTION_SHARE / self._sharers))
 
     def _apply_limits(self) -> None:
         for searcher_id, pool in self._pools.items():
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -111,7 +111,9 @@
         """Begin or stop to follow; called at the start and a few times a second."""
         # The first lists are read by each instance itself: it knows no relay yet.
         known = all(feed.listed for feed in self._feeds)
-        live = self._roster.live
+        # Before the first configuration nobody is ready for callers, and still only a few shall
+        # follow the store: 65 instances that stood in for missing relays made 1,500 calls a start.
+        live = self._roster.live or self._roster.known
         wanted = not known or self._role.should_watch(live, now)
         self._health.set_active(wanted)
         self._health.urgent = not known
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable
 
-from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.placements import Instance, leading_among
+
+# Connections that an instance opens which takes no callers, as a share of one that does: it makes
+# calls for others only while theirs are lost.
+_OTHERS_WEIGHT = 0.125
 
 
 class Roster:
@@ -32,6 +36,17 @@
         """Return all known instances, live or not."""
         return list(self._known.values())
 
+    @property
+    def sharers(self) -> float:
+        """Return among how many instances a searcher's connections are divided for this one.
+
+        Those that take no callers open few, so all that do have larger parts.
+        """
+        leading = leading_among(self.known)
+        if self.own not in leading:
+            return len(self)
+        return len(leading) + (len(self) - len(leading)) * _OTHERS_WEIGHT
+
     @property
     def live(self) -> list[Instance]:
         """Return the instances that callers may use, this one included where it is ready."""
--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -1,6 +1,7 @@
 """Follows kinds of objects in the store and hands each change to the product."""
 
 import asyncio
+import contextlib
 from collections.abc import Coroutine
 from random import Random
 from typing import Any, TypeVar
@@ -14,9 +15,9 @@
 # How long a watch waits for a change before it is asked for again. What may go wrong meanwhile is
 # found sooner: a silent connection by its keep-alive probes, a silent store by `StoreCheck`.
 WATCH_SECONDS = 10.0
-# Pauses after calls that failed: first and longest. The longest leaves a second of the three within
-# which a change must be in force after an outage.
-_FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 1.0
+# Pauses after calls that failed: first and longest. `StoreCheck` ends them once the store is back;
+# the longest counts where the store answers checks and fails other calls.
+_FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 2.0
 # A list that was under way this long when the store came back is taken for forgotten. A slow store
 # answers one 60 times later than in its usual 4 ms.
 _LIST_SECONDS = 0.3
@@ -51,6 +52,7 @@
         "_rng",
         "_sink",
         "_store",
+        "_wake",
         "connected",
     )
 
@@ -67,6 +69,7 @@
         self._begun = 0.0
         self._must_list = False
         self._active = asyncio.Event()
+        self._wake = asyncio.Event()
         self.connected = False
 
     @property
@@ -86,6 +89,7 @@
     def restart(self) -> None:
         """Ask anew: the store may have forgotten the watch, or the list, that is under way."""
         if self._call is None:
+            self._wake.set()
             return
         passed = asyncio.get_running_loop().time() - self._begun
         if not self._lists or passed > _LIST_SECONDS:
@@ -102,12 +106,18 @@
                 await asyncio.sleep(self._rng.random() * _FIRST_PAUSE)
             except LimpethollowError as error:
                 self._lost(error)
-                await asyncio.sleep(self._backoff.failed())
+                await self._pause(self._backoff.failed())
             except Exception as error:
                 # A feed that ended would leave this instance with old beliefs and no sign of it.
                 events.DEFECT.log(where=f"feed {self._kind}", error=repr(error), exc_info=True)
                 await asyncio.sleep(self._backoff.failed())
 
+    async def _pause(self, seconds: float) -> None:
+        """Wait before another try, or until the store is back."""
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), seconds)
+
     @property
     def _lists(self) -> bool:
         return self._must_list or self._sink.revision is None
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
@@ -5,6 +5,11 @@
 
 # Callers are not told of more instances than this.
 MOST_ENTRIES = 64
+# Of many instances the strongest take the callers, this many at least. Each of 65 would get one
+# search in 2.5 s, too few to learn which searchers are slow, and under one of the 54 connections
+# that a searcher takes.
+_LEAST_LEADING = 16
+_LEADING_SHARE = 0.25
 # An instance with less than this share of the strongest one's strength is named to callers, and
 # asked to work for others, only where no stronger one is left.
 _LEAST_STRENGTH = 0.4
@@ -53,8 +58,24 @@
     near = [instance for instance in strong if searchers.get(instance.failure_domain)]
     wanted = [i for i in strong_among(usual) if searchers.get(i.failure_domain)]
     chosen = near if near and 2 * len(near) >= len(wanted) else strong
-    ordered = sorted(chosen, key=lambda i: (i.failure_domain != caller_domain, i.name))
-    return ordered[:MOST_ENTRIES]
+    leading = leading_among(chosen)
+    return sorted(leading, key=lambda i: (i.failure_domain != caller_domain, i.name))[:MOST_ENTRIES]
+
+
+def leading_among(instances: Collection[Instance]) -> list[Instance]:
+    """Return the instances that take callers and make calls for others.
+
+    Where there are many, these are the strongest of each failure domain, as many in each.
+    """
+    strong = strong_among(instances)
+    if len(strong) <= _LEAST_LEADING:
+        return strong
+    by_domain: dict[str, list[Instance]] = {}
+    for instance in sorted(strong, key=lambda i: (-i.strength, i.name)):
+        by_domain.setdefault(instance.failure_domain, []).append(instance)
+    wanted = max(_LEAST_LEADING, int(_LEADING_SHARE * len(strong)))
+    each = -(-wanted // len(by_domain))
+    return [instance for members in by_domain.values() for instance in members[:each]]
 
 
 def strong_among(instances: Collection[Instance]) -> list[Instance]:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 from random import Random
 
-from limpethollow_policy.process.placements import Instance, strong_among
+from limpethollow_policy.process.placements import Instance, leading_among
 
 # Up to this many instances link to all others: 16 links with two heartbeats a second each cost an
 # instance under half a percent of a core.
@@ -24,13 +24,12 @@
 
     Each instance works this out from its own view. Two that disagree watch both, or hear a relay
     of another failure domain, which costs some calls and never an answer; no lease guards the role.
-    Weak instances take it only where no stronger one is left: a list of 400 searchers for a dozen
-    others filled a link of 7 Mbit/s for a second, and calls made there for others came that late.
+    The leading ones take it, and weak ones only where no stronger is left: a list of 400 searchers,
+    sent a dozen times, filled a link of 7 Mbit/s for a second, and calls made there came that late.
     """
     found = set()
-    for members in _by_domain(live).values():
-        strong = strong_among(members)
-        found.add(max(strong, key=lambda instance: _weight("relay", instance.name)).name)
+    for members in _by_domain(leading_among(live)).values():
+        found.add(max(members, key=lambda instance: _weight("relay", instance.name)).name)
     return frozenset(found)
 
 
@@ -40,10 +39,11 @@
     if len(others) < FULL_MESH:
         return frozenset(instance.name for instance in others)
     wanted = set(relays_among(known))
-    for domain, members in _by_domain(i for i in others if i.name not in wanted).items():
+    leading = [i for i in leading_among(known) if i.name not in wanted and i.name != own.name]
+    for domain, members in _by_domain(leading).items():
         count = LINKS_NEAR if domain == own.failure_domain else LINKS_FAR
-        strong = sorted(strong_among(members), key=lambda i: _weight(own.name, i.name))
-        wanted.update(instance.name for instance in strong[-count:])
+        members.sort(key=lambda instance: _weight(own.name, instance.name))
+        wanted.update(instance.name for instance in members[-count:])
     wanted.discard(own.name)
     return frozenset(wanted)
 
--- a/tests/unit/engine/test_followers.py
+++ b/tests/unit/engine/test_followers.py
@@ -29,19 +29,27 @@
 
 class FakeRoster:
     live = EVERYONE
+    known = EVERYONE
 
 
 class FakePeers:
     follows = False
 
 
-def follower(name: str) -> tuple[StoreFollower, FakeFeed, FakeHealth]:
+def follower(name: str, roster=FakeRoster) -> tuple[StoreFollower, FakeFeed, FakeHealth]:
     feed, health = FakeFeed(), FakeHealth()
     role = WatchRole(name, Random(1))
-    made = StoreFollower([feed], health, role, FakeRoster(), None, FakePeers(), None)
+    role.relay_heard(RELAY, 99.5)
+    made = StoreFollower([feed], health, role, roster(), None, FakePeers(), None)
     return made, feed, health
 
 
+class StartingRoster(FakeRoster):
+    """Nobody is ready for callers yet."""
+
+    live: list[Instance] = []
+
+
 class TestStandingIn:
     """The store went away, and each of 63 instances tried to follow it, with three feeds.
 
@@ -50,10 +58,11 @@
 
     def test_a_stand_in_waits_for_a_sign_of_the_store(self):
         made, feed, health = follower(OTHER)
-        made.choose(100.0)
+        made.choose(103.0)
+        made.choose(103.5)
         assert (health.active, feed.active) == (True, False)
         health.answers = True
-        made.choose(100.25)
+        made.choose(103.75)
         assert feed.active
 
     def test_a_relay_and_one_that_knows_nothing_ask_the_store_itself(self):
@@ -64,3 +73,18 @@
         feed.listed = False
         made.choose(100.0)
         assert (feed.active, health.urgent) == (True, True)
+
+
+class TestStart:
+    """The system started, and its first configuration came 15 s later.
+
+    Without it nobody was ready, so no instance counted as a relay, and all followed the store.
+    """
+
+    def test_a_few_follow_the_store_before_anybody_is_ready(self):
+        made, feed, health = follower(OTHER, StartingRoster)
+        made.choose(100.0)
+        assert (health.active, feed.active) == (False, False)
+        made, feed, _ = follower(RELAY, StartingRoster)
+        made.choose(100.0)
+        assert feed.active
--- a/tests/unit/engine/test_placements.py
+++ b/tests/unit/engine/test_placements.py
@@ -29,5 +29,20 @@
         assert self.names([weak], "a", {}, [weak]) == ["w"]
 
     def test_no_more_are_named_than_callers_take(self):
-        many = [instance(f"i{number}") for number in range(100)]
+        many = [instance(f"i{number}") for number in range(400)]
         assert len(entries_for(many, "a", {}, many)) == MOST_ENTRIES
+
+    def test_of_many_the_strongest_of_each_failure_domain_take_the_callers(self):
+        """Searches asked searchers that were known to be slow elsewhere.
+
+        Callers were spread over 65 instances, and each met a searcher too seldom to learn from it.
+        """
+        many = [instance(f"i{n:02}", "abcde"[n % 5], 1.0 + n / 100) for n in range(65)]
+        named = entries_for(many, "a", {}, many)
+        assert sorted(i.name for i in named) == [f"i{n}" for n in range(45, 65)]
+        without = [i for i in many if i.name != "i60"]
+        assert {i.name for i in entries_for(without, "a", {}, many)} >= {"i40", "i64"}
+
+    def test_few_all_take_callers(self):
+        few = [instance(f"i{n}", strength=1.0 + n / 100) for n in range(16)]
+        assert len(entries_for(few, "a", {}, few)) == 16
--- a/tests/unit/platform/test_feeds.py
+++ b/tests/unit/platform/test_feeds.py
@@ -6,6 +6,7 @@
 from limpethollow_node.platform import feeds
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.store import Listing
+from limpethollow_wire.exceptions import Unavailable
 
 
 class ForgetfulStore:
@@ -57,3 +58,33 @@
         await asyncio.sleep(0.02)
         task.cancel()
         return store.lists, sink.revision
+
+
+class RefusingStore(ForgetfulStore):
+    """Refuses the first list."""
+
+    async def list(self, kind: str) -> Listing:
+        self.lists += 1
+        if self.lists == 1:
+            raise Unavailable("away")
+        return Listing([], 7)
+
+
+class TestPauses:
+    def test_a_pause_ends_when_the_store_is_back(self, monkeypatch):
+        monkeypatch.setattr(feeds, "_FIRST_PAUSE", 60.0)
+        monkeypatch.setattr(feeds, "_LONGEST_PAUSE", 60.0)
+        assert asyncio.run(self.play()) == (2, 7)
+
+    async def play(self) -> tuple[int, int | None]:
+        store, sink = RefusingStore(), KeepingSink()
+        feed = Feed(store, "kind", sink, Random(1))
+        feed.set_active(True)
+        task = asyncio.create_task(feed.run())
+        while not store.lists:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        feed.restart()
+        await asyncio.sleep(0.02)
+        task.cancel()
+        return store.lists, sink.revision
