--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --quiet --constraint constraints.txt setuptools $(TOOLS)
 	$(BIN)/pip install --quiet --quiet --constraint constraints.txt --no-build-isolation \
-		$(addprefix --editable ,$(PACKAGES))
+		$(addprefix --editable ,$(PACKAGES)) matplotlib
 	touch $@
 
 demo: $(VENV)/.installed
--- a/packages/limpethollow/src/limpethollow/commands.py
+++ b/packages/limpethollow/src/limpethollow/commands.py
@@ -15,6 +15,7 @@
 from limpethollow.explanations import explain
 from limpethollow.models import BookingOutcome, Confirmation, Intent, OutcomeState, SearchAnswer
 from limpethollow.operators import Operator
+from limpethollow.reports import read_journal, write_report
 from limpethollow.sessions import Session
 from limpethollow.statuses import ProcessStatus, read_status
 from limpethollow_wire.keys import key_digest
@@ -158,6 +159,14 @@
     )
 
 
+def _report_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--journal", required=True, metavar="FOLDER", help="journal entries")
+    parser.add_argument(
+        "--metrics", nargs="*", default=[], metavar="FILE", help="saved metrics pages, oldest first"
+    )
+    parser.add_argument("--out", required=True, metavar="FILE", help="page to write, as HTML")
+
+
 def _key_file_option(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("key_file", metavar="FILE", help="file with a caller's key")
 
@@ -277,6 +286,13 @@
     return explain(options.request, [Path(name) for name in options.logs])
 
 
+@command("report", "draw worth, prices and latency over versions", _report_options)
+def _report(options: argparse.Namespace) -> Any:
+    plays = read_journal(Path(options.journal))
+    out = write_report(Path(options.out), plays, [Path(name) for name in options.metrics])
+    return {"page": str(out), "plays": len(plays)}
+
+
 @command("version", "show the version")
 def _version(options: argparse.Namespace) -> Any:
     return {"limpethollow": version("limpethollow")}
--- a/packages/limpethollow/src/limpethollow/explanations.py
+++ b/packages/limpethollow/src/limpethollow/explanations.py
@@ -31,6 +31,7 @@
     "objective": "At the objective some shards had not answered; the answer went out without them.",
     "late": "Too few shards for the floor had answered at the objective; the answer waited.",
     "floor_out_of_reach": "Too many shards failed for the floor to be reached; see their lines.",
+    "too_few_shards": "Too few shards had a searcher that could take a call; nothing was sent.",
     "deadline": "The time that the caller or the route allows was over.",
     "searcher_failed": "The searcher itself answered with a failure; it was passed on.",
     "no_searcher": "No usable searcher of the service was known here.",
