--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -16,6 +16,7 @@
 from limpethollow_policy.process.removals import RemovalDelay
 from limpethollow_policy.version.routes import RoutingVersion
 
+T = TypeVar("T")
 N = TypeVar("N", SearcherNews, InstanceNews)
 OnVersion = Callable[[RoutingVersion], None]
 
@@ -120,17 +121,11 @@
 
     def take_searchers(self, news: SearcherNews) -> bool:
         """Take in news of searchers; return False where all are needed."""
-        put = {searcher.id: searcher for searcher in news.put}
-        if news.base is None:
-            return self.searchers.replace(put, news.revision)
-        return self.searchers.change(news.base, news.revision, put, news.gone)
+        return _take(self.searchers, news, {searcher.id: searcher for searcher in news.put})
 
     def take_instances(self, news: InstanceNews) -> bool:
         """Take in news of instances; return False where all are needed."""
-        put = {instance.name: instance for instance in news.put}
-        if news.base is None:
-            return self.instances.replace(put, news.revision)
-        return self.instances.change(news.base, news.revision, put, news.gone)
+        return _take(self.instances, news, {instance.name: instance for instance in news.put})
 
     def set_removal_delay(self, seconds: float) -> None:
         """Change for how long searchers whose entries went are kept."""
@@ -179,6 +174,12 @@
         )
 
 
+def _take(belief: Belief[T], news: SearcherNews | InstanceNews, put: dict[str, T]) -> bool:
+    if news.base is None:
+        return belief.replace(put, news.revision)
+    return belief.change(news.base, news.revision, put, news.gone)
+
+
 def _news(kind: type[N], belief: Belief, revision: int) -> N:
     step = belief.since(revision)
     if step is None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -212,11 +212,10 @@
     def _dial_missing(self) -> None:
         own = self._roster.own
         known = {instance.name: instance for instance in self._roster.known}
-        for name in links_of(own, list(known.values())):
+        for name in links_of(own, list(known.values())) - self._links.keys():
             other = known[name]
             # Where both want the link, the one with the smaller name dials, so that there is one.
-            both = own.name in links_of(other, list(known.values()))
-            if name not in self._links and (own.name < name or not both):
+            if own.name < name or own.name not in links_of(other, list(known.values())):
                 self._dial(other.peer_address)
         if len(known) == 1 and not self._links:
             port = own.peer_address.rpartition(":")[2]
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/callwindows.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/callwindows.py
@@ -27,8 +27,7 @@
 
     When a call is not answered by its deadline, the window shrinks to what was answered in time
     since the last cut, and to half at least. It grows by about one a window of calls answered in
-    time, and with time. Below one it is a pace: so many calls in a
-    call's time.
+    time, and with time. Below one it is a pace: so many calls in a call's time.
     """
 
     __slots__ = ("_answered", "_cut_at", "_seconds", "_sent_at", "_set_at", "_size")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
@@ -1,6 +1,6 @@
 """Which instances callers are told to connect to."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 # Callers are not told of more instances than this.
@@ -70,15 +70,21 @@
     strong = strong_among(instances)
     if len(strong) <= _LEAST_LEADING:
         return strong
-    by_domain: dict[str, list[Instance]] = {}
-    for instance in sorted(strong, key=lambda i: (-i.strength, i.name)):
-        by_domain.setdefault(instance.failure_domain, []).append(instance)
+    domains = by_domain(sorted(strong, key=lambda i: (-i.strength, i.name)))
     wanted = max(_LEAST_LEADING, int(_LEADING_SHARE * len(strong)))
-    each = -(-wanted // len(by_domain))
-    return [instance for members in by_domain.values() for instance in members[:each]]
+    each = -(-wanted // len(domains))
+    return [instance for members in domains.values() for instance in members[:each]]
 
 
 def strong_among(instances: Collection[Instance]) -> list[Instance]:
     """Return the instances that can take their part of the common work."""
     strongest = max((instance.strength for instance in instances), default=0.0)
     return [i for i in instances if i.strength >= _LEAST_STRENGTH * strongest]
+
+
+def by_domain(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
+    """Return instances by failure domain, in the order given."""
+    found: dict[str, list[Instance]] = {}
+    for instance in instances:
+        found.setdefault(instance.failure_domain, []).append(instance)
+    return found
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -1,10 +1,10 @@
 """Which instances link to each other, and which of them read the platform's store for the rest."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from hashlib import blake2b
 from random import Random
 
-from limpethollow_policy.process.placements import Instance, leading_among
+from limpethollow_policy.process.placements import Instance, by_domain, leading_among
 
 # Up to this many instances link to all others: 16 links with two heartbeats a second each cost an
 # instance under half a percent of a core.
@@ -28,7 +28,7 @@
     sent a dozen times, filled a link of 7 Mbit/s for a second, and calls made there came that late.
     """
     found = set()
-    for members in _by_domain(leading_among(live)).values():
+    for members in by_domain(leading_among(live)).values():
         found.add(max(members, key=lambda instance: _weight("relay", instance.name)).name)
     return frozenset(found)
 
@@ -40,7 +40,7 @@
         return frozenset(instance.name for instance in others)
     wanted = set(relays_among(known))
     leading = [i for i in leading_among(known) if i.name not in wanted and i.name != own.name]
-    for domain, members in _by_domain(leading).items():
+    for domain, members in by_domain(leading).items():
         count = LINKS_NEAR if domain == own.failure_domain else LINKS_FAR
         members.sort(key=lambda instance: _weight(own.name, instance.name))
         wanted.update(instance.name for instance in members[-count:])
@@ -96,12 +96,5 @@
         self._jitter = self._rng.random() * _JITTER
 
 
-def _by_domain(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
-    found: dict[str, list[Instance]] = {}
-    for instance in instances:
-        found.setdefault(instance.failure_domain, []).append(instance)
-    return found
-
-
 def _weight(key: str, name: str) -> bytes:
     return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/soak/world.py
+++ b/soak/world.py
@@ -82,8 +82,7 @@
 
     def entry(self, **fields: object) -> dict[str, object]:
         """Return what it writes to the store about itself; callers reach it through its proxy."""
-        address = f"127.0.0.1:{self.proxy.entry.getsockname()[1]}"
-        return {**self.backend.entry(), "addr": address, **fields}
+        return {**self.backend.entry(), "addr": self.proxy.entry_address, **fields}
 
     def _answer(self, backend: BackendStandIn, seen: Seen) -> Answer:
         mood = self.mood
@@ -236,9 +235,8 @@
 
     def _start_instance(self, number: int) -> None:
         proxy = self._proxy(self.store.address)
-        entry = f"127.0.0.1:{proxy.entry.getsockname()[1]}"
         zone = ZONES[number % len(ZONES)]
-        process = PlatformInstance(f"front-{number}", entry, self._folder, zone)
+        process = PlatformInstance(f"front-{number}", proxy.entry_address, self._folder, zone)
         process.settings["bounds"] = {"drainMs": 3000, "graceS": 4, "configApplyMs": 3000}
         self._stack.enter_context(process)
         self.instances.append(SoakInstance(process, proxy))
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -61,10 +61,17 @@
         self.entry = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.handlers = {("POST", "control"): self.control, ("GET", "control/stats"): self.stats}
 
+    @property
+    def entry_address(self) -> str:
+        """Return the address at which it takes connections."""
+        return f"127.0.0.1:{self.entry.getsockname()[1]}"
+
     def run(self) -> None:
         threading.Thread(target=self.accept, daemon=True).start()
-        entry = f"127.0.0.1:{self.entry.getsockname()[1]}"
-        print(f'{{"ready": {{"entry": "{entry}", "http": "{self.address}"}}}}', flush=True)
+        print(
+            f'{{"ready": {{"entry": "{self.entry_address}", "http": "{self.address}"}}}}',
+            flush=True,
+        )
         self.serve_forever()
 
     def accept(self) -> None:
