Look again where second sends were withheld

Cause: at the hedge delay a search counted its late shards once. Where more than half were late, no second send was made, and nobody looked again. Shards asked by way of another instance look late together when that instance's frame is a moment late, as it collects parts until 0.85 of the delay. Ruled out: no other searcher (only after a scale-in), the budget (only one shard, whose two searchers are slow). Change: it looks again after a quarter of the hedge delay, until the answer goes out.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -20,6 +20,10 @@
 # Most shards of one search that get a second send, as a share. Where more are late, the instance or
 # the whole service is slow, and second sends would only add to that.
 _MOST_HEDGED = 0.5
+# Where second sends were withheld, the search looks again after this share of the hedge delay. Many
+# shards look late for a moment when the frame of another instance is: it collects parts until
+# shortly before.
+_LOOK_AGAIN_SHARE = 0.25
 _RETRY_AFTER = 0.25
 # Bounds of what a caller is told where it is known when a shard can get a call. Callers come back
 # within a third of the time that they have left, which is 0.25 to 0.5 s of the users' 0.8 to 1.5 s.
@@ -150,6 +154,8 @@
         late = [tries for tries in self._tries if not tries.done]
         if len(late) > max(2, _MOST_HEDGED * len(self._tries)):
             self._dispatch.metrics.count("hedges_withheld")
+            again = _LOOK_AGAIN_SHARE * self._outgoing.timings.hedge_delay
+            self._timers.append(self._dispatch.loop.call_later(again, self._hedge))
             return
         for tries in late:
             tries.hedge()
--- /dev/null
+++ b/tests/support/searches.py
@@ -0,0 +1,68 @@
+"""Plays one search against searchers that answer when a test says so."""
+
+from collections import defaultdict
+
+from limpethollow_node.engine.messages import Reply, Request
+from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.request.outcomes import Outcome
+from limpethollow_node.engine.request.outgoing import Outgoing
+from limpethollow_node.engine.request.searches import Search
+from limpethollow_policy.process.fleets import Replica
+from tests.support.virtual import VirtualDispatch, reply_of, request, route
+
+
+class VirtualExchange:
+    """Stands for a caller's request; `replies` has what the caller got."""
+
+    def __init__(self, taken: Request, arrived_at: float) -> None:
+        self.request = taken
+        self.arrived_at = arrived_at
+        self.on_gone = None
+        self.replies: list[Reply] = []
+
+    def respond(self, reply: Reply) -> None:
+        self.replies.append(reply)
+
+
+class NoDesk:
+    """Stands for a desk of batches without a link to anybody."""
+
+    def link_near(self, failure_domain: str) -> None:
+        return None
+
+
+class SearchPlay:
+    """One search over `shards` shards with two searchers each, all in its own failure domain."""
+
+    def __init__(self, shards: int = 4, slack: float = 56.0, **fields) -> None:
+        self.dispatch = VirtualDispatch(slack)
+        names = tuple(f"s-{number}" for number in range(shards))
+        for name in names:
+            for replica in (1, 2):
+                self.dispatch.add(name, f"{name}-{replica}")
+        self.calls: dict[str, list[Call]] = defaultdict(list)
+        self.dispatch.on_send = self._sent
+        taken = request()
+        self.exchange = VirtualExchange(taken, self.now)
+        self.outcomes: list[Outcome] = []
+        found = route(shards=names, top=5, floor=0.25, **fields)
+        outgoing = Outgoing.of(taken, found, self.now, self.dispatch)
+        self.hedge_delay = outgoing.timings.hedge_delay
+        self.search = Search(self.dispatch, self.exchange, outgoing, NoDesk(), self.outcomes.append)
+        self.search.start()
+
+    @property
+    def now(self) -> float:
+        return self.dispatch.loop.time()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.dispatch.loop.run(self.now + seconds)
+
+    def answer(self, shard: int, send: int = 0) -> None:
+        """Let one send to a shard get its answer."""
+        reply_of(self.calls[f"s-{shard}"][send], proof=b"proof-%d" % shard)
+
+    def _sent(self, replica: Replica, call: Call) -> None:
+        call.sent = True
+        self.calls[replica.searcher.service].append(call)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -80,13 +80,20 @@
         return searcher
 
 
-def reply_of(call: Call, status: int = 200, *, request_id: bytes = b"r1", not_run: bool = False):
+def reply_of(
+    call: Call,
+    status: int = 200,
+    *,
+    request_id: bytes = b"r1",
+    not_run: bool = False,
+    proof: bytes = b"proof",
+):
     """Let a call get a reply, as if its bytes had gone out."""
     headers = [(HEADERS.request_id, request_id)]
     if not_run:
         headers.append((HEADERS.not_run, b"1"))
     else:
-        headers.append((HEADERS.proof, b"proof"))
+        headers.append((HEADERS.proof, proof))
     call.sent = True
     call.on_reply(Reply(status, headers, b"body"))
 
