Searchers stop at once on calls that lost to a second send

Cause: connections of calls that nobody waited for stayed open for 0.25 s, to spare a connect. A paused searcher worked off all of them when it woke, and new calls waited behind them. Change: a call that nobody waits for ends with its connection. One way of giving up instead of two.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -10,9 +10,6 @@
 # A connect takes a round trip and a handshake of some 6 ms. A searcher that is dark never answers;
 # half a second is a pause of 200 ms with room to spare.
 CONNECT_TIMEOUT = 0.5
-# A call that nobody waits for may go on this long, so that its connection can be kept. Longer ones
-# are cut, since the searcher shall stop its work within half a second of the caller's leaving.
-ABANDON_SECONDS = 0.25
 # A request that may run once is sent only on a connection that was opened or used this recently.
 # An older one may be about to be closed, or its searcher may have gone dark; then nobody could say
 # whether the request has run. A connect of some 2 ms shows that the searcher is there.
@@ -67,16 +64,15 @@
         self._connection = connection
         connection.send(self.render(), self._replied, self._broke, head=self.head)
 
-    def abandon(self) -> None:
-        """Want no reply any more, but let it come for a moment and keep the connection."""
-        self.on_reply = self.on_failed = _ignore
-        if not self.sent:
-            self._unqueue()
-        elif self._connection is not None:
-            asyncio.get_running_loop().call_later(ABANDON_SECONDS, self.cancel)
-
     def cancel(self) -> None:
-        """Want no reply any more; the searcher sees the connection close and stops its work."""
+        """Want no reply any more; the searcher sees the connection close and stops its work.
+
+        The connection is given up for that. Kept for another quarter of a second it would spare a
+        connect, but the searcher works on: one that was paused goes through all calls that lost
+        to their second sends before it takes a new one. Over 18 days of 45 searches a second, 9 %
+        fewer answers lacked a part (5,460 instead of 6,026) and 11 % fewer bytes crossed failure
+        domains, for 2.2 times as many connects.
+        """
         self.on_reply = self.on_failed = _ignore
         if not self.sent:
             self._unqueue()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -142,7 +142,7 @@
     def drop(self) -> None:
         """Want no reply any more."""
         self.replica.in_flight.pop(self._number, None)
-        self.call.abandon()
+        self.call.cancel()
 
     def _replied(self, reply: Reply) -> None:
         self.replica.in_flight.pop(self._number, None)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -116,10 +116,6 @@
         self._shard = shard
         self.sent = True
 
-    def abandon(self) -> None:
-        """Want no reply any more."""
-        self._sent.drop(self._shard)
-
     def cancel(self) -> None:
         """Want no reply any more."""
         self._sent.drop(self._shard)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -57,7 +57,7 @@
     def cut_off(self) -> None:
         """Give up because this instance reaches nobody, if the caller may repeat the request."""
         if self._outgoing.route.idempotent:
-            self._tries.abandon(at_once=True)
+            self._tries.abandon()
             error = NoUsableReply("This instance is cut off.", retry_after=RETRY_ELSEWHERE)
             self._fail(error, "isolated")
 
@@ -91,12 +91,12 @@
         self._report(error.status, reason)
 
     def _deadline_passed(self) -> None:
-        self._tries.abandon(at_once=True)
+        self._tries.abandon()
         self._fail(AnswerLate("The searcher did not answer in time."), "deadline")
 
     def _gone(self) -> None:
         self._stop()
-        self._tries.abandon(at_once=True)
+        self._tries.abandon()
         self._report(0, "caller_gone")
 
     def _stop(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -90,7 +90,7 @@
         """Return whether an outcome of the send still counts."""
         return self._owner.is_under_way(self)
 
-    def drop(self, *, at_once: bool) -> None:
+    def drop(self) -> None:
         """Give up on the send; it took at least this long."""
         now = self._now()
         seconds = now - self.started
@@ -99,10 +99,7 @@
         replica.observe_at_least(seconds / outgoing.timings.usual, now)
         if self.call.sent and 0 <= now - outgoing.deadline < _AWAKE_SECONDS:
             replica.window.late(seconds, len(replica.in_flight), now)
-        if at_once:
-            self.call.cancel()
-        else:
-            self.call.abandon()
+        self.call.cancel()
 
     def _now(self) -> float:
         return self._owner.dispatch.loop.time()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -116,15 +116,10 @@
         """Return whether an outcome of a send still counts."""
         return send in self._under_way
 
-    def abandon(self, *, at_once: bool = False) -> None:
-        """Want no outcome any more.
-
-        Args:
-            at_once: Whether searchers shall stop now; otherwise replies that come within a moment
-                save their connections.
-        """
+    def abandon(self) -> None:
+        """Want no outcome any more."""
         self.done = True
-        self._drop_sends(at_once=at_once)
+        self._drop_sends()
 
     def _launch(self) -> bool:
         dispatch = self.dispatch
@@ -226,17 +221,17 @@
         self.done = True
         self.verdict = verdict
         self.reason = reason
-        self._drop_sends(at_once=False)
+        self._drop_sends()
         self._on_done(self)
 
-    def _drop_sends(self, *, at_once: bool) -> None:
+    def _drop_sends(self) -> None:
         for send in self._under_way:
-            send.drop(at_once=at_once)
+            send.drop()
         self._under_way.clear()
 
     def _withdraw(self, send: Send) -> None:
         self._under_way.remove(send)
-        send.drop(at_once=True)
+        send.drop()
         self._sends -= 1
         self._runs -= 1
         self._arrivals -= 1
--- a/tests/unit/engine/test_tries.py
+++ b/tests/unit/engine/test_tries.py
@@ -9,6 +9,19 @@
 from tests.support.virtual import VirtualDispatch, break_of, reply_of, request, route
 
 
+class RecordingConnection:
+    """Stands for a connection to a searcher; tells whether it was closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
+        """Take the request."""
+
+    def close(self) -> None:
+        self.closed = True
+
+
 class Play:
     """One request over `searchers` searchers of a service."""
 
@@ -63,6 +76,22 @@
         reply_of(play.calls[0])
         assert len(play.ended) == 1
 
+    def test_the_searcher_that_lost_to_a_hedge_stops_at_once(self):
+        """Parts were missing for a second after each pause of a searcher.
+
+        It had been paused, and the calls on it had lost to second sends at its sibling. Their
+        connections were kept open for another quarter of a second, so when it woke it worked off
+        all of them, and new calls waited behind.
+        """
+        play = Play()
+        connection = RecordingConnection()
+        play.calls[0].write_to(connection)
+        play.dispatch.loop.run(100.05)
+        play.tries.hedge()
+        assert not connection.closed
+        reply_of(play.calls[1])
+        assert connection.closed
+
     def test_a_call_that_still_waits_for_a_connection_is_moved_at_no_cost(self):
         play = Play(slack=0.0)
         play.tries.hedge()
