--- /dev/null
+++ b/benchmarks/ablation/mechanisms.py
@@ -0,0 +1,207 @@
+"""Mechanisms that can be switched off, each as edits of the sources."""
+
+from dataclasses import dataclass
+
+_ENGINE = "packages/limpethollow-node/src/limpethollow_node/engine/"
+_POLICY = "packages/limpethollow-policy/src/limpethollow_policy/"
+
+
+@dataclass(slots=True, frozen=True)
+class Edit:
+    """One replacement in a source file.
+
+    Attributes:
+        path: File, relative to the repository.
+        old: Text that stands there exactly once.
+        new: What replaces it.
+    """
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclass(slots=True, frozen=True)
+class Mechanism:
+    """A mechanism and how to switch it off.
+
+    Attributes:
+        name: Short name for the command line.
+        without: What holds once it is off.
+        edits: The replacements that switch it off.
+    """
+
+    name: str
+    without: str
+    edits: tuple[Edit, ...]
+
+
+_ALL: dict[str, Mechanism] = {}
+
+
+def _mechanism(name: str, without: str, *edits: Edit) -> None:
+    _ALL[name] = Mechanism(name, without, edits)
+
+
+def names() -> list[str]:
+    """Return the names of all mechanisms."""
+    return list(_ALL)
+
+
+def get(name: str) -> Mechanism:
+    """Return a mechanism by its name; KeyError where there is none."""
+    return _ALL[name]
+
+
+def _searches(old: str, new: str) -> Edit:
+    return Edit(_ENGINE + "request/searches.py", old, new)
+
+
+def _fleets(old: str, new: str) -> Edit:
+    return Edit(_POLICY + "process/fleets.py", old, new)
+
+
+_mechanism(
+    "hedges",
+    "no second sends to late shards",
+    _searches(
+        "        late = [tries for tries in self._tries if not tries.done]", "        late = []"
+    ),
+)
+_mechanism(
+    "withholding",
+    "second sends also where most shards are late",
+    _searches("_MOST_HEDGED = 0.5", "_MOST_HEDGED = 1.0"),
+)
+_mechanism(
+    "second-look",
+    "withheld second sends are not made later",
+    _searches("_LOOK_AGAIN_SHARE = 0.25", "_LOOK_AGAIN_SHARE = 1000.0"),
+)
+_mechanism(
+    "hedge-reserve",
+    "second sends may use up the budget for repeats of failed ones",
+    Edit(_ENGINE + "request/tries.py", "_HEDGE_RESERVE = 0.25", "_HEDGE_RESERVE = 0.0"),
+)
+_mechanism(
+    "cut-losers",
+    "calls that lost go on until the search ends",
+    Edit(
+        _ENGINE + "request/sends.py",
+        "        self.call.cancel()\n",
+        "        self._owner.dispatch.loop.call_later(0.25, self.call.cancel)\n"
+        "        self.call.on_reply = self.call.on_failed = lambda _: None\n",
+    ),
+)
+_mechanism(
+    "call-windows",
+    "any number of calls to a searcher that answers too late",
+    _fleets(
+        "return max(blocked, self.window.wait(len(self.in_flight), now), 0.0)",
+        "return max(blocked, 0.0)",
+    ),
+)
+_mechanism(
+    "floor-first",
+    "searches start although their floor is out of reach",
+    _searches("        if wait > 0:\n", '        if wait == float("inf"):\n'),
+)
+_mechanism(
+    "batches",
+    "each call to another failure domain is made directly",
+    Edit(_ENGINE + "request/batches.py", "LEAST_CALLS = 2", "LEAST_CALLS = 1_000_000"),
+)
+_mechanism(
+    "relays",
+    "every instance watches the store",
+    Edit(
+        _POLICY + "process/topology.py",
+        "        if self.is_relay(live):\n            return True\n",
+        "        return True\n",
+    ),
+)
+_mechanism(
+    "near-news",
+    "news go to all linked instances",
+    Edit(
+        _ENGINE + "process/peers.py",
+        "            if not link.source.far:\n                link.send_encoded(data, frame)",
+        "            link.send_encoded(data, frame)",
+    ),
+)
+_mechanism(
+    "warming",
+    "connections are opened when a call needs them",
+    Edit(_ENGINE + "process/dispatch.py", "_LEAST_TO_WARM = 2", "_LEAST_TO_WARM = 1_000_000"),
+)
+_mechanism(
+    "learnt-spent",
+    "what a caller has spent before its request is taken to be nothing",
+    Edit(
+        _ENGINE + "request/outgoing.py",
+        "0.0 if left is None else timings.patience.spent(left)",
+        "0.0",
+    ),
+)
+_mechanism(
+    "steering",
+    "callers are told all instances",
+    Edit(
+        _POLICY + "process/placements.py",
+        "    strong = strong_among(live)\n    near =",
+        "    return sorted(live, key=lambda i: i.name)[:MOST_ENTRIES]\n"
+        "    strong = strong_among(live)\n    near =",
+    ),
+)
+_mechanism(
+    "slowness",
+    "a searcher's past call times don't count",
+    _fleets("self.slowness += _NEWEST * (ratio - self.slowness)", "pass"),
+    _fleets(
+        "self.slowness += _NEWEST * (min(ratio, _SLOWEST) - self.slowness)",
+        "pass",
+    ),
+)
+_mechanism(
+    "failures",
+    "a searcher's past failures don't count",
+    _fleets("_FAILURE_WEIGHT = 8.0", "_FAILURE_WEIGHT = 0.0"),
+)
+_mechanism(
+    "stuck",
+    "a call that is under way for long doesn't count",
+    _fleets("_STUCK_FACTOR = 4.0", "_STUCK_FACTOR = 1.0"),
+)
+_mechanism(
+    "cold",
+    "a searcher that has just started counts like the others",
+    _fleets("_COLD_FACTOR = 1.6", "_COLD_FACTOR = 1.0"),
+)
+_mechanism(
+    "own-domain",
+    "searchers of other failure domains count like near ones",
+    _fleets("OTHER_DOMAIN_FACTOR = 1.35", "OTHER_DOMAIN_FACTOR = 1.0"),
+)
+_mechanism(
+    "unlisted",
+    "searchers whose entry is gone count like the others",
+    _fleets("_UNLISTED_FACTOR = 6.0", "_UNLISTED_FACTOR = 1.0"),
+)
+_mechanism(
+    "isolation",
+    "an instance that is cut off keeps its requests",
+    Edit(
+        _POLICY + "process/isolation.py",
+        "        became = stalled and not self.is_isolated",
+        "        stalled = False\n        became = stalled and not self.is_isolated",
+    ),
+)
+_mechanism(
+    "fresh-connections",
+    "a booking goes on any kept connection",
+    Edit(
+        _ENGINE + "request/sends.py",
+        "fresh=not outgoing.route.idempotent",
+        "fresh=False",
+    ),
+)
