Admit as many searches as are answered in time

Cause: under a burst all searches went to the searchers' queues, and each waited in twenty of them; at five times the traffic 869 of 2,296 were answered in time and 1,385 late, none refused. Change: each instance cuts the rate of searches that it admits where more than a fifth were held up, that is more than a quarter of their shards had not answered when the answer was due, and raises it again; what is over it is refused at once (429) with a time to come back of its own.

--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -106,6 +106,11 @@
     "searches start although their floor is out of reach",
     _searches("        if wait > 0:\n", '        if wait == float("inf"):\n'),
 )
+_mechanism(
+    "admission",
+    "every search is admitted",
+    Edit(_ENGINE + "process/intake.py", "        if wait > 0:\n", "        if wait < 0:\n"),
+)
 _mechanism(
     "batches",
     "each call to another failure domain is made directly",
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -3,6 +3,7 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Request
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.intake import Intake
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
@@ -29,10 +30,11 @@
         desk: Sends calls to instances near the searchers; set before the first request.
     """
 
-    __slots__ = ("_dispatch", "_running", "_turns", "desk", "versions")
+    __slots__ = ("_dispatch", "_intake", "_running", "_turns", "desk", "versions")
 
     def __init__(self, dispatch: Dispatch, versions: VersionBook) -> None:
         self._dispatch = dispatch
+        self._intake = Intake(dispatch)
         self._turns = WeightedTurns()
         self.desk: BatchDesk | None = None
         self._running: set[Search | Forward] = set()
@@ -44,6 +46,7 @@
             return False
         self._turns.forget()
         self._dispatch.use_version(version)
+        self._intake.use_version(version)
         return True
 
     def now(self) -> float:
@@ -77,7 +80,8 @@
             log(outcome)
 
         if route.shards:
-            running = Search(self._dispatch, exchange, outgoing, self.desk, ended)
+            admission = self._intake.admit(route)
+            running = Search(self._dispatch, exchange, outgoing, self.desk, admission, ended)
         else:
             service = self._turns.next(route)
             running = Forward(self._dispatch, exchange, outgoing, service, ended)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -3,6 +3,7 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.intake import Admission
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.carriers import ShardCarrier
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
@@ -43,10 +44,12 @@
         exchange: The caller's request.
         outgoing: The request as it is sent on.
         desk: Sends calls to instances near the searchers.
+        admission: Is told how the search stood when its answer was due.
         log: Where the outcome is told.
     """
 
     __slots__ = (
+        "_admission",
         "_carrier",
         "_dispatch",
         "_exchange",
@@ -65,8 +68,10 @@
         exchange: Exchange,
         outgoing: Outgoing,
         desk: BatchDesk,
+        admission: Admission,
         log: OutcomeLog,
     ) -> None:
+        self._admission = admission
         self._dispatch = dispatch
         self._exchange = exchange
         self._outgoing = outgoing
@@ -161,6 +166,7 @@
             tries.hedge()
 
     def _objective_near(self) -> None:
+        self._admission.due(len(self._parts))
         if len(self._parts) >= self._outgoing.route.least_parts:
             self._answer("objective")
         else:
@@ -171,6 +177,7 @@
 
     def _give_up(self) -> None:
         """Too many shards can't answer any more: say so now instead of at the deadline."""
+        self._admission.due(len(self._parts))
         if any(tries.may_have_run for tries in self._tries):
             error: LimpethollowError = NoUsableReply(
                 "Too many shards gave no usable reply.", retry_after=_RETRY_AFTER
@@ -182,6 +189,7 @@
         self._fail(error, "floor_out_of_reach")
 
     def _answer(self, reason: str) -> None:
+        self._admission.due(len(self._parts))
         names = self._dispatch.names
         route = self._outgoing.route
         missing = len(route.shards) - len(self._parts)
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -1,8 +1,10 @@
 """Plays one search against searchers that answer when a test says so."""
 
 from collections import defaultdict
+from collections.abc import Callable
 
 from limpethollow_node.engine.messages import Reply, Request
+from limpethollow_node.engine.process.intake import Intake
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.engine.request.outcomes import Outcome
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -12,16 +14,20 @@
 
 
 class VirtualExchange:
-    """Stands for a caller's request; `replies` has what the caller got."""
+    """Stands for a caller's request; `replies` has what the caller got, `on_reply` is told."""
 
     def __init__(self, taken: Request, arrived_at: float) -> None:
         self.request = taken
         self.arrived_at = arrived_at
         self.on_gone = None
+        self.is_first = False
         self.replies: list[Reply] = []
+        self.on_reply: Callable[[Reply], None] = lambda reply: None
 
     def respond(self, reply: Reply) -> None:
+        self.on_gone = None
         self.replies.append(reply)
+        self.on_reply(reply)
 
 
 class NoDesk:
@@ -48,7 +54,10 @@
         found = route(shards=names, top=5, floor=0.25, **fields)
         outgoing = Outgoing.of(taken, found, self.now, self.dispatch)
         self.hedge_delay = outgoing.timings.hedge_delay
-        self.search = Search(self.dispatch, self.exchange, outgoing, NoDesk(), self.outcomes.append)
+        admission = Intake(self.dispatch).admit(found)
+        self.search = Search(
+            self.dispatch, self.exchange, outgoing, NoDesk(), admission, self.outcomes.append
+        )
         self.search.start()
 
     @property
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -9,9 +9,10 @@
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
+from limpethollow_policy.process.isolation import Isolation
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.timings import RouteTimings
-from limpethollow_policy.version.routes import Route
+from limpethollow_policy.version.routes import Route, RoutingVersion
 
 
 class Timer:
@@ -57,8 +58,9 @@
 class VirtualDispatch:
     """Stands for the engine's dispatch; `played` has all calls that were sent."""
 
-    def __init__(self, slack: float = 56.0) -> None:
-        self.loop = VirtualLoop()
+    def __init__(self, slack: float = 56.0, loop: VirtualLoop | None = None) -> None:
+        self.loop = loop or VirtualLoop()
+        self.isolation = Isolation()
         self.fleet = Fleet("a")
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
@@ -74,6 +76,9 @@
         self.played.append((replica, call))
         self.on_send(replica, call)
 
+    def use_version(self, version: RoutingVersion) -> None:
+        """Take over the limits of a new version: there are none to take over."""
+
     def add(self, service: str, name: str, domain: str = "a") -> Searcher:
         searcher = Searcher(name, service, "10.0.0.1:80", domain, 2)
         self.fleet.put(searcher, self.loop.time())
