The way to each caller is measured, and how late this instance is

Cause: answers left 14 ms before the objective, two trips of 3 ms and some room. Ruled out: learning it from what callers state they have left: a look-up of the directory is in it as well. Change: the system's measure of the connection's round trip (TCP_INFO, there from the handshake on), and a learnt quantile of how late timers run, take the place of the constants; the first requests after a start have spent the round trip of their connect. Where not even a usual call fits, the answer waits for more parts, as before.

--- a/benchmarks/ablation/__main__.py
+++ b/benchmarks/ablation/__main__.py
@@ -21,7 +21,7 @@
 def main() -> int:
     """Play everything and print a table of worth lost by site."""
     options = _parser().parse_args()
-    player = Player(options.player.resolve(), options.jobs)
+    player = Player(options.player.resolve(), options.jobs, tuple(options.with_option))
     days = _days(options)
     base: dict[str, float] = {}
     for name in [_BASE, *options.only]:
@@ -44,6 +44,13 @@
     parser.add_argument("--days", type=lambda text: text.split(","), required=True)
     parser.add_argument("--seeds", type=lambda text: text.split(","), default=["0"])
     parser.add_argument("--copies", type=Path, required=True, help="folder for scratch copies")
+    parser.add_argument(
+        "--with-option",
+        action="append",
+        default=[],
+        metavar="OPTION",
+        help="passed on to each play, as --with-option=--no-cpu",
+    )
     parser.add_argument("--jobs", type=int, default=4, help="days played at once")
     parser.add_argument(
         "--only", type=lambda text: text.split(","), default=mechanisms.names(), help="mechanisms"
--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -144,8 +144,8 @@
     "what a caller has spent before its request is taken to be nothing",
     Edit(
         _ENGINE + "request/outgoing.py",
-        "0.0 if left is None else timings.patience.spent(left)",
-        "0.0",
+        "spent = timings.patience.spent(left, way if exchange.is_first else 0.0)",
+        "spent = 0.0",
     ),
 )
 _mechanism(
--- a/benchmarks/ablation/plays.py
+++ b/benchmarks/ablation/plays.py
@@ -46,11 +46,13 @@
     Args:
         program: Path of the player.
         jobs: Days at once.
+        options: Further options of each play, such as one that charges no processor time.
     """
 
-    def __init__(self, program: Path, jobs: int) -> None:
+    def __init__(self, program: Path, jobs: int, options: tuple[str, ...] = ()) -> None:
         self._program = program
         self._jobs = jobs
+        self._options = options
 
     def play(self, copy: Path, days: list[Day], why: str) -> list[Result]:
         """Play days with the sources of a copy; the player's journal stays in the copy.
@@ -65,7 +67,7 @@
     def _play(self, copy: Path, day: Day, why: str) -> Result:
         report = copy / "target" / f"{day.site.stem}-{day.name}-{day.seed}.json"
         command = [self._program, "run", day.site, day.name, "--jobs", "1", "--why", why]
-        command += ["--report", report]
+        command += ["--report", report, *self._options]
         if day.seed is not None:
             command += ["--seed", str(day.seed)]
         ended = subprocess.run(command, cwd=copy, capture_output=True, text=True, check=False)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -8,8 +8,8 @@
 import httptools
 import msgspec
 
-from limpethollow_node.engine.connection.clients import set_probes
 from limpethollow_node.engine.connection.listeners import BACKLOG
+from limpethollow_node.engine.connection.sockets import round_trip, set_probes
 from limpethollow_node.engine.messages import REASONS, Headers, Reply, Request
 from limpethollow_policy.version.routes import CallerLimits
 from limpethollow_wire.exceptions import (
@@ -39,6 +39,11 @@
         self.arrived_at = arrived_at
         self.on_gone: Callable[[], None] | None = None
 
+    @property
+    def round_trip(self) -> float | None:
+        """Return the seconds from here to the caller and back; None where they aren't known."""
+        return self._connection.round_trip
+
     @property
     def is_first(self) -> bool:
         """Return whether the connection was opened for this request."""
@@ -75,6 +80,7 @@
         "idle_since",
         "message_since",
         "requests",
+        "round_trip",
     )
 
     def __init__(self, server: "CallerServer") -> None:
@@ -95,6 +101,7 @@
         self.idle_since = self._loop.time()
         self.message_since: float | None = None
         self.requests = 0
+        self.round_trip: float | None = None
 
     @property
     def busy(self) -> bool:
@@ -132,7 +139,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
-        set_probes(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        set_probes(sock)
+        self.round_trip = round_trip(sock)
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -1,20 +1,13 @@
 """One connection to a server, on which one request at a time is sent."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import httptools
 
+from limpethollow_node.engine.connection.sockets import set_probes
 from limpethollow_node.engine.messages import Headers, Reply
 
-# A peer without power, or a path that went silent, shows on an open connection only by missing
-# replies to these probes: found within about 3 s instead of the system's default of two hours.
-_KEEP_ALIVE_IDLE_S = 1
-_KEEP_ALIVE_INTERVAL_S = 1
-_KEEP_ALIVE_PROBES = 2
-# A write that nobody acknowledges ends the connection after this time, as the probes would.
-_UNACKNOWLEDGED_MS = 3000
 # A reply larger than this is given up on, so that one server can't fill the instance's memory.
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 _NO_BODY = frozenset({204, 304})
@@ -209,17 +202,6 @@
             on_broken(error)
 
 
-def set_probes(sock: socket.socket | None) -> None:
-    """Let the system find out within seconds that the peer of a connection is silent."""
-    if sock is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
-
-
 def _keep_alive_timeout(reply: Reply) -> float | None:
     """Return after how many idle seconds the server will close, None where it doesn't say."""
     value = reply.header(b"keep-alive")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -7,7 +7,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
-from limpethollow_node.engine.connection.clients import set_probes
+from limpethollow_node.engine.connection.sockets import set_probes
 from limpethollow_node.engine.frames import AnyFrame, Frame, decode_frame, encode_frame
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import Source
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -9,7 +9,7 @@
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
 from limpethollow_policy.process.isolation import Isolation
 from limpethollow_policy.process.sendbudgets import SendBudget
-from limpethollow_policy.process.timings import RouteTimings
+from limpethollow_policy.process.timings import OwnDelay, RouteTimings
 from limpethollow_policy.version.routes import Route, RoutingVersion
 
 # Part of a searcher's connections that all instances together use; the rest is for connections that
@@ -43,6 +43,7 @@
         "loop",
         "metrics",
         "names",
+        "own_delay",
     )
 
     def __init__(
@@ -54,6 +55,7 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.isolation = Isolation()
+        self.own_delay = OwnDelay()
         self._pools: dict[str, Pool] = {}
         self._timings: dict[str, RouteTimings] = {}
         self._service_limits: dict[str, int] = {}
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -71,7 +71,7 @@
         if version is None:
             raise Unavailable("No configuration is known yet.", retry_after=_RETRY_WITHOUT_VERSION)
         route = self._route(request)
-        outgoing = Outgoing.of(request, route, exchange.arrived_at, self._dispatch)
+        outgoing = Outgoing.of(exchange, route, self._dispatch)
         log = self._logger(exchange, route)
         running: Search | Forward
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from limpethollow_node.engine.connection.callers import Exchange
 from limpethollow_node.engine.messages import (
     HeaderNames,
     Request,
@@ -14,8 +15,8 @@
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import BadRequest
 
-# Answers at a deadline leave this early, so that they are there when the caller stops waiting.
-_ANSWER_EARLY = 0.012
+# Taken for the round trip to a caller where the system measures none.
+_USUAL_ROUND_TRIP = 0.006
 
 
 @dataclass(slots=True)
@@ -26,8 +27,8 @@
         head: Request line and headers, without those that differ between sends.
         body: The request's body.
         request_id: The caller's id for the request; None where it sent none.
-        deadline: Monotonic second after which nobody waits for an answer.
-        spent: Seconds that the caller had waited when it sent the request.
+        deadline: Monotonic second at which the last answer must leave to find its caller waiting.
+        answer_by: Monotonic second at which an answer must leave to come within the objective.
         route: The route.
         timings: The route's timings.
         is_head: Whether the method is HEAD.
@@ -37,27 +38,30 @@
     body: bytes
     request_id: bytes | None
     deadline: float
-    spent: float
+    answer_by: float
     route: Route
     timings: RouteTimings
     is_head: bool
 
     @classmethod
-    def of(cls, request: Request, route: Route, arrived: float, dispatch: Dispatch) -> "Outgoing":
+    def of(cls, exchange: Exchange, route: Route, dispatch: Dispatch) -> "Outgoing":
         """Prepare a caller's request to be sent on.
 
         Args:
-            request: The request.
+            exchange: The request.
             route: Its route.
-            arrived: Monotonic second at which it had come whole.
             dispatch: What the process shares.
 
         Raises:
             BadRequest: The time that the caller has left is no number.
         """
         names = dispatch.names
+        request, arrived = exchange.request, exchange.arrived_at
         timings = dispatch.timings(route)
         left = _time_left(request, names)
+        way = exchange.round_trip or _USUAL_ROUND_TRIP
+        spent = timings.patience.spent(left, way if exchange.is_first else 0.0)
+        way += dispatch.own_delay.allowance
         seconds = route.timeout if left is None else min(route.timeout, left)
         own = frozenset({names.time_left, names.expected_searcher})
         headers = end_to_end(request.headers, own)
@@ -67,8 +71,8 @@
             b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, render_headers(headers)),
             request.body,
             request.header(names.request_id),
-            arrived + max(seconds - _ANSWER_EARLY, seconds / 2),
-            0.0 if left is None else timings.patience.spent(left),
+            arrived + max(seconds - way, seconds / 2),
+            arrived + timings.patience_for(spent + way),
             route,
             timings,
             request.method == b"HEAD",
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -15,9 +15,6 @@
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
 
-# What the request's way here, the merge and the answer's way back take off the objective, in
-# seconds: two trips of 3 ms, a timer that fires late, and 2 ms of processor time.
-WAY_BACK = 0.014
 # Most shards of one search that get a second send, as a share. Where more are late, the instance or
 # the whole service is slow, and second sends would only add to that.
 _MOST_HEDGED = 0.5
@@ -93,10 +90,9 @@
             return
         loop = self._dispatch.loop
         now = loop.time()
-        arrived = self._exchange.arrived_at
         self._timers = [
             loop.call_at(now + self._outgoing.timings.hedge_delay, self._hedge),
-            loop.call_at(arrived + self._patience(route), self._objective_near),
+            loop.call_at(self._outgoing.answer_by, self._objective_near),
             loop.call_at(self._outgoing.deadline, self._deadline_passed),
         ]
         self._tries = [
@@ -127,10 +123,6 @@
         )
         self._fail(error, "too_few_shards")
 
-    def _patience(self, route: Route) -> float:
-        """Return for how many seconds after its arrival the search waits for all shards."""
-        return max(route.objective - WAY_BACK - self._outgoing.spent, route.objective / 2)
-
     def _part_done(self, tries: Tries) -> None:
         self._pending -= 1
         if tries.verdict is Verdict.ANSWERED and tries.service not in self._parts:
@@ -166,6 +158,7 @@
             tries.hedge()
 
     def _objective_near(self) -> None:
+        self._dispatch.own_delay.add(self._dispatch.loop.time() - self._outgoing.answer_by)
         self._admission.due(len(self._parts))
         if len(self._parts) >= self._outgoing.route.least_parts:
             self._answer("objective")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -39,35 +39,64 @@
     connect came some 8 ms after the objective.
     """
 
-    __slots__ = ("_greatest", "_next_greatest", "_requests", "_seen")
+    __slots__ = ("_greatest", "_next_greatest", "_requests")
 
     # Requests after which a greatest value that was not seen again is forgotten, as when callers
     # were given less time.
     _MEMORY = 64
-    # The first requests come on new connections, so nothing is learnt from them; they are taken to
-    # have spent a connect of two round trips at 3 ms a way.
-    _FIRST = 8
-    _CONNECT_SECONDS = 0.008
 
     def __init__(self) -> None:
         self._greatest = 0.0
         self._next_greatest = 0.0
         self._requests = 0
-        self._seen = 0
 
-    def spent(self, left: float) -> float:
-        """Take in the seconds that a caller has left; return those that have passed for it."""
+    def spent(self, left: float | None, at_least: float) -> float:
+        """Take in the seconds that a caller has left; return those that have passed for it.
+
+        Args:
+            left: What the caller states; None where it states nothing.
+            at_least: What has passed for certain, as the round trip of a connect. The first
+                requests after a start all come on new connections, so the greatest value is too
+                low by that much.
+        """
+        if left is None:
+            return at_least
+        began_with = left + at_least
         self._requests += 1
-        self._next_greatest = max(self._next_greatest, left)
+        self._next_greatest = max(self._next_greatest, began_with)
         if self._requests >= self._MEMORY:
             self._greatest, self._next_greatest = self._next_greatest, 0.0
             self._requests = 0
-        self._greatest = max(self._greatest, left)
-        spent = self._greatest - left
-        if self._seen < self._FIRST:
-            self._seen += 1
-            return max(spent, self._CONNECT_SECONDS)
-        return spent
+        self._greatest = max(self._greatest, began_with)
+        return self._greatest - left
+
+
+class OwnDelay:
+    """Learns how late this instance does what is due, from its timers.
+
+    An answer leaves that much after its time, and must be made ready that much earlier. On an
+    instance with little processor, answers would otherwise all come just after their objective.
+    """
+
+    __slots__ = ("_late",)
+
+    # Merging and writing an answer of twenty parts takes 2 ms of processor time.
+    _WORK_SECONDS = 0.002
+    # Nineteen of twenty answers shall leave in time.
+    _QUANTILE = 0.95
+    _FIRST_SECONDS = 0.004
+
+    def __init__(self) -> None:
+        self._late = RunningQuantile(self._QUANTILE, self._FIRST_SECONDS)
+
+    @property
+    def allowance(self) -> float:
+        """Return how many seconds before its time an answer is made ready."""
+        return self._WORK_SECONDS + self._late.value
+
+    def add(self, seconds: float) -> None:
+        """Take in how late a timer was."""
+        self._late.add(seconds)
 
 
 class RouteTimings:
@@ -107,6 +136,17 @@
         latest = self._LATEST_HEDGE * self._objective
         return min(max(self._late.value, earliest), latest)
 
+    def patience_for(self, elsewhere: float) -> float:
+        """Return how many seconds after its arrival a request's answer should leave.
+
+        Args:
+            elsewhere: Seconds that the caller's way here, and the answer's way back, take off the
+                objective. Where not even a usual call fits into what is left, the answer is late
+                anyway, and waits for more parts instead.
+        """
+        left = self._objective - elsewhere
+        return left if left > self.usual else self._objective / 2
+
     def add(self, seconds: float) -> None:
         """Take in the time of a call that was answered."""
         self._usual.add(seconds)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -11,7 +11,7 @@
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
 from limpethollow_policy.process.isolation import Isolation
 from limpethollow_policy.process.sendbudgets import SendBudget
-from limpethollow_policy.process.timings import RouteTimings
+from limpethollow_policy.process.timings import OwnDelay, RouteTimings
 from limpethollow_policy.version.routes import Route, RoutingVersion
 
 
@@ -61,6 +61,7 @@
     def __init__(self, slack: float = 56.0, loop: VirtualLoop | None = None) -> None:
         self.loop = loop or VirtualLoop()
         self.isolation = Isolation()
+        self.own_delay = OwnDelay()
         self.fleet = Fleet("a")
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
