Callers keep a list of instances for as long as it has held

Cause: lists held for 1 s. Change: 1 s right after a change, then as long as the list has held, up to the deployment's bound.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/directory.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/directory.py
@@ -11,22 +11,20 @@
 
 _JSON = (b"Content-Type", b"application/json")
 
-# Seconds for which callers keep an answer. An instance that died is still used that long; each
-# second less costs one small call more a caller and second.
-ANSWER_SECONDS = 1.0
-
 
 class DirectoryAnswers:
     """Handles requests on the directory address.
 
     Args:
         choose: Returns the addresses for a caller in a failure domain.
+        lifetime: Returns for how many seconds callers may keep them.
     """
 
-    __slots__ = ("_choose",)
+    __slots__ = ("_choose", "_lifetime")
 
-    def __init__(self, choose: Callable[[str], list[str]]) -> None:
+    def __init__(self, choose: Callable[[str], list[str]], lifetime: Callable[[], float]) -> None:
         self._choose = choose
+        self._lifetime = lifetime
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -35,7 +33,7 @@
             exchange.respond(error_reply(NotFound("Only /resolve is served here.")))
             return
         zone = parse_qs(query.decode("latin-1")).get("zone", [""])[0]
-        body = {"addrs": self._choose(zone), "ttl_s": ANSWER_SECONDS}
+        body = {"addrs": self._choose(zone), "ttl_s": self._lifetime()}
         exchange.respond(Reply(200, [_JSON], msgspec.json.encode(body)))
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -36,6 +36,7 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
 from limpethollow_policy.process.fleets import Fleet
+from limpethollow_policy.process.lifetimes import ListLifetime
 from limpethollow_policy.process.placements import Instance, entries_for
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.topology import WatchRole
@@ -88,9 +89,12 @@
             self._roster, self._catalog, role, self._rng, self.metrics, settings.seed_hosts
         )
         self._engine.desk = BatchDesk(self._dispatch, self._peers)
+        self._lifetime = ListLifetime(bounds.ttl_max_s)
         self._servers: list[CallerServer] = []
         self._front = self._server(self._engine.handle)
-        self._directory = self._server(DirectoryAnswers(self._addresses_for).handle)
+        self._directory = self._server(
+            DirectoryAnswers(self._addresses_for, self._list_lifetime).handle
+        )
         self._life = Lifecycle(
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
         )
@@ -150,6 +154,7 @@
             bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
         )
         self._catalog.set_removal_delay(settings.removal_delay)
+        self._lifetime.longest = bounds.ttl_max_s
         events.SETTINGS_RELOADED.log(bounds=str(bounds))
 
     def ask_to_leave(self) -> None:
@@ -234,6 +239,10 @@
         chosen = entries_for(live, domain, searchers, self._roster.known)
         return [instance.address for instance in chosen] or [self._roster.own.address]
 
+    def _list_lifetime(self) -> float:
+        names = [instance.name for instance in self._roster.live]
+        return self._lifetime.seconds(names, asyncio.get_running_loop().time())
+
     def _show_metrics(self, exchange: Exchange) -> None:
         kind = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.respond(Reply(200, kind, self.metrics.render().encode()))
