--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -85,12 +85,13 @@
 )
 _mechanism(
     "cut-losers",
-    "calls that lost go on until the search ends",
+    "calls that nobody waits for go on for a quarter of a second",
     Edit(
-        _ENGINE + "request/sends.py",
-        "        self.call.cancel()\n",
-        "        self._owner.dispatch.loop.call_later(0.25, self.call.cancel)\n"
-        "        self.call.on_reply = self.call.on_failed = lambda _: None\n",
+        _ENGINE + "process/pools.py",
+        "        connection, self._connection = self._connection, None\n",
+        "        asyncio.get_running_loop().call_later(0.25, self._close)\n\n"
+        "    def _close(self) -> None:\n"
+        "        connection, self._connection = self._connection, None\n",
     ),
 )
 _mechanism(
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,14 +4,19 @@
 deps=target/deps
 wanted=$(cat deploy/requirements.txt)
 if [ "$(cat target/installed.txt 2>/dev/null)" != "$wanted" ]; then
-  rm -rf "$deps"
+  rm -rf "$deps" target/sources.txt
   python3 -m pip install --quiet --quiet --disable-pip-version-check --no-deps \
     --target "$deps" -r deploy/requirements.txt
   cp deploy/requirements.txt target/installed.txt
 fi
-for package in limpethollow_wire limpethollow_policy limpethollow_node; do
-  rm -rf "$deps/$package"
-done
-for package in wire policy node; do
-  cp -R "packages/limpethollow-$package/src/limpethollow_$package" "$deps/"
-done
+# The sources are replaced only where they changed: a process that starts while they are copied
+# would find half of them, and end.
+sources=$(find packages/limpethollow-*/src -name '*.py' | LC_ALL=C sort | xargs cksum)
+if [ "$(cat target/sources.txt 2>/dev/null)" != "$sources" ]; then
+  rm -f target/sources.txt
+  for package in wire policy node; do
+    rm -rf "$deps/limpethollow_$package"
+    cp -R "packages/limpethollow-$package/src/limpethollow_$package" "$deps/"
+  done
+  printf '%s\n' "$sources" > target/sources.txt
+fi
