Repeated sends are shared among the instances that take callers

Cause: the slack was divided among all 76 instances of the grown new site, of which 19 take callers. Change: the slack is divided like connections are: an instance that takes no callers counts an eighth. The parts add up to the whole, and grow only a window after a change, as before. Small sites: all take callers, no change.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -105,16 +105,15 @@
         self._services_in_use = version.service_names()
         self._apply_limits()
 
-    def share_among(self, instances: int, sharers: float) -> None:
+    def share_among(self, sharers: float) -> None:
         """Divide repeated sends and connections among instances.
 
         Args:
-            instances: Instances that may send repeats.
-            sharers: Instances among which a searcher's connections are divided, as one that opens
-                few counts in part.
+            sharers: Instances among which they are divided, for this one's part; one that makes
+                few calls counts in part.
         """
         self._sharers = max(1.0, sharers)
-        self.budget.share_among(instances, self.loop.time())
+        self.budget.share_among(self._sharers, self.loop.time())
         self._apply_limits()
 
     def put_searcher(self, searcher: Searcher) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -4,8 +4,8 @@
 
 from limpethollow_policy.process.placements import Instance, leading_among
 
-# Connections that an instance opens which takes no callers, as a share of one that does: it makes
-# calls for others only while theirs are lost.
+# Connections that an instance opens which takes no callers, and sends that it repeats, as a share
+# of one that does: it makes calls for others only while theirs are lost.
 _OTHERS_WEIGHT = 0.125
 
 
@@ -38,14 +38,16 @@
 
     @property
     def sharers(self) -> float:
-        """Return among how many instances a searcher's connections are divided for this one.
+        """Return into how many parts connections and repeated sends are divided, for this one's.
 
-        Those that take no callers open few, so all that do have larger parts.
+        Instances that take no callers make few calls, so those that do have larger parts. The
+        parts of all add up to the whole: with 76 instances of which 19 take callers, one of these
+        has a 26th and one of the others a 209th. With a 76th each, half of the parts that answers
+        lacked had not been asked for at a second searcher, for want of budget.
         """
         leading = leading_among(self.known)
-        if self.own not in leading:
-            return len(self)
-        return len(leading) + (len(self) - len(leading)) * _OTHERS_WEIGHT
+        parts = len(leading) + (len(self) - len(leading)) * _OTHERS_WEIGHT
+        return parts if self.own in leading else parts / _OTHERS_WEIGHT
 
     @property
     def live(self) -> list[Instance]:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -231,7 +231,7 @@
         self._front.limits = version.limits
 
     def _instances_changed(self) -> None:
-        self._dispatch.share_among(len(self._roster), self._roster.sharers)
+        self._dispatch.share_among(self._roster.sharers)
 
     def _addresses_for(self, domain: str) -> list[str]:
         searchers = self._dispatch.fleet.domains(self._services)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -62,8 +62,8 @@
     """Shares the users' bound on repeated sends among all instances without a word between them.
 
     The bound holds for all instances together: a ratio of the requests for a service, and a fixed
-    slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes an
-    equal part of the slack. An instance that has left still has its repeats in the window, so the
+    slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes its
+    part of the slack. An instance that has left still has its repeats in the window, so the
     greatest number of instances within a window counts.
 
     Args:
@@ -78,7 +78,7 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._counts: list[tuple[float, int]] = []
+        self._counts: list[tuple[float, float]] = []
         self._windows: dict[str, SendWindow] = {}
 
     def set_bounds(self, ratio: float, slack: float, window: float) -> None:
@@ -88,20 +88,20 @@
             self._window = window
             self._windows.clear()
 
-    def share_among(self, instances: int, now: float) -> None:
-        """Set how many instances share the slack from now on."""
+    def share_among(self, sharers: float, now: float) -> None:
+        """Set into how many parts like this instance's the slack is divided from now on."""
         over = now + self._window
         earlier = [(min(until, over), count) for until, count in self._counts if until > now]
-        self._counts = [(until, count) for until, count in earlier if count > instances]
-        self._counts.append((float("inf"), instances))
+        self._counts = [(until, count) for until, count in earlier if count > sharers]
+        self._counts.append((float("inf"), sharers))
 
     def room(self, service: str, now: float) -> float:
         """Return how many repeats of a service are left now."""
         slack = self._slack / self._sharing(now)
         return self._of(service).room(now, self._ratio, slack)
 
-    def _sharing(self, now: float) -> int:
-        return max((count for until, count in self._counts if until > now), default=1)
+    def _sharing(self, now: float) -> float:
+        return max((count for until, count in self._counts if until > now), default=1.0)
 
     def request(self, service: str, now: float) -> None:
         """Count a caller's request for a service."""
--- a/tests/unit/engine/test_roster.py
+++ b/tests/unit/engine/test_roster.py
@@ -47,3 +47,26 @@
         assert roster.live == []
         roster.ready = True
         assert roster.live == [roster.own]
+
+
+class TestSharers:
+    def test_the_parts_of_all_instances_add_up_to_the_whole(self):
+        """Second sends were refused for want of budget, although the bound was far away.
+
+        Of 76 instances 19 took callers, and each kept to a 76th of what all may repeat.
+        """
+        everyone = [instance(f"i-{number}") for number in range(76)]
+        parts = []
+        for own in everyone:
+            roster = Roster(own, lambda: None)
+            for other in everyone:
+                roster.put(other)
+            parts.append(1 / roster.sharers)
+        assert abs(sum(parts) - 1.0) < 1e-9
+        assert max(parts) > 1 / 30
+
+    def test_where_all_take_callers_all_have_the_same_part(self):
+        roster = Roster(instance("own"), lambda: None)
+        for number in range(5):
+            roster.put(instance(f"i-{number}"))
+        assert roster.sharers == 6
