--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -48,6 +48,8 @@
     zone: str
     state: str
     slots: int = 1
+    # How much longer the searcher is slow after its start. Not used: calls show it as soon. It is
+    # decoded since an entry with a field of another type names no searcher to use.
     cold_left_ms: float = 0
     # Millisecond of the process's start: a new one under the old id is another process.
     born: int = 0
@@ -115,7 +117,6 @@
         failure_domain=entry.zone,
         slots=entry.slots,
         draining=entry.state == _DRAINING,
-        cold_seconds=entry.cold_left_ms / 1000,
         incarnation=entry.born,
     )
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -17,8 +17,6 @@
 _STUCK_AFTER = 2.5
 _STUCK_FACTOR = 4.0
 _FAILURE_WEIGHT = 8.0
-# A searcher that has just started takes 1.6 times as long, by the users' sheets.
-_COLD_FACTOR = 1.6
 # A searcher whose entry is gone is asked only where every other one is far slower.
 _UNLISTED_FACTOR = 6.0
 _SLOWEST, _FASTEST = 30.0, 0.3
@@ -37,7 +35,6 @@
         failure_domain: Where it runs.
         slots: Requests that it runs at once.
         draining: Whether it is about to leave.
-        cold_seconds: How much longer it is slow after its start.
         incarnation: Start of its process; another value means that it has started anew.
     """
 
@@ -47,7 +44,6 @@
     failure_domain: str
     slots: int
     draining: bool = False
-    cold_seconds: float = 0.0
     incarnation: int = 0
 
 
@@ -63,7 +59,6 @@
         evidence_at: When the last observation was made.
         blocked_until: It takes no calls before this monotonic second.
         block: Length of the next block in seconds.
-        cold_until: It is slow until this monotonic second.
         unlisted: Its entry is gone, but it may be back in a moment.
         window: Bounds the calls under way where it answers too late.
     """
@@ -75,7 +70,6 @@
     evidence_at: float = 0.0
     blocked_until: float = 0.0
     block: float = _FIRST_BLOCK
-    cold_until: float = 0.0
     unlisted: bool = False
     window: CallWindow = field(default_factory=CallWindow)
 
@@ -121,8 +115,6 @@
         cost *= 1.0 + _FAILURE_WEIGHT * self.failures
         if self.searcher.failure_domain != own_domain:
             cost *= OTHER_DOMAIN_FACTOR
-        if now < self.cold_until:
-            cost *= _COLD_FACTOR
         if self.unlisted:
             cost *= _UNLISTED_FACTOR
         if self.in_flight:
@@ -176,7 +168,7 @@
             known.unlisted = False
             return None
         replaced = self.remove(searcher.id)
-        replica = Replica(searcher, evidence_at=now, cold_until=now + searcher.cold_seconds)
+        replica = Replica(searcher, evidence_at=now)
         self._by_id[searcher.id] = replica
         self._by_service.setdefault(searcher.service, {})[searcher.id] = replica
         return replaced
