Admission: a route without an objective is adapted too; congested is the field's word

An objective of 0 would have divided by zero in the timer that answers a search; the test fails without the bound. Names only besides: what was called held up is called congested.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -2,7 +2,7 @@
 
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.process import events
-from limpethollow_policy.process.shedding import LoadShedder, is_held_up
+from limpethollow_policy.process.shedding import LoadShedder, is_congested
 from limpethollow_policy.version.routes import Route, RoutingVersion
 from limpethollow_wire.exceptions import Overloaded
 
@@ -86,10 +86,10 @@
 
     def ended(self, route: Route, started: float, missing: int) -> None:
         """Take in how a search stood when its answer was due."""
-        held_up = is_held_up(missing, len(route.shards))
+        congested = is_congested(missing, len(route.shards))
         shedder = self._shedder(route)
         now = self._dispatch.loop.time()
-        if shedder.ended(held_up, started, now, route.objective):
+        if shedder.ended(congested, started, now, route.objective):
             self._dispatch.metrics.count("admission_cuts", route.name)
             events.ADMISSION_CUT.log(
                 route=route.name, shards=len(route.shards), searches_a_second=round(shedder.rate, 1)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -8,14 +8,14 @@
 from collections import deque
 
 # Share of a search's shards that had not answered when its answer was due, from which on the search
-# counts as held up. A few shards with slow or dark searchers are none: fewer calls would not help
-# them. Troubles take up to 0.19 of the searchers, and seldom both of one shard.
-_HELD_UP_SHARE = 0.25
-# The rate is cut where more than the one share of the searches were held up, by more where most
-# were, and raised where fewer than the other were.
+# counts as congested. A few shards with slow or dark searchers are no congestion: fewer calls would
+# not help them. Troubles take up to 0.19 of the searchers, and seldom both of one shard.
+_CONGESTED_SHARE = 0.25
+# The rate is cut above the first share of congested searches, deeper above the second, and raised
+# below the third.
 _CUT_ABOVE, _CUT_DEEP_ABOVE, _RAISE_BELOW = 0.2, 0.6, 0.1
-# Searches that must have ended before a cut. One or two are held up together by chance, as when two
-# searches follow each other into a pause.
+# Searches that must have ended before a cut. One or two are congested together by chance, as when
+# two searches follow each other into a pause.
 _LEAST_ENDED = 4
 # What a cut leaves of the rate. With 0.85 and 0.7 the same share of bursts of four to six times the
 # traffic is answered in time, within 3 %, but more is refused.
@@ -32,17 +32,20 @@
 # Seconds of the rate that may be saved up, since callers don't come evenly, and the searches that
 # may be in any case.
 _SAVED_SECONDS, _LEAST_SAVED = 0.1, 2.0
+# An operator may state no objective at all, or one that nothing meets; the rate is then looked at
+# this often.
+_SHORTEST_OBJECTIVE = 0.01
 _UNBOUNDED = float("inf")
 
 
-def is_held_up(missing: int, shards: int) -> bool:
-    """Return whether a search was held up by load.
+def is_congested(missing: int, shards: int) -> bool:
+    """Return whether a search was congested: load, and not a few searchers, made it late.
 
     Args:
         missing: Shards that had not answered when the answer was due.
         shards: All its shards.
     """
-    return missing > max(1.0, _HELD_UP_SHARE * shards)
+    return missing > max(1.0, _CONGESTED_SHARE * shards)
 
 
 class TokenBucket:
@@ -106,7 +109,7 @@
     """Admits as many searches of one set of shards as are answered in time.
 
     Each instance works out its own rate from what it sees, and the same signal reaches all: where
-    the searchers' queues are long, searches of each instance are held up. The rate is unbounded
+    the searchers' queues are long, searches of each instance are congested. The rate is unbounded
     until then, so calm days refuse nothing. It is a rate and not a number under way, as many
     instances share the load: each of 16 would have under one search at a time.
 
@@ -119,7 +122,7 @@
     searchers, six instances, three seeds of the model in test_overload.py).
     """
 
-    __slots__ = ("_admitted", "_bucket", "_cut_at", "_ended", "_held_up", "_look_at", "_promised")
+    __slots__ = ("_admitted", "_bucket", "_congested", "_cut_at", "_ended", "_look_at", "_promised")
 
     def __init__(self) -> None:
         self._bucket = TokenBucket()
@@ -128,7 +131,7 @@
         self._cut_at = float("-inf")
         self._look_at = float("-inf")
         self._ended = 0
-        self._held_up = 0
+        self._congested = 0
 
     @property
     def rate(self) -> float:
@@ -158,11 +161,11 @@
         self._promised = max(self._promised, now + wait) + 1.0 / self.rate
         return self._promised - now
 
-    def ended(self, held_up: bool, started: float, now: float, objective: float) -> bool:
+    def ended(self, congested: bool, started: float, now: float, objective: float) -> bool:
         """Take in a search whose answer was due, and adapt the rate.
 
         Args:
-            held_up: Whether load held it up; `is_held_up` tells.
+            congested: Whether it was congested; `is_congested` tells.
             started: When it was admitted.
             now: Monotonic second.
             objective: Its route's objective in seconds, after which a change of the rate shows.
@@ -174,10 +177,11 @@
             # It was admitted at a higher rate, and says nothing of the present one.
             return False
         self._ended += 1
-        self._held_up += held_up
+        self._congested += congested
         if now < self._look_at:
             return False
-        share = self._held_up / self._ended
+        objective = max(objective, _SHORTEST_OBJECTIVE)
+        share = self._congested / self._ended
         if share < _RAISE_BELOW:
             self._raise(now, objective)
         elif self._ended < _LEAST_ENDED:
@@ -185,7 +189,7 @@
         cut = share > _CUT_ABOVE
         if cut:
             self._cut(_DEEP_CUT if share > _CUT_DEEP_ABOVE else _CUT, now, objective)
-        self._ended = self._held_up = 0
+        self._ended = self._congested = 0
         self._look_at = now + objective
         return cut
 
--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -1,6 +1,6 @@
 """The rate at which one instance admits searches."""
 
-from limpethollow_policy.process.shedding import AdmittedRate, LoadShedder, is_held_up
+from limpethollow_policy.process.shedding import AdmittedRate, LoadShedder, is_congested
 
 OBJECTIVE = 0.1
 
@@ -11,20 +11,20 @@
     return sum(shedder.wait(began + number / rate) == 0.0 for number in range(count))
 
 
-def end(shedder: LoadShedder, count: int, *, held_up: bool, at: float) -> bool:
+def end(shedder: LoadShedder, count: int, *, congested: bool, at: float) -> bool:
     """Let searches end that were admitted just before."""
-    cuts = [shedder.ended(held_up, at - 0.01, at, OBJECTIVE) for _ in range(count)]
+    cuts = [shedder.ended(congested, at - 0.01, at, OBJECTIVE) for _ in range(count)]
     return True in cuts
 
 
-class TestHeldUp:
+class TestCongested:
     def test_a_few_missing_shards_are_not_load(self):
-        assert not is_held_up(5, 20)
-        assert is_held_up(6, 20)
+        assert not is_congested(5, 20)
+        assert is_congested(6, 20)
 
     def test_one_missing_shard_of_few_is_not_load(self):
-        assert not is_held_up(1, 2)
-        assert is_held_up(2, 2)
+        assert not is_congested(1, 2)
+        assert is_congested(2, 2)
 
 
 class TestRate:
@@ -33,22 +33,22 @@
         assert admit(shedder, 100.0, 1.0, 1000.0) == 1000
         assert shedder.rate == float("inf")
 
-    def test_held_up_searches_cut_it_below_what_was_admitted(self):
+    def test_congested_searches_cut_it_below_what_was_admitted(self):
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        assert end(shedder, 4, held_up=True, at=101.0)
+        assert end(shedder, 4, congested=True, at=101.0)
         assert 30 < shedder.rate < 50
         assert 25 < admit(shedder, 101.0, 1.0, 200.0) < 50
 
-    def test_one_or_two_held_up_searches_change_nothing(self):
+    def test_one_or_two_congested_searches_change_nothing(self):
         shedder = LoadShedder()
-        assert not end(shedder, 3, held_up=True, at=100.0)
+        assert not end(shedder, 3, congested=True, at=100.0)
         assert shedder.rate == float("inf")
 
     def test_searches_admitted_before_a_cut_cut_no_more(self):
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        end(shedder, 4, held_up=True, at=101.0)
+        end(shedder, 4, congested=True, at=101.0)
         rate = shedder.rate
         for _ in range(20):
             shedder.ended(True, 100.9, 101.5, OBJECTIVE)
@@ -57,17 +57,17 @@
     def test_it_rises_while_searches_are_answered_in_time(self):
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        end(shedder, 4, held_up=True, at=101.0)
+        end(shedder, 4, congested=True, at=101.0)
         rate = shedder.rate
         for turn in range(1, 20):
-            end(shedder, 1, held_up=False, at=101.0 + turn * 1.5 * OBJECTIVE)
+            end(shedder, 1, congested=False, at=101.0 + turn * 1.5 * OBJECTIVE)
         assert shedder.rate > 2 * rate
 
     def test_it_never_falls_so_low_that_an_end_of_overload_does_not_show(self):
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 10.0)
         for turn in range(50):
-            end(shedder, 4, held_up=True, at=101.0 + turn)
+            end(shedder, 4, congested=True, at=101.0 + turn)
         assert shedder.rate >= 1.0 / (3 * OBJECTIVE)
 
     def test_the_calm_before_a_burst_does_not_lower_what_was_admitted(self):
@@ -78,6 +78,17 @@
             admitted.add(101.0 + number / 100)
         assert admitted.highest(101.3) > 90
 
+    def test_a_route_without_an_objective_is_adapted_too(self):
+        """Searches of a route whose objective was 0 never got an answer.
+
+        Adapting the rate divided by it, in the timer that was to answer them.
+        """
+        shedder = LoadShedder()
+        admit(shedder, 100.0, 1.0, 50.0)
+        for turn in range(20):
+            shedder.ended(turn < 8, 101.0 + turn, 101.0 + turn, 0.0)
+        assert 0 < shedder.rate < float("inf")
+
 
 class TestInTime:
     def test_searches_that_are_late_anyway_yield_to_those_that_are_not(self):
@@ -87,7 +98,7 @@
         """
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        end(shedder, 4, held_up=True, at=101.0)
+        end(shedder, 4, congested=True, at=101.0)
         late = fresh = 0
         for number in range(200):
             now = 101.0 + number / 100
@@ -99,7 +110,7 @@
     def test_alone_they_are_admitted_at_the_same_rate(self):
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        end(shedder, 4, held_up=True, at=101.0)
+        end(shedder, 4, congested=True, at=101.0)
         late = sum(shedder.wait(101.0 + n / 100, in_time=False) == 0.0 for n in range(200))
         assert late > 1.5 * shedder.rate
 
@@ -109,7 +120,7 @@
         """All callers that were refused together came back together, and were refused again."""
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        end(shedder, 4, held_up=True, at=101.0)
+        end(shedder, 4, congested=True, at=101.0)
         while shedder.wait(101.0) == 0.0:
             pass
         waits = [shedder.wait(101.0) for _ in range(5)]
