Second sends are timed from when the first have left; batches tell each call's own time

Cause: sending 87 calls takes a weak instance 13 ms; second sends were timed from before that, so most shards were late, and 20 to 40 were asked again at 0.8 ms each (half of it a log line). Parts that come merged were taken to have lasted as long as the slowest of them: a searcher of 18 ms looked like one of 60 to 140, and second sends went out as late as they may.

--- a/benchmarks/steps.py
+++ b/benchmarks/steps.py
@@ -135,7 +135,9 @@
         for frame in frames:
             if isinstance(frame, Batch):
                 proofs = {call.shard: call.searcher.encode() for call in frame.calls}
-                return encode_frame(BatchParts(frame.number, proofs, self._merged))
+                return encode_frame(
+                    BatchParts(frame.number, proofs, [20] * len(proofs), self._merged)
+                )
         return None
 
     def _answer_groups(self, groups: list[bytes]) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -159,13 +159,23 @@
     Attributes:
         number: The batch.
         proofs: Signatures by shard.
+        milliseconds: How long each call took, in the order of `proofs`.
         records: The greatest records of these parts together, as one body.
     """
 
     number: int
     proofs: dict[str, bytes]
+    milliseconds: list[int]
     records: bytes
 
+    @property
+    def seconds(self) -> dict[str, float]:
+        """Return how long each shard's call took."""
+        return {
+            shard: taken / 1000
+            for shard, taken in zip(self.proofs, self.milliseconds, strict=False)
+        }
+
 
 class BatchFailure(Frame, frozen=True, tag="failure"):
     """One call of a batch that gave no part.
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -1,6 +1,7 @@
 """What all requests of a process share: searchers, connections, budget, timings."""
 
 import asyncio
+import time
 
 from limpethollow_node.engine.messages import HeaderNames
 from limpethollow_node.engine.process.pools import Call, Pool
@@ -28,6 +29,10 @@
         budget: Bound on repeated sends.
         names: The deployment's header names.
         metrics: The process's counters.
+
+    Attributes:
+        clock: Returns the monotonic second. `loop.time` stands still while a callback runs, and so
+            tells nothing of how long this instance takes for its work.
     """
 
     __slots__ = (
@@ -38,6 +43,7 @@
         "_sharers",
         "_timings",
         "budget",
+        "clock",
         "fleet",
         "isolation",
         "loop",
@@ -54,6 +60,7 @@
         self.names = names
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
+        self.clock = time.monotonic
         self.isolation = Isolation()
         self.own_delay = OwnDelay()
         self._pools: dict[str, Pool] = {}
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -30,7 +30,7 @@
 # nothing more half a second after a caller has left.
 MOST_LAG = 0.3
 
-OnParts = Callable[[dict[str, bytes], bytes], None]
+OnParts = Callable[[BatchParts], None]
 OnFailure = Callable[[str, Verdict, str], None]
 
 
@@ -58,7 +58,7 @@
     Args:
         link: Link to that instance.
         frame: What it was asked.
-        on_parts: Called with signatures by shard, and their merged records.
+        on_parts: Called with merged parts.
         on_failure: Called with shard, verdict and reason of a call that gave no part.
         forget: Called with the batch's number once nothing more will come.
     """
@@ -97,7 +97,7 @@
     def parts(self, frame: BatchParts) -> None:
         """Take in merged parts."""
         self._settle(frame.proofs)
-        self._on_parts(frame.proofs, frame.records)
+        self._on_parts(frame)
 
     def failure(self, frame: BatchFailure) -> None:
         """Take in a failed call."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -33,6 +33,7 @@
         "_done",
         "_link",
         "_merging",
+        "_milliseconds",
         "_proofs",
         "_timer",
     )
@@ -46,6 +47,7 @@
         self._done = done
         self._calls: dict[str, _Call] = {}
         self._proofs: dict[str, bytes] = {}
+        self._milliseconds: list[int] = []
         self._bodies: list[bytes] = []
         self._merging = True
         self._deadline = dispatch.loop.time() + batch.left
@@ -76,9 +78,11 @@
         """Take in a searcher's reply."""
         names = self._dispatch.names
         verdict = judge(reply, names, self._batch.request_id or None)
-        del self._calls[shard]
+        call = self._calls.pop(shard)
         if verdict is Verdict.ANSWERED:
             self._proofs[shard] = reply.header(names.proof)
+            passed = self._dispatch.loop.time() - call.started
+            self._milliseconds.append(round(passed * 1000))
             self._bodies.append(reply.body)
         else:
             self._fail(shard, verdict, f"status_{reply.status}")
@@ -113,14 +117,15 @@
     def _tell(self) -> None:
         if self._proofs:
             body = merge_records(self._bodies, self._batch.top)
-            self._link.send(BatchParts(self._batch.number, self._proofs, body))
-            self._proofs, self._bodies = {}, []
+            number, milliseconds = self._batch.number, self._milliseconds
+            self._link.send(BatchParts(number, self._proofs, milliseconds, body))
+            self._proofs, self._milliseconds, self._bodies = {}, [], []
 
 
 class _Call:
     """One call of a batch that this instance works on."""
 
-    __slots__ = ("_number", "_shard", "_worked", "call", "replica")
+    __slots__ = ("_number", "_shard", "_worked", "call", "replica", "started")
 
     _numbers = itertools.count(-1, -1)
 
@@ -130,6 +135,7 @@
         # Negative, so that it differs from the numbers of this instance's own sends.
         self._number = next(self._numbers)
         self.replica = replica
+        self.started = now
         replica.in_flight[self._number] = now
         self.call = Call(
             lambda: worked.render(replica.searcher.id),
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from limpethollow_node.engine.connection.peerlinks import PeerLink
-from limpethollow_node.engine.frames import Batch, BatchCall
+from limpethollow_node.engine.frames import Batch, BatchCall, BatchParts
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.batches import LEAST_CALLS, BatchDesk, SentBatch
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -91,10 +91,10 @@
             self._sends[send.service] = send
             send.call = CarriedCall(sent, send.service)
 
-    def _parts_came(self, proofs: dict[str, bytes], body: bytes) -> None:
-        self._on_group(proofs, body)
-        for shard in proofs:
-            self._sends[shard].carried()
+    def _parts_came(self, parts: BatchParts) -> None:
+        self._on_group(parts.proofs, parts.records)
+        for shard, seconds in parts.seconds.items():
+            self._sends[shard].carried(seconds)
 
     def _call_failed(self, shard: str, verdict: Verdict, reason: str) -> None:
         self._sends[shard].carried_failed(verdict, reason)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -51,7 +51,7 @@
         self._timers = [loop.call_at(self._outgoing.deadline, self._deadline_passed)]
         if self._outgoing.route.idempotent:
             late_at = loop.time() + self._outgoing.timings.hedge_delay
-            self._timers.append(loop.call_at(late_at, self._tries.hedge))
+            self._timers.append(loop.call_at(late_at, self._hedge))
         self._tries.start()
 
     def cut_off(self) -> None:
@@ -61,6 +61,10 @@
             error = NoUsableReply("This instance is cut off.", retry_after=RETRY_ELSEWHERE)
             self._fail(error, "isolated")
 
+    def _hedge(self) -> None:
+        if self._tries.hedge():
+            self._tries.log_again("hedge")
+
     def _done(self, tries: Tries) -> None:
         if tries.verdict is Verdict.ANSWERED:
             self._pass_on(tries.reply, "answered")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -11,6 +11,7 @@
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.tries import Tries
+from limpethollow_node.process import events
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.verdicts import Verdict
@@ -94,7 +95,6 @@
             self._refuse(self._wait_for_floor(now))
             return
         self._timers = [
-            loop.call_at(now + self._outgoing.timings.hedge_delay, self._hedge),
             loop.call_at(self._outgoing.answer_by, self._objective_near),
             loop.call_at(self._outgoing.deadline, self._deadline_passed),
         ]
@@ -106,6 +106,11 @@
             if self._timers:
                 tries.start_at(replica)
         self._carrier.flush()
+        if self._timers:
+            # From when the calls have left: sending 87 of them takes a weak instance 13 ms of the
+            # 36 after which they count as late, and nearly all were.
+            hedge_at = self._dispatch.clock() + self._outgoing.timings.hedge_delay
+            self._timers.append(loop.call_at(hedge_at, self._hedge))
 
     def cut_off(self) -> None:
         """Give up because this instance reaches nobody; the caller may repeat the search."""
@@ -160,8 +165,19 @@
             again = _LOOK_AGAIN_SHARE * self._outgoing.timings.hedge_delay
             self._timers.append(self._dispatch.loop.call_later(again, self._hedge))
             return
-        for tries in late:
-            tries.hedge()
+        self._log_hedges([tries for tries in late if tries.hedge()])
+
+    def _log_hedges(self, hedged: list[Tries]) -> None:
+        """Tell of all shards at once: a line each took a weak instance as long as the sends."""
+        if not hedged:
+            return
+        now, budget = self._dispatch.loop.time(), self._dispatch.budget
+        events.SHARDS_HEDGED.log(
+            request=self._outgoing.id_text,
+            searchers={tries.service: tries.searchers for tries in hedged},
+            usual_ms=round(self._outgoing.timings.usual * 1000, 1),
+            least_room=round(min(budget.room(tries.service, now) for tries in hedged), 1),
+        )
 
     def _objective_near(self) -> None:
         self._dispatch.own_delay.add(self._dispatch.loop.time() - self._outgoing.answer_by)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -105,16 +105,22 @@
         """Return whether the request may be on its way to the searcher."""
         return self.call is not None and self.call.sent
 
-    def carried(self) -> None:
-        """Take in that another instance made the send, and has merged the answer with others."""
+    def carried(self, seconds: float) -> None:
+        """Take in that another instance made the call, and has merged the answer with others.
+
+        Args:
+            seconds: How long the searcher took. Until the merged answer is here, as long has passed
+                for all of them as for the slowest: by that, each searcher was four times as slow
+                as it is, and second sends went out as late as they may.
+        """
         if self.is_open:
-            self._observe(Verdict.ANSWERED, 200)
+            self._observe(Verdict.ANSWERED, 200, seconds)
             self._owner.ended(self, Verdict.ANSWERED, None, "")
 
     def carried_failed(self, verdict: Verdict, reason: str) -> None:
         """Take in that another instance made the send and has no answer."""
         if self.is_open:
-            self._observe(verdict, 0)
+            self._observe(verdict, 0, self._now() - self.started)
             self._owner.ended(self, verdict, None, reason)
 
     @property
@@ -146,17 +152,16 @@
     def _replied(self, reply: Reply) -> None:
         names = self._owner.dispatch.names
         verdict = judge(reply, names, self._owner.outgoing.request_id)
-        self._observe(verdict, reply.status)
+        self._observe(verdict, reply.status, self._now() - self.started)
         self._owner.ended(self, verdict, reply, f"status_{reply.status}")
 
     def _failed(self, error: Exception) -> None:
         verdict = Verdict.UNKNOWN if self.has_left else Verdict.NOT_SENT
-        self._observe(verdict, 0)
+        self._observe(verdict, 0, self._now() - self.started)
         self._owner.ended(self, verdict, None, repr(error))
 
-    def _observe(self, verdict: Verdict, status: int) -> None:
+    def _observe(self, verdict: Verdict, status: int, seconds: float) -> None:
         now = self._now()
-        seconds = now - self.started
         self.replica.in_flight.pop(self._number, None)
         timings = self._owner.outgoing.timings
         if verdict is Verdict.ANSWERED:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -104,24 +104,26 @@
         else:
             self._launch(replica)
 
-    def hedge(self) -> None:
-        """Ask a second searcher because the first is late."""
+    def hedge(self) -> bool:
+        """Ask a second searcher because the first is late; return whether both are asked now."""
         if self.done or not self.outgoing.route.idempotent or not self._under_way:
-            return
+            return False
         other = self._choose_other()
         if other is None:
-            return
+            return False
         first = self._under_way[0]
         if not first.has_left:
             # It still waits for a connection. Nothing has arrived, so moving it elsewhere is no
             # repeated send.
             self._withdraw(first)
             self._launch(other)
-        elif self._may_send() and self._take(_HEDGE_RESERVE):
-            self.hedges += 1
-            self.dispatch.metrics.count("hedges")
-            self._launch(other)
-            self._log_again("hedge")
+            return False
+        if not self._may_send() or not self._take(_HEDGE_RESERVE):
+            return False
+        self.hedges += 1
+        self.dispatch.metrics.count("hedges")
+        self._launch(other)
+        return True
 
     def is_under_way(self, send: Send) -> bool:
         """Return whether an outcome of a send still counts."""
@@ -194,12 +196,13 @@
         if other is not None and self._may_send() and self._take():
             self._launch(other)
             self.dispatch.metrics.count("retries", verdict.value)
-            self._log_again(verdict.value)
+            self.log_again(verdict.value)
             return
         if not self._under_way:
             self._finish(verdict, reason)
 
-    def _log_again(self, why: str) -> None:
+    def log_again(self, why: str) -> None:
+        """Tell that another searcher is asked as well, and why."""
         now = self.dispatch.loop.time()
         first = self._under_way[0].started
         events.SENT_AGAIN.log(
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -60,6 +60,7 @@
 
     def __init__(self, slack: float = 56.0, loop: VirtualLoop | None = None) -> None:
         self.loop = loop or VirtualLoop()
+        self.clock = self.loop.time
         self.isolation = Isolation()
         self.own_delay = OwnDelay()
         self.fleet = Fleet("a")
