Second sends wait for what lies unread here; late parts of a batch come together

Cause: with less time to collect, up to 70 parts of a quick look-up came one by one, half a millisecond each at both ends; second sends still went out while the merged parts were being read. Change: instead of collecting for less long, second sends wait as long again as starting the search took; parts that come after the time for merging wait 0.15 of it for others.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -13,6 +13,10 @@
 from limpethollow_policy.request.records import merge_records
 from limpethollow_policy.request.verdicts import Verdict
 
+# Parts that come after the time for merging wait this share of it for others: each frame costs both
+# ends as much as a call, and those that come late come together, as when a searcher's pause ends.
+_GATHER_SHARE = 0.15
+
 
 class WorkedBatch:
     """Makes the calls of a batch, and sends back merged parts and single failures.
@@ -35,6 +39,7 @@
         "_merging",
         "_milliseconds",
         "_proofs",
+        "_telling",
         "_timer",
     )
 
@@ -52,6 +57,7 @@
         self._merging = True
         self._deadline = dispatch.loop.time() + batch.left
         self._timer = None
+        self._telling = None
 
     def start(self) -> None:
         """Make the calls."""
@@ -70,6 +76,8 @@
     def end(self) -> None:
         """Stop: nobody waits for the rest."""
         self._timer.cancel()
+        if self._telling is not None:
+            self._telling.cancel()
         for call in self._calls.values():
             call.drop()
         self._calls.clear()
@@ -108,13 +116,18 @@
         self._tell()
 
     def _check(self) -> None:
-        if not self._calls or not self._merging:
-            self._tell()
         if not self._calls:
             self._timer.cancel()
+            self._tell()
             self._done()
+        elif not self._merging and self._telling is None:
+            later = self._dispatch.loop.call_later
+            self._telling = later(_GATHER_SHARE * self._batch.merge_for, self._tell)
 
     def _tell(self) -> None:
+        if self._telling is not None:
+            self._telling.cancel()
+            self._telling = None
         if self._proofs:
             body = merge_records(self._bodies, self._batch.top)
             number, milliseconds = self._batch.number, self._milliseconds
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -18,8 +18,6 @@
 # Part of the time until the hedges that an instance may collect results. The rest is for its frame
 # to come back, so that only shards that are late there are hedged here.
 _MERGE_SHARE = 0.85
-# It may collect them for this part at least: those that come later are told one by one.
-_LEAST_MERGE_SHARE = 0.5
 
 OnGroup = Callable[[dict[str, bytes], bytes], None]
 
@@ -72,21 +70,13 @@
         self._by_domain.setdefault(domain, []).append(send)
         return True
 
-    def flush(self, taken: float) -> None:
-        """Hand the sends on; where too few go to a failure domain, make them here.
-
-        Args:
-            taken: Seconds that it took to choose and start the search's calls. To take in what
-                comes back takes as long again; on 0.12 of a core that is 10 ms, and shards whose
-                parts lay unread were asked a second time.
-        """
-        hedge_delay = self._outgoing.timings.hedge_delay
-        merge_for = max(_MERGE_SHARE * hedge_delay - taken, _LEAST_MERGE_SHARE * hedge_delay)
+    def flush(self) -> None:
+        """Hand the sends on; where too few go to a failure domain, make them here."""
         for domain, sends in self._by_domain.items():
             sends = [send for send in sends if send.is_open]
             links = self._links_for(domain, len(sends))
             for number, link in enumerate(links):
-                self._send_batch(link, sends[number :: len(links)], merge_for)
+                self._send_batch(link, sends[number :: len(links)])
             if not links:
                 for send in sends:
                     send.go()
@@ -105,7 +95,7 @@
             if sent.silent:
                 self._desk.suspect(sent)
 
-    def _send_batch(self, link: PeerLink, sends: list[Send], merge_for: float) -> None:
+    def _send_batch(self, link: PeerLink, sends: list[Send]) -> None:
         outgoing = self._outgoing
         now = self._dispatch.loop.time()
         calls = [BatchCall(send.service, send.replica.searcher.id) for send in sends]
@@ -119,7 +109,7 @@
                 calls,
                 outgoing.route.top,
                 outgoing.deadline - now,
-                merge_for,
+                outgoing.timings.hedge_delay * _MERGE_SHARE,
                 now,
             )
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -106,12 +106,14 @@
         for tries, replica in zip(self._tries, chosen, strict=True):
             if self._timers:
                 tries.start_at(replica)
-        self._carrier.flush(self._dispatch.clock() - begun)
-        self._dispatch.own_pace.started(len(shards), self._dispatch.clock() - begun)
+        self._carrier.flush()
+        left_at = self._dispatch.clock()
+        self._dispatch.own_pace.started(len(shards), left_at - begun)
         if self._timers:
-            # From when the calls have left: sending 87 of them takes a weak instance 13 ms of the
-            # 36 after which they count as late, and nearly all were.
-            hedge_at = self._dispatch.clock() + self._outgoing.timings.hedge_delay
+            # Starting 87 calls takes a weak instance 10 ms of the 36 after which they count as
+            # late, and to take in what comes back takes it as long again. Timed from the start,
+            # second sends went to shards that had just been asked, or whose parts lay unread.
+            hedge_at = left_at + self._outgoing.timings.hedge_delay + (left_at - begun)
             self._timers.append(loop.call_at(hedge_at, self._hedge))
 
     def cut_off(self) -> None:
