--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -16,6 +16,8 @@
 _SENDS_NOT_RUN = 2
 # Part of the repeated sends' slack that hedges leave for requests whose only send has failed.
 _HEDGE_RESERVE = 0.25
+# Why a request that may run once only is not sent again.
+_MAY_HAVE_RUN = "may_have_run"
 
 
 class Carrier(Protocol):
@@ -184,23 +186,33 @@
         if verdict is Verdict.FAILED:
             self.reply = reply
         self.dispatch.metrics.count("failed_sends", verdict.value)
-        self._log_failed(send, verdict, reply, reason)
-        self._after_failure(verdict, reason)
-
-    def _after_failure(self, verdict: Verdict, reason: str) -> None:
-        if not self.outgoing.route.idempotent and self._runs:
-            # It may have run. Another send might run it twice, so the outcome stays as it is.
-            self._finish(verdict, reason)
-            return
         other = self._choose()
-        if other is not None and self._may_send() and self._take():
+        obstacle = self._obstacle(other)
+        self._log_failed(send, verdict, reply, reason, obstacle)
+        if obstacle is None:
             self._launch(other)
             self.dispatch.metrics.count("retries", verdict.value)
             self.log_again(verdict.value)
-            return
-        if not self._under_way:
+        elif obstacle == _MAY_HAVE_RUN or not self._under_way:
             self._finish(verdict, reason)
 
+    def _obstacle(self, other: Replica | None) -> str | None:
+        """Return why the request can't be sent once more; None where the budget was taken for it.
+
+        Args:
+            other: The searcher that would get it.
+        """
+        if not self.outgoing.route.idempotent and self._runs:
+            # Another send might run it twice, so the outcome stays as it is.
+            return _MAY_HAVE_RUN
+        if other is None:
+            return "no_searcher"
+        if not self._may_send():
+            return "attempts"
+        if not self._take():
+            return "budget"
+        return None
+
     def log_again(self, why: str) -> None:
         """Tell that another searcher is asked as well, and why."""
         now = self.dispatch.loop.time()
@@ -215,7 +227,14 @@
             room=round(self.dispatch.budget.room(self.service, now), 1),
         )
 
-    def _log_failed(self, send: Send, verdict: Verdict, reply: Reply | None, reason: str) -> None:
+    def _log_failed(
+        self,
+        send: Send,
+        verdict: Verdict,
+        reply: Reply | None,
+        reason: str,
+        obstacle: str | None,
+    ) -> None:
         replica = send.replica
         events.SEND_FAILED.log(
             request=self.outgoing.id_text,
@@ -227,6 +246,7 @@
             after_ms=round((self.dispatch.loop.time() - send.started) * 1000, 1),
             searcher_slowness=round(replica.slowness, 2),
             searcher_failures=round(replica.failures, 2),
+            not_sent_again=obstacle,
         )
 
     def _finish(self, verdict: Verdict, reason: str) -> None:
