Slow heartbeats on links that carry no calls; calls only to leading instances

A leading instance has a link from every weak one, and took any of them for its batches: 36,012 new connections, most of calls behind them. Ruled out: versions and lists (near links only, 1.9 and 1.5 MB). Change: links between failure domains of which not both ends are leading say a heartbeat each 2 s, and each heartbeat says when the next one comes; a change of state is said at once. Instances that don't lead keep no link to leading ones in other domains, only to the relays. Batches go to leading instances while there are any.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -11,10 +11,13 @@
 from limpethollow_node.engine.frames import AnyFrame, Frame, decode_frame, encode_frame
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import Source
+from limpethollow_policy.process.topology import HEARTBEAT_SECONDS
 from limpethollow_wire.limits import MAX_FRAME_BYTES
 
 # Frames that may wait for a peer that doesn't read; a link with more is given up.
 _MAX_WAITING = 512
+# Two heartbeats may be late, and some delay of a busy instance comes on top.
+_MISSED_HEARTBEATS = 2.6
 # Options of every link: no compression, since frames are small, and no pings of the library's own,
 # since heartbeats carry more than a sign of life.
 LINK_OPTIONS = {
@@ -36,6 +39,8 @@
         dialled: Whether this end opened it.
 
     Attributes:
+        interval: Seconds between two heartbeats of the other instance.
+        beat_due: Monotonic second at which the next heartbeat is to be sent here.
         name: Name of the other instance; None until its first frame.
         source: What the other instance knows, and whether it runs in another failure domain.
     """
@@ -46,9 +51,11 @@
         "_on_frame",
         "_outbox",
         "_socket",
+        "beat_due",
         "dialled",
         "heard_at",
         "incarnation",
+        "interval",
         "name",
         "ready",
         "source",
@@ -74,6 +81,8 @@
         self.incarnation = 0
         self.ready = False
         self.heard_at = now
+        self.interval = HEARTBEAT_SECONDS
+        self.beat_due = now
         set_probes(socket.transport.get_extra_info("socket"))
 
     @property
@@ -81,6 +90,10 @@
         """Return the other end's IP address."""
         return self._socket.remote_address[0]
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether nothing was heard for so long that the other instance must be gone."""
+        return now - self.heard_at > _MISSED_HEARTBEATS * self.interval
+
     def lag(self, sent_at: float) -> float:
         """Return how many seconds later than the quickest a frame came.
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -42,19 +42,21 @@
 
 
 class Heartbeat(Frame, frozen=True, tag="beat"):
-    """Said twice a second.
+    """Said at regular intervals.
 
     Attributes:
         ready: Whether callers may use the instance.
         follows: Whether it watches the store itself and nothing stands in the way.
         known: How much it knows; a peer that knows less asks for the rest.
         sent_at: The sender's monotonic second; only differences between two frames mean something.
+        interval: Seconds until the next one on this link.
     """
 
     ready: bool
     follows: bool
     known: Known
     sent_at: float
+    interval: float
 
 
 class Silent(Frame, frozen=True, tag="silent"):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -25,12 +25,18 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.backoffs import Backoff
-from limpethollow_policy.process.topology import WatchRole, links_of, relays_among
+from limpethollow_policy.process.placements import leading_among
+from limpethollow_policy.process.topology import (
+    HEARTBEAT_SECONDS,
+    SLOW_HEARTBEAT_SECONDS,
+    WatchRole,
+    links_of,
+    relays_among,
+)
 from limpethollow_wire.exceptions import LimpethollowError
 
-HEARTBEAT_SECONDS = 0.5
-# Two heartbeats may be late, and some delay of a busy instance comes on top.
-SILENCE_SECONDS = 1.3
+# A cut-off instance has heard nobody for this long, by two heartbeats of those next door.
+_ALL_SILENT_SECONDS = 1.3
 # An instance that was just listed has this long to link up before it counts as silent.
 _LINK_UP_SECONDS = 2.5
 _CONNECT_SECONDS = 1.0
@@ -87,6 +93,8 @@
         self._suspects: dict[str, float] = {}
         self._known_since: dict[str, float] = {}
         self._turn = 0
+        self._leading: frozenset[str] = frozenset()
+        self._said: tuple[bool, bool] | None = None
         self.follows = False
         self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
         self.on_link_lost: Callable[[PeerLink], None] = lambda link: None
@@ -122,22 +130,27 @@
     def stop_following(self) -> None:
         """Tell all linked instances at once that this one doesn't follow the store any more."""
         self.follows = False
-        self._say_heartbeat()
+        self._say_heartbeat(self._links.values())
 
     def leave(self) -> None:
         """Tell all linked instances that this one takes no new callers."""
         self._broadcast(Leaving())
 
     def near(self, failure_domain: str, count: int, now: float) -> list[PeerLink]:
-        """Return links to up to `count` live instances in a failure domain, each in turn."""
+        """Return links to up to `count` live instances in a failure domain, each in turn.
+
+        Leading ones come first: a relay has links to all instances, and of 195 most have neither
+        the processor nor connections for others' calls.
+        """
         found = [
             link
             for instance in self._roster.live
             if instance.failure_domain == failure_domain
             and (link := self._links.get(instance.name)) is not None
-            and now - link.heard_at < SILENCE_SECONDS
+            and not link.is_silent(now)
             and now >= self._suspects.get(instance.name, 0.0)
         ]
+        found = [link for link in found if link.name in self._leading] or found
         if not found:
             return []
         self._turn += 1
@@ -145,8 +158,11 @@
         return [*found[first:], *found[:first]][:count]
 
     def heard_count(self, now: float) -> int:
-        """Return how many instances are heard now."""
-        return sum(now - link.heard_at < SILENCE_SECONDS for link in self._links.values())
+        """Return how many instances are heard now.
+
+        One that is cut off hears nobody after this time, also where others speak less often.
+        """
+        return sum(now - link.heard_at < _ALL_SILENT_SECONDS for link in self._links.values())
 
     def suspect(self, link: PeerLink, until: float) -> None:
         """Give an instance no batches for a while: it was silent on one."""
@@ -154,19 +170,38 @@
             self._suspects[link.name] = until
 
     def _beat(self, now: float) -> None:
+        self._leading = frozenset(i.name for i in leading_among(self._roster.live))
         self._drop_silent(now)
         self._dial_missing()
-        self._say_heartbeat()
+        state = (self._roster.ready, self.follows)
+        changed, self._said = state != self._said, state
+        due = [link for link in self._links.values() if changed or now >= link.beat_due]
+        self._say_heartbeat(due)
         heard = self._heard(now)
         self._say_silent(self._missed(heard))
         self._judge_silence(now, heard)
 
-    def _say_heartbeat(self) -> None:
-        self._broadcast(self._heartbeat())
-
-    def _heartbeat(self) -> Heartbeat:
+    def _say_heartbeat(self, links: Collection[PeerLink]) -> None:
+        by_interval = {
+            interval: (beat := self._heartbeat(interval), encode_frame(beat))
+            for interval in (HEARTBEAT_SECONDS, SLOW_HEARTBEAT_SECONDS)
+        }
+        for link in links:
+            beat, data = by_interval[self._interval(link)]
+            link.send_encoded(data, beat)
+            # A little early, so that the next look finds it due.
+            link.beat_due = beat.sent_at + beat.interval - HEARTBEAT_SECONDS / 2
+
+    def _interval(self, link: PeerLink) -> float:
+        """Return the seconds between two heartbeats on a link."""
+        carries_calls = self._roster.own.name in self._leading and link.name in self._leading
+        if carries_calls or not link.source.far:
+            return HEARTBEAT_SECONDS
+        return SLOW_HEARTBEAT_SECONDS
+
+    def _heartbeat(self, interval: float) -> Heartbeat:
         now = asyncio.get_running_loop().time()
-        return Heartbeat(self._roster.ready, self.follows, self._catalog.known, now)
+        return Heartbeat(self._roster.ready, self.follows, self._catalog.known, now, interval)
 
     def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
         """Return the instances that this one misses as a relay; None where it is none."""
@@ -182,14 +217,12 @@
 
     def _drop_silent(self, now: float) -> None:
         for link in list(self._links.values()):
-            if now - link.heard_at > SILENCE_SECONDS:
+            if link.is_silent(now):
                 link.close()
 
     def _heard(self, now: float) -> frozenset[str]:
         return frozenset(
-            name
-            for name, link in self._links.items()
-            if link.ready and now - link.heard_at < SILENCE_SECONDS
+            name for name, link in self._links.items() if link.ready and not link.is_silent(now)
         )
 
     def _judge_silence(self, now: float, heard: frozenset[str]) -> None:
@@ -314,7 +347,7 @@
             older.close()
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
         self._news.heard(link, hello.known)
-        link.send(self._heartbeat())
+        self._say_heartbeat([link])
         if self._told_silent is not None:
             link.send(Silent(sorted(self._told_silent)))
 
@@ -331,11 +364,12 @@
     @_handles(Heartbeat)
     def _on_heartbeat(self, link: PeerLink, beat: Heartbeat) -> None:
         link.ready = beat.ready
+        link.interval = beat.interval
         link.lag(beat.sent_at)
         if link.name is None:
             return
         if beat.follows:
-            self._role.relay_heard(link.name, link.heard_at)
+            self._role.relay_heard(link.name, link.heard_at, beat.interval)
             if beat.known.version == self._catalog.version_number:
                 self._catalog.confirm_version()
             if beat.known.searchers <= self._catalog.searchers.revision:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -9,11 +9,18 @@
 # Up to this many instances link to all others: 16 links with two heartbeats a second each cost an
 # instance under half a percent of a core.
 FULL_MESH = 16
-# Beyond it, each links to the relays and to this many more in its own failure domain, and in every
-# other one. With two in the others, heartbeats of 63 instances were 15 of the 24 MB a day between
-# failure domains; one and the relay there still leave a second way for calls.
+# Beyond it, each links to the relays and to this many more in its own failure domain. The leading
+# ones, which make calls for each other, also link to some in every other failure domain: one and
+# the relay there leave a second way for calls.
 LINKS_NEAR, LINKS_FAR = 2, 1
+# Seconds between two heartbeats on a link.
+HEARTBEAT_SECONDS = 0.5
+# The same on links between failure domains that carry no calls. With 195 instances heartbeats were
+# 21 of the 37 MB a minute between failure domains, nearly all on such links. What they tell comes
+# sooner otherwise: news from the relay next door, and a process that ends closes its links.
+SLOW_HEARTBEAT_SECONDS = 2.0
 # A watching relay that was not heard for this long is taken for lost: two heartbeats are missing.
+# Where they come less often, it has as much longer.
 RELAY_SILENCE = 1.2
 # A starting instance has read all kinds once, and waits this long for a relay to say that it
 # follows the store. One that starts at the same moment says so 1.6 s later: its first watch counts
@@ -43,9 +50,13 @@
     if len(others) < FULL_MESH:
         return frozenset(instance.name for instance in others)
     wanted = set(relays_among(known))
-    leading = [i for i in leading_among(known) if i.name not in wanted and i.name != own.name]
-    for domain, members in by_domain(leading).items():
-        count = LINKS_NEAR if domain == own.failure_domain else LINKS_FAR
+    leading = leading_among(known)
+    far = LINKS_FAR if own in leading else 0
+    others = [i for i in leading if i.name not in wanted and i.name != own.name]
+    for domain, members in by_domain(others).items():
+        count = LINKS_NEAR if domain == own.failure_domain else far
+        if count == 0:
+            continue
         members.sort(key=lambda instance: _weight(own.name, instance.name))
         wanted.update(instance.name for instance in members[-count:])
     wanted.discard(own.name)
@@ -77,9 +88,15 @@
         self._lost_at: float | None = None
         self._patience = 0.0
 
-    def relay_heard(self, name: str, now: float) -> None:
-        """Note that an instance said that it follows the store."""
-        self._following[name] = now
+    def relay_heard(self, name: str, now: float, interval: float = HEARTBEAT_SECONDS) -> None:
+        """Note that an instance said that it follows the store.
+
+        Args:
+            name: The instance.
+            now: Monotonic second.
+            interval: Seconds after which it will say so again.
+        """
+        self._following[name] = now + RELAY_SILENCE * interval / HEARTBEAT_SECONDS
 
     def relay_stopped(self, name: str, now: float) -> None:
         """Note that an instance follows the store no more, or that the link to it is lost."""
@@ -94,7 +111,7 @@
         """Return whether to watch the store now."""
         if self.is_relay(live):
             return True
-        for name in [n for n, at in self._following.items() if now - at > RELAY_SILENCE]:
+        for name in [n for n, until in self._following.items() if now > until]:
             del self._following[name]
             self._wait_for_relay(now, 0.0)
         if self._lost_at is None:
--- a/tests/unit/engine/test_frames.py
+++ b/tests/unit/engine/test_frames.py
@@ -83,7 +83,7 @@
         assert decode_frame(data) == news
 
     def test_small_frames_are_sent_as_they_are(self):
-        beat = Heartbeat(True, False, Known(1, 2, 3), 5.0)
+        beat = Heartbeat(True, False, Known(1, 2, 3), 5.0, 0.5)
         assert encode_frame(beat)[:1] != b"\x78"
         assert decode_frame(encode_frame(beat)) == beat
 
--- /dev/null
+++ b/tests/unit/engine/test_peers.py
@@ -0,0 +1,140 @@
+"""Which links carry calls, and how often something is said on the others."""
+
+import asyncio
+from random import Random
+
+from limpethollow_node.engine.frames import Heartbeat
+from limpethollow_node.engine.process.peers import Peers
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.catchups import Known, Source
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.topology import (
+    HEARTBEAT_SECONDS,
+    SLOW_HEARTBEAT_SECONDS,
+    WatchRole,
+)
+
+STRONG, WEAK = 2.0, 0.5
+DOMAINS = "ab"
+
+
+def fleet() -> list[Instance]:
+    """Return 36 instances in two failure domains, of which 16 are strong."""
+    found = []
+    for number in range(36):
+        strength = STRONG if number < 16 else WEAK
+        domain = DOMAINS[number % 2]
+        found.append(
+            Instance(f"i-{number:02}", f"{number}:1", f"10.0.0.{number}:2", domain, strength)
+        )
+    return found
+
+
+class FakeCatalog:
+    known = Known()
+
+
+class FakeLink:
+    """A link on which the other end was just heard."""
+
+    def __init__(self, instance: Instance, own_domain: str) -> None:
+        self.name = instance.name
+        self.source = Source(far=instance.failure_domain != own_domain)
+        self.beat_due = 0.0
+        self.ready = True
+        self.beats: list[Heartbeat] = []
+
+    def is_silent(self, now: float) -> bool:
+        return False
+
+    def send_encoded(self, data: bytes, frame: object) -> None:
+        if isinstance(frame, Heartbeat):
+            self.beats.append(frame)
+
+
+class Play:
+    """One instance with links to all others.
+
+    Args:
+        own: Its number; below 16 it is strong.
+    """
+
+    def __init__(self, own: int) -> None:
+        everyone = fleet()
+        self.roster = Roster(everyone[own], lambda: None)
+        self.roster.ready = True
+        role = WatchRole(everyone[own].name, Random(1))
+        self.peers = Peers(self.roster, FakeCatalog(), role, Random(1), Metrics())
+        self.links: dict[str, FakeLink] = {}
+        for instance in everyone:
+            if instance.name != everyone[own].name:
+                self.roster.put(instance)
+                link = FakeLink(instance, everyone[own].failure_domain)
+                self.links[instance.name] = self.peers._links[instance.name] = link
+
+    def beat(self, times: int) -> None:
+        """Say heartbeats that are due, twice a second."""
+
+        async def run() -> None:
+            now = asyncio.get_running_loop().time()
+            for turn in range(times):
+                moment = now + turn * HEARTBEAT_SECONDS
+                asyncio.get_running_loop().time = lambda at=moment: at
+                self.peers._beat(moment)
+
+        asyncio.run(run())
+
+
+class TestHeartbeats:
+    """Two thirds of the bytes between failure domains were heartbeats of 195 instances.
+
+    Each said one twice a second to all relays and to one instance more in every failure domain,
+    though most of these links never carried a call.
+    """
+
+    def test_they_are_rare_where_a_link_between_failure_domains_carries_no_calls(self):
+        weak = Play(own=20)
+        weak.beat(9)
+        beats = {name: len(link.beats) for name, link in weak.links.items()}
+        assert beats["i-22"] == 9
+        assert beats["i-21"] == beats["i-01"] == 3
+
+    def test_leading_instances_hear_of_each_other_twice_a_second(self):
+        strong = Play(own=0)
+        strong.beat(9)
+        assert len(strong.links["i-01"].beats) == 9
+        assert len(strong.links["i-21"].beats) == 3
+
+    def test_each_says_how_long_to_wait_for_the_next_one(self):
+        strong = Play(own=0)
+        strong.beat(1)
+        assert strong.links["i-01"].beats[0].interval == HEARTBEAT_SECONDS
+        assert strong.links["i-21"].beats[0].interval == SLOW_HEARTBEAT_SECONDS
+
+    def test_all_hear_at_once_that_an_instance_is_ready_no_more(self):
+        weak = Play(own=20)
+        weak.beat(1)
+        weak.roster.ready = False
+        weak.beat(1)
+        assert [beat.ready for beat in weak.links["i-01"].beats] == [True, False]
+
+
+class TestNear:
+    def test_calls_go_to_leading_instances_while_there_are_any(self):
+        """New connections to searchers doubled, and look-ups took 8 ms longer.
+
+        A leading instance has a link to every weak one. They made most of the calls for it, each on
+        a connection that was opened for it.
+        """
+        strong = Play(own=0)
+        strong.beat(1)
+        found = {link.name for _ in range(40) for link in strong.peers.near("b", 1, 0.0)}
+        assert found == {f"i-{number:02}" for number in range(1, 16, 2)}
+
+    def test_without_a_leading_one_they_go_to_another(self):
+        strong = Play(own=0)
+        strong.beat(1)
+        for number in range(1, 16, 2):
+            strong.peers.suspect(strong.links[f"i-{number:02}"], until=10.0)
+        assert strong.peers.near("b", 1, 0.0)[0].name not in {f"i-{n:02}" for n in range(16)}
