--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -20,15 +20,14 @@
     encode_frame,
 )
 from limpethollow_node.engine.process.catalog import Catalog
+from limpethollow_node.engine.process.heartbeats import Heartbeats
 from limpethollow_node.engine.process.news import NewsExchange
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.backoffs import Backoff
-from limpethollow_policy.process.placements import leading_among
 from limpethollow_policy.process.topology import (
     HEARTBEAT_SECONDS,
-    SLOW_HEARTBEAT_SECONDS,
     WatchRole,
     links_of,
     relays_among,
@@ -93,12 +92,19 @@
         self._suspects: dict[str, float] = {}
         self._known_since: dict[str, float] = {}
         self._turn = 0
-        self._leading: frozenset[str] = frozenset()
-        self._said: tuple[bool, bool] | None = None
-        self.follows = False
+        self._heartbeats = Heartbeats(roster, catalog, self._links)
         self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
         self.on_link_lost: Callable[[PeerLink], None] = lambda link: None
 
+    @property
+    def follows(self) -> bool:
+        """Whether this instance watches the store and nothing stands in the way."""
+        return self._heartbeats.follows
+
+    @follows.setter
+    def follows(self, follows: bool) -> None:
+        self._heartbeats.follows = follows
+
     async def serve(self, host: str, port: int) -> None:
         """Accept links; returns once the listener is bound."""
         self._server = await serve(self._accepted, host, port, **LINK_OPTIONS)
@@ -134,7 +140,7 @@
     def stop_following(self) -> None:
         """Tell all linked instances at once that this one doesn't follow the store any more."""
         self.follows = False
-        self._say_heartbeat(self._links.values())
+        self._heartbeats.say(self._links.values())
 
     def leave(self) -> None:
         """Tell all linked instances that this one takes no new callers."""
@@ -154,7 +160,7 @@
             and not link.is_silent(now)
             and now >= self._suspects.get(instance.name, 0.0)
         ]
-        found = [link for link in found if link.name in self._leading] or found
+        found = [link for link in found if self._heartbeats.is_leading(link.name)] or found
         if not found:
             return []
         self._turn += 1
@@ -174,39 +180,13 @@
             self._suspects[link.name] = until
 
     def _beat(self, now: float) -> None:
-        self._leading = frozenset(i.name for i in leading_among(self._roster.live))
         self._drop_silent(now)
         self._dial_missing()
-        state = (self._roster.ready, self.follows)
-        changed, self._said = state != self._said, state
-        due = [link for link in self._links.values() if changed or now >= link.beat_due]
-        self._say_heartbeat(due)
+        self._heartbeats.say_due(now)
         heard = self._heard(now)
         self._say_silent(self._missed(heard))
         self._judge_silence(now, heard)
 
-    def _say_heartbeat(self, links: Collection[PeerLink]) -> None:
-        by_interval = {
-            interval: (beat := self._heartbeat(interval), encode_frame(beat))
-            for interval in (HEARTBEAT_SECONDS, SLOW_HEARTBEAT_SECONDS)
-        }
-        for link in links:
-            beat, data = by_interval[self._interval(link)]
-            link.send_encoded(data, beat)
-            # A little early, so that the next look finds it due.
-            link.beat_due = beat.sent_at + beat.interval - HEARTBEAT_SECONDS / 2
-
-    def _interval(self, link: PeerLink) -> float:
-        """Return the seconds between two heartbeats on a link."""
-        carries_calls = self._roster.own.name in self._leading and link.name in self._leading
-        if carries_calls or not link.source.far:
-            return HEARTBEAT_SECONDS
-        return SLOW_HEARTBEAT_SECONDS
-
-    def _heartbeat(self, interval: float) -> Heartbeat:
-        now = asyncio.get_running_loop().time()
-        return Heartbeat(self._roster.ready, self.follows, self._catalog.known, now, interval)
-
     def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
         """Return the instances that this one misses as a relay; None where it is none."""
         if self._roster.own.name not in relays_among(self._roster.live):
@@ -351,7 +331,7 @@
             older.close()
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
         self._news.heard(link, hello.known)
-        self._say_heartbeat([link])
+        self._heartbeats.say([link])
         if self._told_silent is not None:
             link.send(Silent(sorted(self._told_silent)))
 
