--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -54,6 +54,11 @@
         """Return the lowest rate of admitted searches of all sets of shards."""
         return self._intake.lowest_rate
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is under way."""
+        return bool(self._running)
+
     def now(self) -> float:
         """Return the monotonic second by which ages are told."""
         return self._dispatch.loop.time()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -33,6 +33,7 @@
 from limpethollow_node.platform.sinks import sinks_for
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
+from limpethollow_node.process.garbage import look_between_requests
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
 from limpethollow_policy.process.changepaces import ChangePace
@@ -234,6 +235,7 @@
         self._follower.tick(now)
         for server in self._servers:
             server.sweep(now)
+        look_between_requests(busy=self._engine.is_busy)
 
     def _server(self, handler: Callable[[Exchange], None]) -> CallerServer:
         server = CallerServer(handler, self._refused)
