Changes in a row are read soon once callers may come

Ruled out: links and relays (all six instances heard 20 ms after the follower). Change: the pause doubles only in the first six seconds of the whole system's first start.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -47,6 +47,9 @@
 
 # Kinds whose changes come in rows, as when a service is replaced. Configurations do not.
 _PACED_KINDS = frozenset({"servers", "instances"})
+# When the whole system starts for the first time, searchers register for some five seconds, and
+# nobody calls before all is up.
+_FIRST_START_SECONDS = 6.0
 _TICK_SECONDS = 0.25
 # Bandwidth that goes with a core: a core carries some 9,000 calls a second of 400 bytes, 30 Mbit/s.
 _MBPS_PER_CORE = 30.0
@@ -178,6 +181,8 @@
     def _new_feeds(self) -> list[Feed]:
         """Return a feed for each kind, that of instances last."""
         sinks = sinks_for(self._catalog, self._peers.tell)
+        started = asyncio.get_running_loop().time()
+        slow_until = started + (_FIRST_START_SECONDS if self._settings.bootstrap else 0.0)
         return [
             Feed(
                 self._store,
@@ -185,7 +190,7 @@
                 sink,
                 self._rng,
                 self._listed,
-                ChangePace() if kind in _PACED_KINDS else None,
+                ChangePace(slow_until) if kind in _PACED_KINDS else None,
             )
             for kind, sink in sinks.items()
         ]
