An address that belongs to another searcher now is left alone, also where a batch met that

Refusals that batches met came back without a status, so nobody was kept from sending there again; those met directly counted for a second. Change: batches tell the status; after a 421 the address gets nothing for 10 s, and a new entry of that searcher is another one at once.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -186,12 +186,14 @@
         number: The batch.
         shard: The call's shard.
         verdict: Value of the verdict on it.
+        status: Status of the searcher's reply; 0 where there was none.
         reason: What happened.
     """
 
     number: int
     shard: str
     verdict: str
+    status: int
     reason: str
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -31,7 +31,7 @@
 MOST_LAG = 0.3
 
 OnParts = Callable[[BatchParts], None]
-OnFailure = Callable[[str, Verdict, str], None]
+OnFailure = Callable[[str, Verdict, int, str], None]
 
 
 class Links(Protocol):
@@ -59,7 +59,7 @@
         link: Link to that instance.
         frame: What it was asked.
         on_parts: Called with merged parts.
-        on_failure: Called with shard, verdict and reason of a call that gave no part.
+        on_failure: Called with shard, verdict, status and reason of a call that gave no part.
         forget: Called with the batch's number once nothing more will come.
     """
 
@@ -103,14 +103,15 @@
         """Take in a failed call."""
         if frame.shard in self._open:
             self._settle([frame.shard])
-            self._on_failure(frame.shard, Verdict(frame.verdict), frame.reason)
+            verdict = Verdict(frame.verdict)
+            self._on_failure(frame.shard, verdict, frame.status, frame.reason)
 
     def lost(self) -> None:
         """Take in that the link is gone: the open calls may have run."""
         shards, self._open = self._open, set()
         self._forget(self._frame.number)
         for shard in shards:
-            self._on_failure(shard, Verdict.UNKNOWN, "link_lost")
+            self._on_failure(shard, Verdict.UNKNOWN, 0, "link_lost")
 
     def _settle(self, shards: Iterable[str]) -> None:
         self._open.difference_update(shards)
@@ -187,9 +188,8 @@
             # on the same link; the search's hedges have replaced it.
             self._dispatch.metrics.count("batches_late")
             for call in frame.calls:
-                failure = BatchFailure(
-                    frame.number, call.shard, Verdict.NOT_SENT.value, "came_too_late"
-                )
+                verdict = Verdict.NOT_SENT.value
+                failure = BatchFailure(frame.number, call.shard, verdict, 0, "came_too_late")
                 link.send(failure)
             return
         key = (id(link), frame.number)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -64,7 +64,7 @@
         for call in self._batch.calls:
             replica = self._dispatch.fleet.get(call.searcher)
             if replica is None or replica.searcher.draining:
-                self._fail(call.shard, Verdict.NOT_SENT, "searcher_not_known_there")
+                self._fail(call.shard, Verdict.NOT_SENT, 0, "searcher_not_known_there")
                 continue
             self._calls[call.shard] = _Call(self, call.shard, replica, loop.time())
         for call in list(self._calls.values()):
@@ -86,18 +86,18 @@
         verdict = judge(reply, names, self._batch.request_id or None)
         call = self._calls.pop(shard)
         if verdict is not Verdict.ANSWERED:
-            self._fail(shard, verdict, f"status_{reply.status}")
+            self._fail(shard, verdict, reply.status, f"status_{reply.status}")
         elif self._parts.add(shard, reply.header(names.proof), reply.body):
             passed = self._dispatch.loop.time() - call.started
             self._milliseconds.append(round(passed * 1000))
         else:
-            self._fail(shard, Verdict.UNKNOWN, "signature_of_another_shard")
+            self._fail(shard, Verdict.UNKNOWN, 0, "signature_of_another_shard")
         self._check()
 
     def broke(self, shard: str, error: Exception, *, sent: bool) -> None:
         """Take in that a call gets no reply."""
         del self._calls[shard]
-        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, repr(error))
+        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, 0, repr(error))
         self._check()
 
     def render(self, searcher: str) -> bytes:
@@ -106,8 +106,9 @@
         names = self._dispatch.names
         return render_call(self._batch.head, self._batch.body, names, searcher, left)
 
-    def _fail(self, shard: str, verdict: Verdict, reason: str) -> None:
-        self._link.send(BatchFailure(self._batch.number, shard, verdict.value, reason))
+    def _fail(self, shard: str, verdict: Verdict, status: int, reason: str) -> None:
+        failure = BatchFailure(self._batch.number, shard, verdict.value, status, reason)
+        self._link.send(failure)
 
     def _merge_over(self) -> None:
         self._merging = False
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -125,8 +125,8 @@
         for shard, seconds in parts.seconds.items():
             self._sends[shard].carried(seconds)
 
-    def _call_failed(self, shard: str, verdict: Verdict, reason: str) -> None:
-        self._sends[shard].carried_failed(verdict, reason)
+    def _call_failed(self, shard: str, verdict: Verdict, status: int, reason: str) -> None:
+        self._sends[shard].carried_failed(verdict, status, reason)
 
 
 class CarriedCall:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -11,9 +11,10 @@
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.request.verdicts import Verdict
 
-# A searcher that says its address belongs to another one now is left alone this long; by then the
-# list of searchers has the change.
-_MISDIRECTED_BLOCK = 1.0
+# A searcher whose address belongs to another one now is left alone this long. Its entry lapses some
+# four seconds after its end, and one with a new address is another searcher here. Each call until
+# then would count as one too many at the service that has the address.
+_MISDIRECTED_BLOCK = 10.0
 _MISDIRECTED = 421
 # Deadlines that are noticed later than this were missed by this instance itself, which was frozen
 # or starved; that says nothing of a searcher.
@@ -117,10 +118,16 @@
             self._observe(Verdict.ANSWERED, 200, seconds)
             self._owner.ended(self, Verdict.ANSWERED, None, "")
 
-    def carried_failed(self, verdict: Verdict, reason: str) -> None:
-        """Take in that another instance made the send and has no answer."""
+    def carried_failed(self, verdict: Verdict, status: int, reason: str) -> None:
+        """Take in that another instance made the send and has no answer.
+
+        Args:
+            verdict: What is known of it.
+            status: Status of the searcher's reply; 0 where there was none.
+            reason: What happened.
+        """
         if self.is_open:
-            self._observe(verdict, 0, self._now() - self.started)
+            self._observe(verdict, status, self._now() - self.started)
             self._owner.ended(self, verdict, None, reason)
 
     @property
