Last reading: state that could be derived, links looked up once, a parameter that nothing passes

Which shards of a set came merged follows from those that came alone; whether a reply is framed is read from its headers where that is needed; an age is worked out in one place; link_up is the function that it called; links are looked up after the list of instances and not after each of three lists; a benchmark's parameter was used by the removed ones only.

--- a/benchmarks/configuration/fleets.py
+++ b/benchmarks/configuration/fleets.py
@@ -34,10 +34,10 @@
         self.publish_list()
         wait_for(lambda: all(self._sees_everyone(i) for i in self.listed), "membership", 60.0)
 
-    def change(self, number: int, searchers: int = _SEARCHERS) -> Any:
+    def change(self, number: int) -> Any:
         """Confirm one change of a service and return the confirmation."""
         held = [
-            SearcherSpec(f"s{i}", f"10.0.0.{i}:80", (i % 10,), "lton-a") for i in range(searchers)
+            SearcherSpec(f"s{i}", f"10.0.0.{i}:80", (i % 10,), "lton-a") for i in range(_SEARCHERS)
         ]
         callers = (CallerSpec("firm", "0" * 64),)
         spec = ServiceSpec("bench", 10, tuple(held), callers, route_ttl=1.0 + number / 1000)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -36,7 +36,6 @@
         "_body",
         "_body_bytes",
         "_broken",
-        "_framed",
         "_headers",
         "_is_head",
         "_on_broken",
@@ -64,7 +63,6 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._framed = False
         self._is_head = False
         self._until_close = False
         self._broken = False
@@ -144,14 +142,11 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
-        self._framed = False
         self._until_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
         self._headers.append((name, value))
-        if name.lower() in _FRAMING:
-            self._framed = True
 
     def on_headers_complete(self) -> None:
         """Find out where the reply will end."""
@@ -163,7 +158,8 @@
             self._broken = True
             self._deliver()
             return
-        self._until_close = not self._framed and status not in _NO_BODY
+        framed = any(name.lower() in _FRAMING for name, _ in self._headers)
+        self._until_close = not framed and status not in _NO_BODY
 
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -119,8 +119,19 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def link_up(self) -> None:
-        """Open the links that are missing now: instances were just listed."""
-        self._dial_missing()
+        """Open the links that are missing; also called as soon as instances are listed."""
+        own = self._roster.own
+        known = {instance.name: instance for instance in self._roster.known}
+        for name in links_of(own, list(known.values())) - self._links.keys():
+            other = known[name]
+            # Where both want the link, the one with the smaller name dials, so that there is one.
+            if own.name < name or own.name not in links_of(other, list(known.values())):
+                self._dial(other.peer_address)
+        if len(known) == 1 and not self._links:
+            port = own.peer_address.rpartition(":")[2]
+            for host in self._seeds:
+                if f"{host}:{port}" != own.peer_address:
+                    self._dial(f"{host}:{port}")
 
     def tell(self, frame: Frame) -> None:
         """Send news to the linked instances in the own failure domain.
@@ -181,7 +192,7 @@
 
     def _beat(self, now: float) -> None:
         self._drop_silent(now)
-        self._dial_missing()
+        self.link_up()
         self._heartbeats.say_due(now)
         heard = self._heard(now)
         self._say_silent(self._missed(heard))
@@ -227,20 +238,6 @@
             lives = unknown or reported or (young and name not in self._links)
             self._roster.set_silent(name, not lives, now)
 
-    def _dial_missing(self) -> None:
-        own = self._roster.own
-        known = {instance.name: instance for instance in self._roster.known}
-        for name in links_of(own, list(known.values())) - self._links.keys():
-            other = known[name]
-            # Where both want the link, the one with the smaller name dials, so that there is one.
-            if own.name < name or own.name not in links_of(other, list(known.values())):
-                self._dial(other.peer_address)
-        if len(known) == 1 and not self._links:
-            port = own.peer_address.rpartition(":")[2]
-            for host in self._seeds:
-                if f"{host}:{port}" != own.peer_address:
-                    self._dial(f"{host}:{port}")
-
     def _dial(self, address: str) -> None:
         if address not in self._dialling:
             task = asyncio.create_task(self._connect(address))
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -127,7 +127,7 @@
             reason: What happened.
         """
         if self.is_open:
-            self._observe(verdict, status, self._now() - self.started)
+            self._observe(verdict, status, self._age())
             self._owner.ended(self, verdict, None, reason)
 
     @property
@@ -137,8 +137,7 @@
 
     def drop(self) -> None:
         """Give up on the send; it would have taken longer still."""
-        now = self._now()
-        seconds = now - self.started
+        now, seconds = self._now(), self._age()
         replica, outgoing = self.replica, self._owner.outgoing
         replica.in_flight.pop(self._number, None)
         replica.observe_at_least(_LOST_AGES * seconds / outgoing.timings.usual, now)
@@ -150,6 +149,9 @@
     def _now(self) -> float:
         return self._owner.dispatch.loop.time()
 
+    def _age(self) -> float:
+        return self._now() - self.started
+
     def _render(self) -> bytes:
         outgoing = self._owner.outgoing
         names = self._owner.dispatch.names
@@ -159,12 +161,12 @@
     def _replied(self, reply: Reply) -> None:
         names = self._owner.dispatch.names
         verdict = judge(reply, names, self._owner.outgoing.request_id)
-        self._observe(verdict, reply.status, self._now() - self.started)
+        self._observe(verdict, reply.status, self._age())
         self._owner.ended(self, verdict, reply, f"status_{reply.status}")
 
     def _failed(self, error: Exception) -> None:
         verdict = Verdict.UNKNOWN if self.has_left else Verdict.NOT_SENT
-        self._observe(verdict, 0, self._now() - self.started)
+        self._observe(verdict, 0, self._age())
         self._owner.ended(self, verdict, None, repr(error))
 
     def _observe(self, verdict: Verdict, status: int, seconds: float) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -46,7 +47,7 @@
 from limpethollow_wire.exceptions import LimpethollowError, SettingsError
 
 # Kinds whose changes come in rows, as when a service is replaced. Configurations do not.
-_PACED_KINDS = frozenset({"servers", "instances"})
+_PACED_KINDS = frozenset({"servers", KIND})
 # When the whole system starts for the first time, searchers register for some five seconds, and
 # nobody calls before all is up.
 _FIRST_START_SECONDS = 6.0
@@ -189,15 +190,16 @@
                 kind,
                 sink,
                 self._rng,
-                self._listed,
+                partial(self._listed, kind),
                 ChangePace(slow_until) if kind in _PACED_KINDS else None,
             )
             for kind, sink in sinks.items()
         ]
 
-    def _listed(self) -> None:
+    def _listed(self, kind: str) -> None:
         self._follower.choose(asyncio.get_running_loop().time())
-        self._peers.link_up()
+        if kind == KIND:
+            self._peers.link_up()
 
     def _jobs(self) -> list:
         doors = [(self._front, self._doors.front), (self._directory, self._doors.directory)]
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/parts.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/parts.py
@@ -20,14 +20,13 @@
         top: Records that the answer shall have.
     """
 
-    __slots__ = ("_grouped", "_groups", "_proofs", "_signatures", "_single", "_top")
+    __slots__ = ("_groups", "_proofs", "_signatures", "_single", "_top")
 
     def __init__(self, top: int) -> None:
         self._top = top
         self._proofs: dict[str, bytes] = {}
         self._signatures: set[bytes] = set()
         self._single: dict[str, bytes] = {}
-        self._grouped: set[str] = set()
         self._groups: list[bytes] = []
 
     def __len__(self) -> int:
@@ -58,14 +57,13 @@
 
     def add_group(self, proofs: dict[str, bytes], body: bytes) -> bool:
         """Add merged parts by shard; return whether they count."""
-        if not self._grouped.isdisjoint(proofs):
+        if any(shard in self._proofs and shard not in self._single for shard in proofs):
             return False
         for shard in self._single.keys() & proofs.keys():
             del self._single[shard]
             self._signatures.discard(self._proofs[shard])
         self._proofs.update(proofs)
         self._signatures.update(proofs.values())
-        self._grouped.update(proofs)
         self._groups.append(body)
         return True
 
