A search keeps the cut that its shards were named from, also on its way to its group

Cause: the owner compares the epochs of the search and of its own record, and then hands the search to the group's actor. The confirm that arrives between the two reconfigures the group first. Ruled out: the coordinator (it names shards and epoch from one record), the merge (one group only, so there was nothing to compare), searches that wait or run at the reconfiguration (those are started over, by a test that stands). Before: the new test fails for both kinds, the generated orders fail in one step once callers may know the epoch before. After: both pass; the system test, too.

--- a/packages/limpethollow-node/src/limpethollow_node/request/parts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/parts.py
@@ -50,6 +50,7 @@
             query=search.query,
             shards=frozenset(search.shards),
             deadline=time.monotonic() + search.budget,
+            epoch=search.epoch,
             min_version=search.min_version,
             pinned=search.pinned,
             floor=search.floor,
@@ -67,6 +68,7 @@
             query={},
             shards=frozenset(question.shards),
             deadline=time.monotonic() + question.budget,
+            epoch=question.epoch,
             min_version=question.min_version,
             versions_only=True,
         )
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -97,6 +97,8 @@
         if search.deadline <= now:
             message = "The deadline has passed; the search was not run."
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
+        elif self._is_of_another_cut(search):
+            self._restart_elsewhere(gather, now)
         elif search.versions_only or self._needs_no_call(gather, now):
             self._start(gather)
         elif now + self._waits.estimate(search.firm, now) > self._repeats.latest_start(gather):
@@ -271,7 +273,7 @@
     def _pin(self, gather: Gather, now: float) -> bool:
         """Choose a search's snapshot; false where it has none now."""
         search = gather.search
-        if not search.shards <= self._replicas.shards:
+        if self._is_of_another_cut(search):
             self._restart_elsewhere(gather, now)
             return False
         match self._pinner.pin(gather, now):
@@ -299,7 +301,7 @@
             back = self._replicas.comes_back(shard, now)
             if back is not None and back < gather.horizon():
                 continue
-            if self._repartitioned(gather) and gather.search.deadline > now:
+            if self._is_of_another_cut(gather.search) and gather.search.deadline > now:
                 return self._restart_elsewhere(gather, now)
             if not any(holder.is_usable(now) for holder in self._replicas.holders(shard)):
                 gather.give_up(shard, "no_replica")
@@ -309,10 +311,13 @@
                 gather.give_up(shard, "version_gone")
         return None
 
-    def _repartitioned(self, gather: Gather) -> bool:
-        """Return whether a new configuration cuts the shards otherwise than the search knows."""
-        at_other_epoch = gather.snapshot and gather.snapshot.epoch != self._replicas.epoch
-        return bool(at_other_epoch) or not gather.search.shards <= self._replicas.shards
+    def _is_of_another_cut(self, search: Search) -> bool:
+        """Return whether the shards are cut otherwise here than when the search named its own.
+
+        Numbers of the old cut often exist in the new one, too. A search that were pinned at the
+        new epoch with them would be called complete without the shards that only the new cut has.
+        """
+        return search.epoch != self._replicas.epoch or not search.shards <= self._replicas.shards
 
     def _restart_unpinned(self, now: float) -> None:
         """Start over what would be pinned at the new cut with the shards of the old one."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -38,6 +38,7 @@
         query: Handed to searchers unread.
         shards: Shards wanted.
         deadline: Monotonic second at which the caller stops waiting.
+        epoch: Partition epoch of the cut that `shards` were named from.
         min_version: Lowest index version allowed.
         pinned: Index version to use, None to let the group choose.
         floor: Coverage below which there is an error in place of an answer, None for the service's
@@ -52,6 +53,7 @@
     query: dict[str, Any]
     shards: frozenset[int]
     deadline: float
+    epoch: int
     min_version: int = 0
     pinned: int | None = None
     floor: float | None = None
--- a/tests/unit/admission/test_queues.py
+++ b/tests/unit/admission/test_queues.py
@@ -16,7 +16,7 @@
 
 
 def gather(firm, shards=1, now=0.0):
-    search = Search(f"{firm}-{next(_numbers)}", firm, {}, frozenset(range(shards)), 100.0)
+    search = Search(f"{firm}-{next(_numbers)}", firm, {}, frozenset(range(shards)), 100.0, epoch=1)
     return Gather(search, Objective(), now)
 
 
--- a/tests/unit/lifecycle/test_drains.py
+++ b/tests/unit/lifecycle/test_drains.py
@@ -79,7 +79,7 @@
 
 
 def search(name: str, now: float) -> Search:
-    return Search(name, "firm", {}, frozenset((0,)), deadline=now + 5.0)
+    return Search(name, "firm", {}, frozenset((0,)), deadline=now + 5.0, epoch=1)
 
 
 def reply(draining: bool = False) -> SearcherReply:
--- a/tests/unit/search/drivers.py
+++ b/tests/unit/search/drivers.py
@@ -71,6 +71,7 @@
             query=query or {"id": search_id},
             shards=frozenset(shards),
             deadline=self.now + fields.pop("within", self.spec.objective.deadline),
+            epoch=fields.pop("epoch", self.spec.epoch),
             **fields,
         )
         self.searches[search_id] = search
@@ -217,6 +218,7 @@
         assert not missing & set(coverage.covered)
         assert missing | set(coverage.covered) == search.shards
         assert coverage.wanted == len(search.shards)
+        assert coverage.epoch == search.epoch, "shards of one cut labelled as those of another"
         assert coverage.version >= search.min_version
         for part in answer.parts:
             for row in part.rows:
--- a/tests/unit/search/test_scheduler_orders.py
+++ b/tests/unit/search/test_scheduler_orders.py
@@ -47,7 +47,10 @@
         shards = [s for s in range(self.spec.shards) if pick >> s & 1] or [0]
         minimum = self.version if pick % 7 == 0 else 0
         pinned = self.version if pick % 11 == 0 else None
-        self.driver.search(f"q{self.number}", shards=shards, min_version=minimum, pinned=pinned)
+        epoch = self.epoch_of_caller(pick)
+        self.driver.search(
+            f"q{self.number}", shards=shards, min_version=minimum, pinned=pinned, epoch=epoch
+        )
 
     def do_same(self, pick: int) -> None:
         self.number += 1
@@ -137,6 +140,10 @@
                 return self.driver.release(request_id)
         return None
 
+    def epoch_of_caller(self, pick: int) -> int:
+        """Return the epoch that a caller knows, now and then the one before the group's."""
+        return self.spec.epoch - 1 if pick % 5 == 0 else self.spec.epoch
+
     def reply_to(self, pick: int, after: float = 0.0, **changes: object) -> None:
         call_id = self.pick_call(pick)
         if call_id:
--- a/tests/unit/search/test_snapshots.py
+++ b/tests/unit/search/test_snapshots.py
@@ -213,6 +213,21 @@
         assert driver.coverage("q").complete
         assert driver.coverage("q").epoch == 1
 
+    @pytest.mark.parametrize("versions_only", [False, True])
+    def test_search_of_the_old_cut_that_comes_after_the_new_one_starts_over(self, versions_only):
+        """A search is on its way to its group as the shards are cut anew from two to three.
+
+        Its two shards exist in the new cut too, so it could be answered at the new epoch. The
+        answer would be called complete and lack the third shard.
+        """
+        driver = pinned_driver((0,), (1,))
+        driver.reconfigure(make_spec((0, 2), (1,), epoch=2))
+        driver.epochs = {"s0": 2, "s1": 2}
+        driver.search(shards=(0, 1), epoch=1, versions_only=versions_only)
+        driver.answer_all()
+        assert isinstance(driver.error("q"), VersionGone)
+        assert driver.error("q").retry_after is None
+
 
 class TestReplicaLoss:
     def test_failed_replica_is_replaced_at_once(self):
