Admission of single requests: bound by what their searchers answer, before their queues are full

Cause: single requests were bound by the searchers' own queues alone. Ruled out: late requests as the only sign (one slow searcher of four makes a quarter late at calm load); cuts by a quarter until they are in time (203 of 355 in time, as before: a cut shows after 0.55 s); calls under way as the bound (needs whole calls for each of many instances). Change: once all searchers that were asked refuse as full, an instance admits half of what was answered of late, which is its part of what they can do, and grows from there; late ones count for 2 s after that. Searches and single requests share the rest of the decision. An instance that has just started does not take its first callers for a burst.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -51,7 +51,7 @@
 
     @property
     def admitted_rate(self) -> float:
-        """Return the lowest rate of admitted searches of all sets of shards."""
+        """Return the lowest rate of admitted requests of all sets of shards and services."""
         return self._intake.lowest_rate
 
     @property
@@ -102,7 +102,7 @@
 
         Raises:
             BadRequest: The request's headers can't be understood.
-            Overloaded: The route's searchers can't answer the search in time.
+            Overloaded: The route's searchers can't answer the request in time.
         """
         outgoing = Outgoing.of(exchange, route, self._dispatch)
         log = self._logger(exchange, route)
@@ -113,11 +113,12 @@
             log(outcome)
 
         if route.shards:
-            admission = self._intake.admit(outgoing)
-            running = Search(self._dispatch, exchange, outgoing, self.desk, admission, ended)
+            search = self._intake.admit_search(outgoing)
+            running = Search(self._dispatch, exchange, outgoing, self.desk, search, ended)
         else:
             service = self._turns.next(route)
-            running = Forward(self._dispatch, exchange, outgoing, service, ended)
+            single = self._intake.admit_single(outgoing, service)
+            running = Forward(self._dispatch, exchange, outgoing, service, single, ended)
         self._running.add(running)
         running.start()
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -1,10 +1,15 @@
-"""Which searches this instance takes on, and what it learns from how they end."""
+"""Which requests this instance takes on, and what it learns from how they end."""
 
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.process import events
-from limpethollow_policy.process.shedding import LoadShedder, congestion, is_congested
-from limpethollow_policy.version.routes import Route, RoutingVersion
+from limpethollow_policy.process.shedding import (
+    LoadShedder,
+    SingleShedder,
+    congestion,
+    is_congested,
+)
+from limpethollow_policy.version.routes import RoutingVersion
 from limpethollow_wire.exceptions import Overloaded
 
 # Bounds of what a refused caller is told, in seconds: it comes back within a third of the time that
@@ -13,50 +18,98 @@
 
 
 class Admission:
-    """One admitted search, until it is known whether load held it up.
+    """One admitted request, until it is known whether load held it up.
 
     Args:
-        intake: Where it was admitted.
-        route: Its route.
-        started: Monotonic second of its admission.
-        due: Monotonic second at which its answer is due.
+        dispatch: What the process shares.
+        shedder: What admitted it.
+        outgoing: The request.
     """
 
-    __slots__ = ("_due", "_intake", "_route", "_started", "_told")
+    __slots__ = ("_dispatch", "_outgoing", "_shedder", "_started", "_told")
 
-    def __init__(self, intake: "Intake", route: Route, started: float, due: float) -> None:
-        self._intake = intake
-        self._route = route
-        self._started = started
-        self._due = due
+    def __init__(self, dispatch: Dispatch, shedder: LoadShedder, outgoing: Outgoing) -> None:
+        self._dispatch = dispatch
+        self._shedder = shedder
+        self._outgoing = outgoing
+        self._started = dispatch.loop.time()
         self._told = False
 
+    def _tell_passed(self) -> None:
+        """Tell that the request was held up until now, and is no more."""
+        if not self._told:
+            seconds = self._dispatch.loop.time() - self._started
+            self._tell(congestion(seconds, self._outgoing.answer_by - self._started))
+
+    def _tell(self, congestion: float) -> None:
+        """Tell how congested the request was; only the first word counts."""
+        if self._told:
+            return
+        self._told = True
+        now, objective = self._dispatch.loop.time(), self._outgoing.route.objective
+        if self._shedder.ended(congestion, self._started, now, objective):
+            self._log_cut()
+
+    def _log_cut(self) -> None:
+        route = self._outgoing.route
+        self._dispatch.metrics.count("admission_cuts", route.name)
+        events.ADMISSION_CUT.log(
+            route=route.name,
+            shards=len(route.shards),
+            requests_a_second=round(self._shedder.rate, 1),
+        )
+
+
+class SearchAdmission(Admission):
+    """An admitted search: held up while too many of its shards have not answered."""
+
+    __slots__ = ()
+
     def came(self, parts: int) -> None:
         """Tell how many shards have answered so far."""
-        if self._told or self._is_congested(parts):
-            return
-        seconds = self._intake.now() - self._started
-        self._tell(congestion(seconds, self._due - self._started))
+        if not self._is_congested(parts):
+            self._tell_passed()
 
     def over(self, parts: int) -> None:
         """Tell how many shards had answered when the answer was due, or nothing more would come."""
-        if not self._told:
-            self._tell(1.0 if self._is_congested(parts) else 0.0)
+        self._tell(1.0 if self._is_congested(parts) else 0.0)
 
     def _is_congested(self, parts: int) -> bool:
-        shards = len(self._route.shards)
+        shards = len(self._outgoing.route.shards)
         return is_congested(shards - parts, shards)
 
-    def _tell(self, congestion: float) -> None:
+
+class SingleAdmission(Admission):
+    """An admitted request that one searcher answers: held up until it does."""
+
+    __slots__ = ()
+
+    _shedder: SingleShedder
+
+    def answered(self) -> None:
+        """Tell that its answer has come."""
+        self._shedder.answered(self._dispatch.loop.time())
+        self._tell_passed()
+
+    def due(self) -> None:
+        """Tell that its answer is due."""
+        self._tell(1.0)
+
+    def full(self) -> None:
+        """Tell that all searchers that were asked refused it as full."""
         self._told = True
-        self._intake.ended(self._route, self._started, congestion)
+        now, objective = self._dispatch.loop.time(), self._outgoing.route.objective
+        if self._shedder.full(now, objective):
+            self._log_cut()
 
 
 class Intake:
-    """Admits searches, and adapts to how they end, for each set of shards by itself.
+    """Admits requests, and adapts to how they end.
+
+    Searches have one rate for each set of shards, single requests one for each service.
 
     Usage:
-        admission = intake.admit(outgoing)   # Overloaded where there is no room
+        admission = intake.admit_search(outgoing)   # Overloaded where there is no room
         ...
         admission.came(parts)
         admission.over(parts)
@@ -65,27 +118,27 @@
         dispatch: What the process shares.
     """
 
-    __slots__ = ("_dispatch", "_shedders")
+    __slots__ = ("_dispatch", "_searches", "_singles")
 
     def __init__(self, dispatch: Dispatch) -> None:
         self._dispatch = dispatch
-        self._shedders: dict[tuple[str, ...], LoadShedder] = {}
+        self._searches: dict[tuple[str, ...], LoadShedder] = {}
+        self._singles: dict[str, SingleShedder] = {}
 
     def use_version(self, version: RoutingVersion) -> None:
-        """Forget the sets of shards that no route names any more."""
-        named = {route.shards for route in version.routes}
-        self._shedders = {key: kept for key, kept in self._shedders.items() if key in named}
+        """Forget the searchers that no route names any more."""
+        shards = {route.shards for route in version.routes}
+        services = version.service_names()
+        self._searches = {key: kept for key, kept in self._searches.items() if key in shards}
+        self._singles = {key: kept for key, kept in self._singles.items() if key in services}
 
     @property
     def lowest_rate(self) -> float:
-        """Return the lowest rate of all sets of shards, in searches a second; inf for no bound."""
-        return min((shedder.rate for shedder in self._shedders.values()), default=float("inf"))
-
-    def now(self) -> float:
-        """Return the monotonic second by which searches are timed."""
-        return self._dispatch.loop.time()
+        """Return the lowest rate of all, in requests a second; infinite without any bound."""
+        shedders = (*self._searches.values(), *self._singles.values())
+        return min((shedder.rate for shedder in shedders), default=float("inf"))
 
-    def admit(self, outgoing: Outgoing) -> Admission:
+    def admit_search(self, outgoing: Outgoing) -> SearchAdmission:
         """Take a search on.
 
         Args:
@@ -94,27 +147,34 @@
         Raises:
             Overloaded: Its searchers can't answer it in time; it says when there will be room.
         """
-        now, route = self.now(), outgoing.route
-        wait = self._shedder(route).wait(now, in_time=outgoing.in_time)
+        shards = outgoing.route.shards
+        shedder = self._searches.get(shards)
+        if shedder is None:
+            shedder = self._searches[shards] = LoadShedder()
+        self._admit(shedder, outgoing)
+        return SearchAdmission(self._dispatch, shedder, outgoing)
+
+    def admit_single(self, outgoing: Outgoing, service: str) -> SingleAdmission:
+        """Take on a request that one searcher answers.
+
+        Args:
+            outgoing: The request.
+            service: The service that serves it.
+
+        Raises:
+            Overloaded: As for `admit_search`.
+        """
+        shedder = self._singles.get(service)
+        if shedder is None:
+            shedder = self._singles[service] = SingleShedder()
+        self._admit(shedder, outgoing)
+        return SingleAdmission(self._dispatch, shedder, outgoing)
+
+    def _admit(self, shedder: LoadShedder, outgoing: Outgoing) -> None:
+        wait = shedder.wait(self._dispatch.loop.time(), in_time=outgoing.in_time)
         if wait > 0:
-            self._dispatch.metrics.count("searches_shed", route.name)
+            self._dispatch.metrics.count("requests_shed", outgoing.route.name)
             raise Overloaded(
-                "More searches come than the searchers can answer in time.",
+                "More requests come than the searchers can answer in time.",
                 retry_after=min(max(wait, _RETRY_SOON), _RETRY_LATE),
             )
-        return Admission(self, route, now, outgoing.answer_by)
-
-    def ended(self, route: Route, started: float, congestion: float) -> None:
-        """Take in how congested a search was, as `LoadShedder.ended` does."""
-        shedder = self._shedder(route)
-        if shedder.ended(congestion, started, self.now(), route.objective):
-            self._dispatch.metrics.count("admission_cuts", route.name)
-            events.ADMISSION_CUT.log(
-                route=route.name, shards=len(route.shards), searches_a_second=round(shedder.rate, 1)
-            )
-
-    def _shedder(self, route: Route) -> LoadShedder:
-        shedder = self._shedders.get(route.shards)
-        if shedder is None:
-            shedder = self._shedders[route.shards] = LoadShedder()
-        return shedder
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -3,6 +3,7 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Reply, end_to_end
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.intake import SingleAdmission
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE
@@ -24,10 +25,11 @@
         exchange: The caller's request.
         outgoing: The request as it is sent on.
         service: The service that serves it.
+        admission: Is told how the request fares.
         log: Where the outcome is told.
     """
 
-    __slots__ = ("_dispatch", "_exchange", "_log", "_outgoing", "_timers", "_tries")
+    __slots__ = ("_admission", "_dispatch", "_exchange", "_log", "_outgoing", "_timers", "_tries")
 
     def __init__(
         self,
@@ -35,8 +37,10 @@
         exchange: Exchange,
         outgoing: Outgoing,
         service: str,
+        admission: SingleAdmission,
         log: OutcomeLog,
     ) -> None:
+        self._admission = admission
         self._dispatch = dispatch
         self._exchange = exchange
         self._outgoing = outgoing
@@ -48,7 +52,10 @@
         """Make the first send and set the times at which the request is looked at again."""
         self._exchange.on_gone = self._gone
         loop = self._dispatch.loop
-        self._timers = [loop.call_at(self._outgoing.deadline, self._deadline_passed)]
+        self._timers = [
+            loop.call_at(self._outgoing.answer_by, self._admission.due),
+            loop.call_at(self._outgoing.deadline, self._deadline_passed),
+        ]
         if self._outgoing.route.idempotent:
             late_at = loop.time() + self._outgoing.timings.hedge_delay
             self._timers.append(loop.call_at(late_at, self._hedge))
@@ -67,6 +74,7 @@
 
     def _done(self, tries: Tries) -> None:
         if tries.verdict is Verdict.ANSWERED:
+            self._admission.answered()
             self._pass_on(tries.reply, "answered")
         elif tries.reply is not None:
             self._pass_on(tries.reply, "searcher_failed")
@@ -76,6 +84,8 @@
             )
             self._fail(error, tries.reason)
         elif tries.verdict is Verdict.NOT_RUN:
+            if tries.found_full:
+                self._admission.full()
             error = Unavailable(
                 "All searchers that were asked are full.", retry_after=_RETRY_WHEN_FULL
             )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -5,7 +5,7 @@
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
-from limpethollow_node.engine.process.intake import Admission
+from limpethollow_node.engine.process.intake import SearchAdmission
 from limpethollow_node.engine.request.batches import BatchDesk
 from limpethollow_node.engine.request.carriers import ShardCarrier
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
@@ -68,7 +68,7 @@
         exchange: Exchange,
         outgoing: Outgoing,
         desk: BatchDesk,
-        admission: Admission,
+        admission: SearchAdmission,
         log: OutcomeLog,
     ) -> None:
         self._admission = admission
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -16,6 +16,8 @@
 _SENDS_NOT_RUN = 2
 # Part of the repeated sends' slack that hedges leave for requests whose only send has failed.
 _HEDGE_RESERVE = 0.25
+# Statuses with which a searcher refuses a request because it has too many.
+_FULL_STATUSES = (429, 503)
 # Why a request that may run once only is not sent again.
 _MAY_HAVE_RUN = "may_have_run"
 
@@ -42,6 +44,7 @@
         "_arrivals",
         "_carrier",
         "_on_done",
+        "_refused_as_full",
         "_runs",
         "_sends",
         "_under_way",
@@ -73,6 +76,7 @@
         self._sends = 0
         self._runs = 0
         self._arrivals = 0
+        self._refused_as_full = False
         self.service = service
         self.done = False
         self.hedges = 0
@@ -85,6 +89,11 @@
         """Return whether some searcher may have run the request, or still may."""
         return self._runs > 0
 
+    @property
+    def found_full(self) -> bool:
+        """Return whether it ended because the searchers that were asked said that they are full."""
+        return self.verdict is Verdict.NOT_RUN and self._refused_as_full
+
     @property
     def searchers(self) -> list[str]:
         """Return the ids of the searchers that were chosen, in order."""
@@ -185,6 +194,7 @@
             return
         if verdict is Verdict.FAILED:
             self.reply = reply
+        self._refused_as_full = reply is not None and reply.status in _FULL_STATUSES
         self.dispatch.metrics.count("failed_sends", verdict.value)
         other = self._choose()
         obstacle = self._obstacle(other)
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -102,7 +102,7 @@
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
 SERVER_MESSAGE = _event(502, logging.DEBUG, "the HTTP library had something to say")
-ADMISSION_CUT = _event(521, logging.INFO, "fewer searches are admitted, as too many were congested")
+ADMISSION_CUT = _event(521, logging.INFO, "fewer requests are admitted, as too many were congested")
 REQUEST_ENDED = _event(520, logging.INFO, "a caller's request ended")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "the outcome of a booking is not known")
 BOOKING_RESOLVED = _event(510, logging.INFO, "a booking was resolved by asking its searchers")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
@@ -14,6 +14,9 @@
 # Seconds over which the usual rate is averaged: long against a burst, short against the hours in
 # which callers' habits change.
 _USUAL_SECONDS = 30.0
+# Seconds from the first search until its rate is called usual. An instance that has just started
+# can't tell a burst from calm traffic.
+_KNOWN_AFTER = 5.0
 
 
 class Arrivals:
@@ -52,10 +55,10 @@
         return now - self._last if self._began is not None else float("inf")
 
     def usual_rate(self, now: float) -> float:
-        """Return the searches a second of the last half minute, or since the first one."""
-        if self._began is None:
-            return 0.0
-        known = 1.0 - math.exp(-max(now - self._began, _SPAN) / _USUAL_SECONDS)
+        """Return the searches a second of the last half minute; infinite until it is known."""
+        if self._began is None or now - self._began < _KNOWN_AFTER:
+            return float("inf")
+        known = 1.0 - math.exp(-(now - self._began) / _USUAL_SECONDS)
         return self._faded(now) / known
 
     def any_refused(self, now: float) -> bool:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -41,6 +41,15 @@
 # for the next one, and is not saved up beyond that.
 _MOST_CREDIT = 2.0
 _FIRST_CREDIT = 0.5
+# Late requests of a service count as load for so long after its searchers said that they were full:
+# a queue that was full takes about as long to empty.
+_FULL_SECONDS = 2.0
+# Share that is admitted of what searchers answered once they are full. The rest of their work
+# empties queues of half a second in a second, and to where answers are in time in a third of that.
+_FULL_CUT = 0.5
+# A change of the rate shows in single requests after this share of their objective: usual ones take
+# a quarter of it, and some queue remains.
+_SHOWS_AFTER = 0.5
 # An operator may state no objective at all, or one that nothing meets; the rate is then looked at
 # this often.
 _SHORTEST_OBJECTIVE = 0.01
@@ -211,3 +220,50 @@
         refused = self._promised > now - 2 * objective
         growth = _PROBING if refused else _RECOVERING
         self._rate *= (1.0 + growth) ** min(passed, _MOST_STEPS)
+
+
+class SingleShedder(LoadShedder):
+    """Admits as many requests that one searcher each answers as are answered in time.
+
+    One slow searcher of four makes a quarter of these late, and fewer requests would not help. So
+    late ones count only while the searchers themselves refuse as full.
+
+    Their own queues bound the load too late: three slots with twelve waiting make each caller wait
+    for 0.55 s, which is the whole objective of the users' look-ups. Full searchers work as fast as
+    they can, so what was answered here of late is this instance's part of that, and the rate goes
+    below it until the queues are shorter.
+
+    With 25 times the usual look-ups, four searchers and six instances, 203 of the 355 that these
+    can do in 4 s were answered in time and 210 late; now 263 and 131 (test_overload.py).
+    """
+
+    __slots__ = ("_answers", "_full_at")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._answers = Arrivals()
+        self._full_at = float("-inf")
+
+    def answered(self, now: float) -> None:
+        """Note an answer, in time or late."""
+        self._answers.add(now, admitted=True)
+
+    def full(self, now: float, objective: float) -> bool:
+        """Take in that all searchers that were asked refused as full; return as `ended` does.
+
+        Args:
+            now: Monotonic second.
+            objective: As for `ended`.
+        """
+        self._full_at = now
+        if now < self._cut_at + objective:
+            return False
+        self._rate = min(self._rate, _FULL_CUT * self._answers.highest_admitted(now))
+        self._cut_at = self._look_at = now
+        return True
+
+    def ended(self, congestion: float, started: float, now: float, objective: float) -> bool:
+        """Take in a request that was answered, or not answered when it was due."""
+        if now - self._full_at > _FULL_SECONDS:
+            congestion = 0.0
+        return super().ended(congestion, started, now, _SHOWS_AFTER * objective)
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -16,7 +16,13 @@
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_policy.process.fleets import Replica
-from limpethollow_policy.version.routes import CallerLimits, Route, RoutingVersion, VersionBook
+from limpethollow_policy.version.routes import (
+    CallerLimits,
+    Route,
+    RoutingVersion,
+    VersionBook,
+    WeightedService,
+)
 from tests.support.searches import NoDesk, VirtualExchange
 from tests.support.virtual import VirtualDispatch, VirtualLoop
 
@@ -62,6 +68,8 @@
         instance_delay: Seconds by which these take each request up late.
         repeats: How often a caller comes back after a refusal.
         patient: Whether callers come back when they were told to, or at once.
+        single: Whether each request goes to one searcher of one service, whose searchers these
+            `replicas` are, instead of to all shards.
     """
 
     shards: int = 20
@@ -78,10 +86,20 @@
     instance_delay: float = 0.2
     repeats: int = 1
     patient: bool = True
+    single: bool = False
+
+    @property
+    def services(self) -> list[str]:
+        """Return the names of the services that the searchers belong to."""
+        return ["desk"] if self.single else [f"s-{number}" for number in range(self.shards)]
 
     def kinds(self) -> list[Kind]:
-        """Return the kinds of request: one wide and slow, one quick."""
-        shards = tuple(f"s-{number}" for number in range(self.shards))
+        """Return the kinds of request: one wide and slow, one quick; or single ones."""
+        if self.single:
+            targets = (WeightedService("desk"),)
+            desk = Route("single", "h", "/single/", True, 6.0, 0.55, 2, targets=targets)
+            return [Kind(desk, 1.0, 0.135)]
+        shards = tuple(self.services)
 
         def route(name: str, timeout: float, objective: float, floor: float) -> Route:
             prefix = f"/{name}/"
@@ -261,8 +279,8 @@
         now = self._load.loop.time()
         took = now - self._began
         if reply.status == 200:
-            missing = int(reply.header(HEADERS.missing_parts))
-            share = 1 - missing / len(self._kind.route.shards)
+            missing = int(reply.header(HEADERS.missing_parts) or 0)
+            share = 1 - missing / max(1, len(self._kind.route.shards))
             self._end("in_time" if took <= self._kind.route.objective else "late", share**2)
         elif self._left > 0:
             self._left -= 1
@@ -384,5 +402,5 @@
 
 def _searchers_of(world: World) -> list[str]:
     return [
-        f"s-{shard}/{replica}" for shard in range(world.shards) for replica in range(world.replicas)
+        f"{service}/{replica}" for service in world.services for replica in range(world.replicas)
     ]
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -55,7 +55,7 @@
         found = route(shards=names, top=5, floor=0.25, **fields)
         outgoing = Outgoing.of(self.exchange, found, self.dispatch)
         self.hedge_delay = outgoing.timings.hedge_delay
-        admission = Intake(self.dispatch).admit(outgoing)
+        admission = Intake(self.dispatch).admit_search(outgoing)
         self.search = Search(
             self.dispatch, self.exchange, outgoing, NoDesk(), admission, self.outcomes.append
         )
--- a/tests/unit/engine/test_overload.py
+++ b/tests/unit/engine/test_overload.py
@@ -1,6 +1,7 @@
 """Loads that are too much for the searchers, played by the engine on a virtual clock."""
 
 import logging
+from dataclasses import replace
 
 import pytest
 
@@ -91,6 +92,38 @@
         assert burst.refused == 0
 
 
+class TestSingleRequests:
+    """Far more look-ups than their four searchers can do, each answered by one of these.
+
+    Each searcher runs three at once and lets twelve wait. Its queue was always full, so every
+    look-up that got in waited for half a second, which is all its time; and every one that didn't
+    was sent to three searchers to learn that they were full.
+    """
+
+    WORLD = World(single=True, replicas=4, slots=3, rate=6.0)
+
+    def test_most_that_the_searchers_can_do_is_answered_in_time(self):
+        burst = Load(self.WORLD, 25).play()["burst"]
+        able = 4 * 3 / 0.135 * 4.0
+        assert burst.in_time > 0.6 * able
+        assert burst.late < 0.5 * burst.in_time
+        assert burst.failed == 0
+
+    @pytest.mark.parametrize("times", [1, 5, 10])
+    def test_nothing_is_refused_that_can_be_served(self, times):
+        burst = Load(self.WORLD, times).play()["burst"]
+        assert burst.refused == 0
+        assert burst.in_time > 0.95 * burst.asked
+
+    def test_a_slow_searcher_is_no_reason_to_refuse(self):
+        tallies = Load(replace(self.WORLD, slow=0.25, slow_factor=12.0), 1).play()
+        assert sum(tally.refused for tally in tallies.values()) == 0
+
+    def test_calm_traffic_is_served_as_before_within_a_second(self):
+        tallies = Load(self.WORLD, 25, burst=5.0, calm=4.0).play()
+        assert tallies["after"].in_time > 0.95 * tallies["after"].asked
+
+
 class TestManyInstances:
     @pytest.mark.parametrize("instances", [3, 16, 48])
     def test_their_rates_add_up_to_what_the_searchers_can_do(self, instances):
--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -3,7 +3,12 @@
 import pytest
 
 from limpethollow_policy.process.arrivals import Arrivals
-from limpethollow_policy.process.shedding import LoadShedder, congestion, is_congested
+from limpethollow_policy.process.shedding import (
+    LoadShedder,
+    SingleShedder,
+    congestion,
+    is_congested,
+)
 
 OBJECTIVE = 0.1
 
@@ -127,6 +132,52 @@
         assert admit(shedder, 104.0, 20.0, 0.25) == 5
 
 
+class TestSingleRequests:
+    """Requests that one of a service's searchers answers."""
+
+    def begin(self, rate: float, answered: float) -> SingleShedder:
+        """Return a shedder that saw requests for a second, and answers of some of them."""
+        shedder = SingleShedder()
+        admit(shedder, 100.0, 1.0, rate)
+        for number in range(round(answered)):
+            shedder.answered(100.0 + number / answered)
+        return shedder
+
+    def test_late_ones_alone_are_no_load(self):
+        """One of four searchers was slow, so a quarter of the look-ups were late at calm load."""
+        shedder = self.begin(20.0, 20.0)
+        assert not end(shedder, 10, congested=True, at=101.0)
+        assert shedder.rate == float("inf")
+
+    def test_full_searchers_cut_the_rate_below_what_they_answer(self):
+        shedder = self.begin(100.0, 20.0)
+        assert shedder.full(101.0, OBJECTIVE)
+        assert shedder.rate < 20.0
+
+    def test_one_cut_counts_until_it_shows(self):
+        """A hundred requests that were under way were refused as full after the cut."""
+        shedder = self.begin(100.0, 20.0)
+        shedder.full(101.0, OBJECTIVE)
+        rate = shedder.rate
+        assert not any(shedder.full(101.0 + n / 1000, OBJECTIVE) for n in range(90))
+        assert shedder.rate == rate
+
+    def test_late_ones_cut_it_while_the_searchers_were_full_just_now(self):
+        shedder = self.begin(100.0, 20.0)
+        shedder.full(101.0, OBJECTIVE)
+        rate = shedder.rate
+        admit(shedder, 101.0, 0.5, 100.0)
+        assert any(shedder.ended(1.0, 101.4, 101.5, OBJECTIVE) for _ in range(4))
+        assert shedder.rate < rate
+
+    def test_it_recovers_once_requests_are_answered_in_time(self):
+        shedder = self.begin(100.0, 20.0)
+        shedder.full(101.0, OBJECTIVE)
+        for turn in range(1, 40):
+            shedder.ended(0.0, 101.0 + turn * OBJECTIVE, 101.05 + turn * OBJECTIVE, OBJECTIVE)
+        assert shedder.rate > 50.0
+
+
 class TestArrivals:
     def test_the_calm_before_a_burst_does_not_lower_what_was_admitted(self):
         arrivals = Arrivals()
@@ -143,8 +194,10 @@
         assert arrivals.highest_admitted(109.0) < 2.0
         assert arrivals.rate(109.0) < 2.0
 
-    def test_the_usual_rate_is_known_from_the_first_seconds_on_and_outlasts_a_burst(self):
+    def test_the_usual_rate_is_known_after_some_seconds_and_outlasts_a_burst(self):
         arrivals = Arrivals()
+        arrivals.add(99.5, admitted=True)
+        assert arrivals.usual_rate(102.0) == float("inf")
         for number in range(20):
             arrivals.add(100.0 + number / 2, admitted=True)
         assert 1.8 < arrivals.usual_rate(110.0) < 2.4
--- a/tests/unit/engine/test_tries.py
+++ b/tests/unit/engine/test_tries.py
@@ -69,6 +69,16 @@
         reply_of(play.calls[2])
         assert play.verdict is Verdict.ANSWERED
 
+    def test_only_refusals_as_full_tell_that_the_searchers_are_full(self):
+        """Addresses that belong to other searchers now refuse with 421, at any load."""
+        full, moved = Play(searchers=1), Play(searchers=1)
+        for play, status in ((full, 503), (moved, 421)):
+            while play.verdict is None:
+                reply_of(play.calls[-1], status, not_run=True)
+        assert full.verdict is moved.verdict is Verdict.NOT_RUN
+        assert full.tries.found_full
+        assert not moved.tries.found_full
+
     def test_a_hedge_asks_another_searcher_and_the_first_answer_wins(self):
         play = Play()
         play.dispatch.loop.run(100.05)
