--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -4,10 +4,8 @@
 from collections.abc import Callable, Collection
 from random import Random
 
-from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import serve
-from websockets.exceptions import WebSocketException
 
 from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS, PeerLink
 from limpethollow_node.engine.frames import (
@@ -20,26 +18,18 @@
     encode_frame,
 )
 from limpethollow_node.engine.process.catalog import Catalog
+from limpethollow_node.engine.process.dialling import Dialler
 from limpethollow_node.engine.process.heartbeats import Heartbeats
 from limpethollow_node.engine.process.news import NewsExchange
 from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.engine.process.silence import SilenceJudge
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.backoffs import Backoff
-from limpethollow_policy.process.topology import (
-    HEARTBEAT_SECONDS,
-    WatchRole,
-    links_of,
-    relays_among,
-)
+from limpethollow_policy.process.topology import HEARTBEAT_SECONDS, WatchRole, links_of
 from limpethollow_wire.exceptions import LimpethollowError
 
 # A cut-off instance has heard nobody for this long, by two heartbeats of those next door.
 _ALL_SILENT_SECONDS = 1.3
-# An instance that was just listed has this long to link up before it counts as silent.
-_LINK_UP_SECONDS = 2.5
-_CONNECT_SECONDS = 1.0
-_FIRST_PAUSE, _LONGEST_PAUSE = 0.2, 1.5
 
 _HANDLERS: dict[type[Frame], str] = {}
 
@@ -79,18 +69,13 @@
         self._metrics = metrics
         self._catalog = catalog
         self._role = role
-        self._rng = rng
         self._seeds = frozenset(seeds)
         self._links: dict[str, PeerLink] = {}
-        self._dialling: dict[str, asyncio.Task[None]] = {}
-        self._backoffs: dict[str, Backoff] = {}
-        self._silent_for: dict[str, frozenset[str]] = {}
-        self._told_silent: frozenset[str] | None = None
+        self._dialler = Dialler(rng, lambda socket: self._run(socket, dialled=True))
+        self._silence = SilenceJudge(roster, self._links)
         self._news = NewsExchange(catalog, self._links)
-        self._refusing: set[str] = set()
         self._member_hosts: set[str] = set(seeds)
         self._suspects: dict[str, float] = {}
-        self._known_since: dict[str, float] = {}
         self._turn = 0
         self._heartbeats = Heartbeats(roster, catalog, self._links)
         self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
@@ -126,12 +111,12 @@
             other = known[name]
             # Where both want the link, the one with the smaller name dials, so that there is one.
             if own.name < name or own.name not in links_of(other, list(known.values())):
-                self._dial(other.peer_address)
+                self._dialler.dial(other.peer_address)
         if len(known) == 1 and not self._links:
             port = own.peer_address.rpartition(":")[2]
             for host in self._seeds:
                 if f"{host}:{port}" != own.peer_address:
-                    self._dial(f"{host}:{port}")
+                    self._dialler.dial(f"{host}:{port}")
 
     def tell(self, frame: Frame) -> None:
         """Send news to the linked instances in the own failure domain.
@@ -194,73 +179,18 @@
         self._drop_silent(now)
         self.link_up()
         self._heartbeats.say_due(now)
-        heard = self._heard(now)
-        self._say_silent(self._missed(heard))
-        self._judge_silence(now, heard)
-
-    def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
-        """Return the instances that this one misses as a relay; None where it is none."""
-        if self._roster.own.name not in relays_among(self._roster.live):
-            return None
-        known = {instance.name for instance in self._roster.known}
-        return frozenset(known - heard - {self._roster.own.name})
-
-    def _say_silent(self, missed: frozenset[str] | None) -> None:
-        if missed != self._told_silent:
-            self._told_silent = missed
-            self._broadcast(Silent(None if missed is None else sorted(missed)))
+        news = self._silence.news(now)
+        if news is not None:
+            self._broadcast(news)
+        self._judge_silence(now)
 
     def _drop_silent(self, now: float) -> None:
         for link in list(self._links.values()):
             if link.is_silent(now):
                 link.close()
 
-    def _heard(self, now: float) -> frozenset[str]:
-        return frozenset(
-            name for name, link in self._links.items() if link.ready and not link.is_silent(now)
-        )
-
-    def _judge_silence(self, now: float, heard: frozenset[str]) -> None:
-        """Tell the roster who is silent.
-
-        An instance that hears nobody can't tell whether the others are gone or it is cut off
-        itself. It counts all as live, but for those whose machines answer that nothing listens
-        there: callers that still reach it shall be told of them.
-        """
-        # Whom every relay misses is silent; without a word from any, only own links count.
-        missed = frozenset.intersection(*self._silent_for.values()) if self._silent_for else None
-        for instance in self._roster.known:
-            name = instance.name
-            since = self._known_since.setdefault(name, now)
-            young = now - since < _LINK_UP_SECONDS
-            unknown = not self._links and instance.peer_address not in self._refusing
-            reported = name in heard or (missed is not None and name not in missed)
-            lives = unknown or reported or (young and name not in self._links)
-            self._roster.set_silent(name, not lives, now)
-
-    def _dial(self, address: str) -> None:
-        if address not in self._dialling:
-            task = asyncio.create_task(self._connect(address))
-            self._dialling[address] = task
-            task.add_done_callback(lambda _: self._dialling.pop(address, None))
-
-    async def _connect(self, address: str) -> None:
-        backoff = self._backoffs.setdefault(
-            address, Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, self._rng)
-        )
-        try:
-            socket = await connect(
-                f"ws://{address}/", open_timeout=_CONNECT_SECONDS, proxy=None, **LINK_OPTIONS
-            )
-        except (OSError, WebSocketException) as error:
-            if isinstance(error, ConnectionRefusedError):
-                self._refusing.add(address)
-            events.SEED_FAILED.log(address=address, error=repr(error))
-            await asyncio.sleep(backoff.failed())
-            return
-        backoff.succeeded()
-        self._refusing.discard(address)
-        await self._run(socket, dialled=True)
+    def _judge_silence(self, now: float) -> None:
+        self._silence.judge(now, self._dialler.refusing)
 
     async def _accepted(self, socket: Connection) -> None:
         host = socket.remote_address[0]
@@ -298,14 +228,11 @@
         if link.name is None or self._links.get(link.name) is not link:
             return
         del self._links[link.name]
-        self._silent_for.pop(link.name, None)
+        self._silence.forget(link.name)
         self._role.relay_stopped(link.name, asyncio.get_running_loop().time())
         events.PEER_LOST.log(peer=link.name)
         self.on_link_lost(link)
-        self._judge_silence(asyncio.get_running_loop().time(), self._heard_now())
-
-    def _heard_now(self) -> frozenset[str]:
-        return self._heard(asyncio.get_running_loop().time())
+        self._judge_silence(asyncio.get_running_loop().time())
 
     def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
         handler = _HANDLERS.get(type(frame))
@@ -323,14 +250,14 @@
             link.close()
             return
         self._links[hello.name] = link
-        self._known_since[hello.name] = link.heard_at
+        self._silence.linked(hello.name, link.heard_at)
         if older is not None:
             older.close()
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
         self._news.heard(link, hello.known)
         self._heartbeats.say([link])
-        if self._told_silent is not None:
-            link.send(Silent(sorted(self._told_silent)))
+        if self._silence.told is not None:
+            link.send(self._silence.told)
 
     def _replaces(self, link: PeerLink, older: PeerLink) -> bool:
         """Return whether a second link to the same instance replaces the first.
@@ -363,12 +290,8 @@
 
     @_handles(Silent)
     def _on_silent(self, link: PeerLink, silent: Silent) -> None:
-        if link.name is None:
-            return
-        if silent.names is None:
-            self._silent_for.pop(link.name, None)
-        else:
-            self._silent_for[link.name] = frozenset(silent.names)
+        if link.name is not None:
+            self._silence.take(link.name, silent)
 
     @_handles(Leaving)
     def _on_leaving(self, link: PeerLink, _: Leaving) -> None:
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
@@ -0,0 +1,93 @@
+"""Which instances are silent, by this one's links and by what the relays miss."""
+
+from collections.abc import Collection, Mapping
+
+from limpethollow_node.engine.connection.peerlinks import PeerLink
+from limpethollow_node.engine.frames import Silent
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_policy.process.topology import relays_among
+
+# An instance that was just listed has this long to link up before it counts as silent.
+_LINK_UP_SECONDS = 2.5
+
+
+class SilenceJudge:
+    """Tells the roster who is silent, and the linked instances whom this one misses as a relay.
+
+    Args:
+        roster: The instances.
+        links: The links to other instances, by name.
+    """
+
+    __slots__ = ("_known_since", "_links", "_missed_by", "_roster", "_told")
+
+    def __init__(self, roster: Roster, links: Mapping[str, PeerLink]) -> None:
+        self._roster = roster
+        self._links = links
+        self._known_since: dict[str, float] = {}
+        self._missed_by: dict[str, frozenset[str]] = {}
+        self._told: frozenset[str] | None = None
+
+    @property
+    def told(self) -> Silent | None:
+        """Return what a newly linked instance must hear; None where this one is no relay."""
+        return None if self._told is None else Silent(sorted(self._told))
+
+    def linked(self, name: str, now: float) -> None:
+        """Note that a link to an instance is up."""
+        self._known_since[name] = now
+
+    def take(self, relay: str, silent: Silent) -> None:
+        """Take in whom a relay misses."""
+        if silent.names is None:
+            self._missed_by.pop(relay, None)
+        else:
+            self._missed_by[relay] = frozenset(silent.names)
+
+    def forget(self, relay: str) -> None:
+        """Forget what an instance said, as the link to it is lost."""
+        self._missed_by.pop(relay, None)
+
+    def news(self, now: float) -> Silent | None:
+        """Return what the linked instances must hear, None where that is what they heard last."""
+        missed = self._missed(now)
+        if missed == self._told:
+            return None
+        self._told = missed
+        return Silent(None if missed is None else sorted(missed))
+
+    def judge(self, now: float, refusing: Collection[str]) -> None:
+        """Tell the roster who is silent.
+
+        An instance that hears nobody can't tell whether the others are gone or it is cut off
+        itself. It counts all as live, but for those whose machines answer that nothing listens
+        there: callers that still reach it shall be told of them.
+
+        Args:
+            now: Monotonic second.
+            refusing: Addresses at which nothing listens.
+        """
+        heard = self._heard(now)
+        # Whom every relay misses is silent; without a word from any, only own links count.
+        missed = frozenset.intersection(*self._missed_by.values()) if self._missed_by else None
+        for instance in self._roster.known:
+            name = instance.name
+            since = self._known_since.setdefault(name, now)
+            young = now - since < _LINK_UP_SECONDS
+            unknown = not self._links and instance.peer_address not in refusing
+            reported = name in heard or (missed is not None and name not in missed)
+            lives = unknown or reported or (young and name not in self._links)
+            self._roster.set_silent(name, not lives, now)
+
+    def _heard(self, now: float) -> frozenset[str]:
+        return frozenset(
+            name for name, link in self._links.items() if link.ready and not link.is_silent(now)
+        )
+
+    def _missed(self, now: float) -> frozenset[str] | None:
+        """Return the instances that this one misses as a relay; None where it is none."""
+        own = self._roster.own.name
+        if own not in relays_among(self._roster.live):
+            return None
+        known = {instance.name for instance in self._roster.known}
+        return frozenset(known - self._heard(now) - {own})
