--- a/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
@@ -1,12 +1,12 @@
-"""How fast searches come to this instance, and how many of them it has admitted."""
+"""How fast requests come to this instance, and how many of them it has admitted."""
 
 import math
 from collections import deque
 
-# The shortest span over which a rate is taken, in seconds, and the searches that it must hold: an
+# The shortest span over which a rate is taken, in seconds, and the requests that it must hold: an
 # instance that sees one in 0.3 s would otherwise take each for a rate of three a second.
 _SPAN, _LEAST_IN_SPAN = 0.3, 4
-# Searches that are enough to tell how fast they come now, be it in a shorter time.
+# Requests that are enough to tell how fast they come now, be it in a shorter time.
 _ENOUGH = 32
 # Seconds for which single arrivals are kept. A longer memory would mix the calm before a burst into
 # the rate of the burst.
@@ -14,13 +14,13 @@
 # Seconds over which the usual rate is averaged: long against a burst, short against the hours in
 # which callers' habits change.
 _USUAL_SECONDS = 30.0
-# Seconds from the first search until its rate is called usual. An instance that has just started
+# Seconds from the first request until its rate is called usual. An instance that has just started
 # can't tell a burst from calm traffic.
 _KNOWN_AFTER = 5.0
 
 
 class Arrivals:
-    """The searches of the last seconds, with whether each was admitted."""
+    """The requests of the last seconds, with whether each was admitted."""
 
     __slots__ = ("_began", "_last", "_recent", "_usual")
 
@@ -31,7 +31,7 @@
         self._last = 0.0
 
     def add(self, now: float, *, admitted: bool) -> None:
-        """Note a search."""
+        """Note a request."""
         if self._began is None:
             self._began = self._last = now
         self._usual = self._faded(now) + 1.0 / _USUAL_SECONDS
@@ -41,7 +41,7 @@
             self._recent.popleft()
 
     def rate(self, now: float) -> float:
-        """Return the searches a second at which they come now."""
+        """Return the requests a second at which they come now."""
         count, first = 0, now
         for at, _ in reversed(self._recent):
             if count >= _ENOUGH or (at < now - _SPAN and count >= _LEAST_IN_SPAN):
@@ -51,22 +51,22 @@
         return count / (span if count >= _ENOUGH and span > 0 else max(_SPAN, span))
 
     def since_last(self, now: float) -> float:
-        """Return the seconds since the last search; infinite before the first."""
+        """Return the seconds since the last request; infinite before the first."""
         return now - self._last if self._began is not None else float("inf")
 
     def usual_rate(self, now: float) -> float:
-        """Return the searches a second of the last half minute; infinite until it is known."""
+        """Return the requests a second of the last half minute; infinite until it is known."""
         if self._began is None or now - self._began < _KNOWN_AFTER:
             return float("inf")
         known = 1.0 - math.exp(-(now - self._began) / _USUAL_SECONDS)
         return self._faded(now) / known
 
     def any_refused(self, now: float) -> bool:
-        """Return whether a search was refused just now."""
+        """Return whether a request was refused just now."""
         return any(not admitted for at, admitted in self._recent if at >= now - _SPAN)
 
     def highest_admitted(self, now: float) -> float:
-        """Return the searches a second that were admitted in the fullest span.
+        """Return the requests a second that were admitted in the fullest span.
 
         Where no span holds enough of them, it is the rate of the last few.
         """
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -13,7 +13,7 @@
 _CONGESTED_SHARE = 0.25
 # A search that was congested until after this share of its time counts in part. Searches that are
 # answered just in time leave no room for chance: judged by the late ones alone, at five times the
-# usual traffic 0.17 of the answers were late and 0.59 in time, now 0.10 and 0.62 (three seeds of
+# usual traffic 0.17 of the answers were late and 0.59 in time, now 0.13 and 0.58 (three seeds of
 # the model in test_overload.py, six instances).
 _NEARLY_LATE, _NEARLY_LATE_WEIGHT = 0.7, 0.75
 # The rate is cut above the first share of congested searches, deeper above the second, and raised
@@ -24,7 +24,7 @@
 _LEAST_ENDED = 4
 # An instance that sees few searches cuts after as many as come within one objective, if they come
 # this many times as fast as usual. With 48 instances that each waited for four, 0.30 of a burst of
-# five times the traffic was in time, and 0.54 now (same model). Without more callers than usual one
+# five times the traffic was in time, and 0.52 now (same model). Without more callers than usual one
 # congested search is chance, and calm traffic would be refused.
 _BURST = 1.5
 # What a cut leaves of the rate. With 0.85 and 0.7 the same share of bursts of four to six times the
@@ -41,15 +41,6 @@
 # for the next one, and is not saved up beyond that.
 _MOST_CREDIT = 2.0
 _FIRST_CREDIT = 0.5
-# Late requests of a service count as load for so long after its searchers said that they were full:
-# a queue that was full takes about as long to empty.
-_FULL_SECONDS = 2.0
-# Share that is admitted of what searchers answered once they are full. The rest of their work
-# empties queues of half a second in a second, and to where answers are in time in a third of that.
-_FULL_CUT = 0.5
-# A change of the rate shows in single requests after this share of their objective: usual ones take
-# a quarter of it, and some queue remains.
-_SHOWS_AFTER = 0.5
 # An operator may state no objective at all, or one that nothing meets; the rate is then looked at
 # this often.
 _SHORTEST_OBJECTIVE = 0.01
@@ -85,7 +76,7 @@
     instances share the load: each of 16 would have under one search at a time.
 
     Counts of all instances, told each other every 0.1 s, were tried and are worse than each one's
-    own: all cut at the same moment, and again before the first cut showed (0.47 instead of 0.54 of
+    own: all cut at the same moment, and again before the first cut showed (0.46 instead of 0.52 of
     a burst in time with 65 instances).
 
     Searches of all ranks are treated alike. Those with a tight objective suffer first where the
@@ -220,50 +211,3 @@
         refused = self._promised > now - 2 * objective
         growth = _PROBING if refused else _RECOVERING
         self._rate *= (1.0 + growth) ** min(passed, _MOST_STEPS)
-
-
-class SingleShedder(LoadShedder):
-    """Admits as many requests that one searcher each answers as are answered in time.
-
-    One slow searcher of four makes a quarter of these late, and fewer requests would not help. So
-    late ones count only while the searchers themselves refuse as full.
-
-    Their own queues bound the load too late: three slots with twelve waiting make each caller wait
-    for 0.55 s, which is the whole objective of the users' look-ups. Full searchers work as fast as
-    they can, so what was answered here of late is this instance's part of that, and the rate goes
-    below it until the queues are shorter.
-
-    With 25 times the usual look-ups, four searchers and six instances, 203 of the 355 that these
-    can do in 4 s were answered in time and 210 late; now 263 and 131 (test_overload.py).
-    """
-
-    __slots__ = ("_answers", "_full_at")
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._answers = Arrivals()
-        self._full_at = float("-inf")
-
-    def answered(self, now: float) -> None:
-        """Note an answer, in time or late."""
-        self._answers.add(now, admitted=True)
-
-    def full(self, now: float, objective: float) -> bool:
-        """Take in that all searchers that were asked refused as full; return as `ended` does.
-
-        Args:
-            now: Monotonic second.
-            objective: As for `ended`.
-        """
-        self._full_at = now
-        if now < self._cut_at + objective:
-            return False
-        self._rate = min(self._rate, _FULL_CUT * self._answers.highest_admitted(now))
-        self._cut_at = self._look_at = now
-        return True
-
-    def ended(self, congestion: float, started: float, now: float, objective: float) -> bool:
-        """Take in a request that was answered, or not answered when it was due."""
-        if now - self._full_at > _FULL_SECONDS:
-            congestion = 0.0
-        return super().ended(congestion, started, now, _SHOWS_AFTER * objective)
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
@@ -0,0 +1,66 @@
+"""How many requests a second that one searcher each answers this instance admits.
+
+Load answered: callers ask a service for more than its searchers can do, so that each request waits
+in a full queue for most of its time, or is sent to several searchers to learn that they are full.
+"""
+
+from limpethollow_policy.process.arrivals import Arrivals
+from limpethollow_policy.process.shedding import LoadShedder
+
+# Late requests of a service count as load for so long after its searchers said that they were full:
+# a queue that was full takes about as long to empty.
+_FULL_SECONDS = 2.0
+# Share that is admitted of what searchers answered once they are full. The rest of their work
+# empties queues of half a second in a second, and to where answers are in time in a third of that.
+_FULL_CUT = 0.5
+# A change of the rate shows in single requests after this share of their objective: usual ones take
+# a quarter of it, and some queue remains.
+_SHOWS_AFTER = 0.5
+
+
+class SingleShedder(LoadShedder):
+    """Admits as many requests that one searcher each answers as are answered in time.
+
+    One slow searcher of four makes a quarter of these late, and fewer requests would not help. So
+    late ones count only while the searchers themselves refuse as full.
+
+    Their own queues bound the load too late: three slots with twelve waiting make each caller wait
+    for 0.55 s, which is the whole objective of the users' look-ups. Full searchers work as fast as
+    they can, so what was answered here of late is this instance's part of that, and the rate goes
+    below it until the queues are shorter.
+
+    With 25 times the usual look-ups, four searchers and six instances, 203 of the 355 that these
+    can do in 4 s were answered in time and 210 late; now 263 and 131 (test_overload.py).
+    """
+
+    __slots__ = ("_answers", "_full_at")
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Answers by when they came: the fullest span of them is what the searchers can do.
+        self._answers = Arrivals()
+        self._full_at = float("-inf")
+
+    def answered(self, now: float) -> None:
+        """Note an answer, in time or late."""
+        self._answers.add(now, admitted=True)
+
+    def full(self, now: float, objective: float) -> bool:
+        """Take in that all searchers that were asked refused as full; return as `ended` does.
+
+        Args:
+            now: Monotonic second.
+            objective: As for `ended`.
+        """
+        self._full_at = now
+        if now < self._cut_at + objective:
+            return False
+        self._rate = min(self._rate, _FULL_CUT * self._answers.highest_admitted(now))
+        self._cut_at = self._look_at = now
+        return True
+
+    def ended(self, congestion: float, started: float, now: float, objective: float) -> bool:
+        """Take in a request that was answered, or not answered when it was due."""
+        if now - self._full_at > _FULL_SECONDS:
+            congestion = 0.0
+        return super().ended(congestion, started, now, _SHOWS_AFTER * objective)
--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -3,12 +3,8 @@
 import pytest
 
 from limpethollow_policy.process.arrivals import Arrivals
-from limpethollow_policy.process.shedding import (
-    LoadShedder,
-    SingleShedder,
-    congestion,
-    is_congested,
-)
+from limpethollow_policy.process.shedding import LoadShedder, congestion, is_congested
+from limpethollow_policy.process.singles import SingleShedder
 
 OBJECTIVE = 0.1
 
