--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -95,7 +95,7 @@
         """In a burst the rate hung where every fifth answer came a few milliseconds late."""
         shedder = LoadShedder()
         admit(shedder, 100.0, 1.0, 50.0)
-        nearly = congestion(0.08 * OBJECTIVE / 0.1, OBJECTIVE)
+        nearly = congestion(0.8 * OBJECTIVE, OBJECTIVE)
         assert any(shedder.ended(nearly, 100.99, 101.0, OBJECTIVE) for _ in range(4))
         assert congestion(0.5 * OBJECTIVE, OBJECTIVE) == 0.0
 
