A hang-up that comes while a part is being started ends that part

Cause: the owner hands a part to its group first and notes it as running after that. The searcher runs it by then, and the word that its caller has left may come in between on another thread; it finds nothing to end. The part then keeps its slot until it is done. The same holds for a part that the word overtakes on its way, which a comment took for granted. Ruled out: the wait of the test (30 s; the call itself takes less and then ends as answered, so it could never be cancelled any more). Change: the owner remembers the last 512 requests that nobody waits for, and ends their parts as they are noted.

--- a/packages/limpethollow-node/src/limpethollow_node/request/parts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/parts.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import uuid
+from collections import deque
 from concurrent.futures import CancelledError, Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from typing import Any
@@ -18,6 +19,9 @@
 
 GRACE_SECONDS = 0.25
 RETRY_AFTER = 0.2
+# Requests that nobody waits for any more are remembered until so many others were: the word of a
+# hang-up may come before the part that it is about. Some 50 KB.
+_ABANDONED_KEPT = 512
 
 
 class GroupParts:
@@ -35,6 +39,7 @@
         self._cuts = cuts
         self._lock = threading.Lock()
         self._running: dict[str, set[_Running]] = {}
+        self._abandoned: deque[str] = deque(maxlen=_ABANDONED_KEPT)
 
     def search(self, search: GroupSearch) -> GroupAnswer:
         """Answer one group's part of a search.
@@ -75,8 +80,13 @@
         return self._run(record, question, local)
 
     def abandon(self, request_id: str) -> None:
-        """Drop all that runs here for a request that nobody waits for any more."""
+        """Drop all that runs here for a request that nobody waits for any more.
+
+        Its id is kept, since a part of it may be just about to start; that one would find nobody
+        to end it, and keep a slot of its searcher until it is done.
+        """
         with self._lock:
+            self._abandoned.append(request_id)
             running = tuple(self._running.get(request_id, ()))
         for search in running:
             search.abandon()
@@ -110,6 +120,9 @@
     def _note(self, request_id: str, running: "_Running") -> None:
         with self._lock:
             self._running.setdefault(request_id, set()).add(running)
+            is_abandoned = request_id in self._abandoned
+        if is_abandoned:
+            running.abandon()
 
     def _forget(self, request_id: str, running: "_Running") -> None:
         with self._lock:
--- a/packages/limpethollow-node/src/limpethollow_node/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/searches.py
@@ -137,8 +137,7 @@
         for number in range(1, _MAX_RESTARTS + 1):
             record = self._configs.require(service)
             scatter = self._prepare(record, firm, request, arrived, number == _MAX_RESTARTS)
-            # A hang-up may overtake a part that is still on its way to its owner; that part runs
-            # on to its deadline, as all of them did without this.
+            # A hang-up may overtake a part that is still on its way; its owner remembers that.
             caller.when_gone(partial(self._abandon, scatter))
             if caller.is_gone:
                 raise Unavailable("The caller hung up.", retry_after=RETRY_AFTER)
