--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
@@ -12,6 +12,7 @@
 from limpethollow_node.process import events
 from limpethollow_policy.process.backoffs import Backoff
 
+# A connect takes a round trip of some milliseconds; this is two heartbeats of the other instance.
 _CONNECT_SECONDS = 1.0
 # Pauses after connects that failed, in seconds: a restarted instance listens within the first, and
 # is found within the longest if it was away for longer.
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -1,5 +1,7 @@
 """Which requests this instance takes on, and what it learns from how they end."""
 
+from collections import defaultdict
+
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.process import events
@@ -33,9 +35,8 @@
 
     def _tell_passed(self) -> None:
         """Tell that the request was held up until now, and is no more."""
-        if not self._told:
-            seconds = self._dispatch.loop.time() - self._started
-            self._tell(congestion(seconds, self._outgoing.answer_by - self._started))
+        seconds = self._dispatch.loop.time() - self._started
+        self._tell(congestion(seconds, self._outgoing.answer_by - self._started))
 
     def _tell(self, congestion: float) -> None:
         """Tell how congested the request was; only the first word counts."""
@@ -63,7 +64,7 @@
 
     def came(self, parts: int) -> None:
         """Tell how many shards have answered so far."""
-        if not self._is_congested(parts):
+        if not self._told and not self._is_congested(parts):
             self._tell_passed()
 
     def over(self, parts: int) -> None:
@@ -118,15 +119,15 @@
 
     def __init__(self, dispatch: Dispatch) -> None:
         self._dispatch = dispatch
-        self._searches: dict[tuple[str, ...], LoadShedder] = {}
-        self._singles: dict[str, SingleShedder] = {}
+        self._searches: defaultdict[tuple[str, ...], LoadShedder] = defaultdict(LoadShedder)
+        self._singles: defaultdict[str, SingleShedder] = defaultdict(SingleShedder)
 
     def use_version(self, version: RoutingVersion) -> None:
         """Forget the searchers that no route names any more."""
-        shards = {route.shards for route in version.routes}
-        services = version.service_names()
-        self._searches = {key: kept for key, kept in self._searches.items() if key in shards}
-        self._singles = {key: kept for key, kept in self._singles.items() if key in services}
+        for shards in self._searches.keys() - {route.shards for route in version.routes}:
+            del self._searches[shards]
+        for service in self._singles.keys() - version.service_names():
+            del self._singles[service]
 
     @property
     def lowest_rate(self) -> float:
@@ -143,10 +144,7 @@
         Raises:
             Overloaded: Its searchers can't answer it in time; it says when there will be room.
         """
-        shards = outgoing.route.shards
-        shedder = self._searches.get(shards)
-        if shedder is None:
-            shedder = self._searches[shards] = LoadShedder()
+        shedder = self._searches[outgoing.route.shards]
         self._admit(shedder, outgoing)
         return SearchAdmission(self._dispatch, shedder, outgoing)
 
@@ -160,9 +158,7 @@
         Raises:
             Overloaded: As for `admit_search`.
         """
-        shedder = self._singles.get(service)
-        if shedder is None:
-            shedder = self._singles[service] = SingleShedder()
+        shedder = self._singles[service]
         self._admit(shedder, outgoing)
         return SingleAdmission(self._dispatch, shedder, outgoing)
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -179,19 +179,17 @@
         self._drop_silent(now)
         self.link_up()
         self._heartbeats.say_due(now)
-        news = self._silence.news(now)
+        heard = self._silence.heard(now)
+        news = self._silence.news(heard)
         if news is not None:
             self._broadcast(news)
-        self._judge_silence(now)
+        self._silence.judge(heard, self._dialler.refusing, now)
 
     def _drop_silent(self, now: float) -> None:
         for link in list(self._links.values()):
             if link.is_silent(now):
                 link.close()
 
-    def _judge_silence(self, now: float) -> None:
-        self._silence.judge(now, self._dialler.refusing)
-
     async def _accepted(self, socket: Connection) -> None:
         host = socket.remote_address[0]
         if not self._is_member(host):
@@ -229,10 +227,11 @@
             return
         del self._links[link.name]
         self._silence.forget(link.name)
-        self._role.relay_stopped(link.name, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._role.relay_stopped(link.name, now)
         events.PEER_LOST.log(peer=link.name)
         self.on_link_lost(link)
-        self._judge_silence(asyncio.get_running_loop().time())
+        self._silence.judge(self._silence.heard(now), self._dialler.refusing, now)
 
     def _on_frame(self, link: PeerLink, frame: AnyFrame) -> None:
         handler = _HANDLERS.get(type(frame))
@@ -256,8 +255,9 @@
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
         self._news.heard(link, hello.known)
         self._heartbeats.say([link])
-        if self._silence.told is not None:
-            link.send(self._silence.told)
+        told = self._silence.told
+        if told is not None:
+            link.send(told)
 
     def _replaces(self, link: PeerLink, older: PeerLink) -> bool:
         """Return whether a second link to the same instance replaces the first.
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
@@ -48,15 +48,21 @@
         """Forget what an instance said, as the link to it is lost."""
         self._missed_by.pop(relay, None)
 
-    def news(self, now: float) -> Silent | None:
+    def heard(self, now: float) -> frozenset[str]:
+        """Return the instances that are linked, ready, and heard."""
+        return frozenset(
+            name for name, link in self._links.items() if link.ready and not link.is_silent(now)
+        )
+
+    def news(self, heard: frozenset[str]) -> Silent | None:
         """Return what the linked instances must hear, None where that is what they heard last."""
-        missed = self._missed(now)
+        missed = self._missed(heard)
         if missed == self._told:
             return None
         self._told = missed
         return Silent(None if missed is None else sorted(missed))
 
-    def judge(self, now: float, refusing: Collection[str]) -> None:
+    def judge(self, heard: frozenset[str], refusing: Collection[str], now: float) -> None:
         """Tell the roster who is silent.
 
         An instance that hears nobody can't tell whether the others are gone or it is cut off
@@ -64,10 +70,10 @@
         there: callers that still reach it shall be told of them.
 
         Args:
-            now: Monotonic second.
+            heard: What `heard` returned.
             refusing: Addresses at which nothing listens.
+            now: Monotonic second.
         """
-        heard = self._heard(now)
         # Whom every relay misses is silent; without a word from any, only own links count.
         missed = frozenset.intersection(*self._missed_by.values()) if self._missed_by else None
         for instance in self._roster.known:
@@ -79,15 +85,10 @@
             lives = unknown or reported or (young and name not in self._links)
             self._roster.set_silent(name, not lives, now)
 
-    def _heard(self, now: float) -> frozenset[str]:
-        return frozenset(
-            name for name, link in self._links.items() if link.ready and not link.is_silent(now)
-        )
-
-    def _missed(self, now: float) -> frozenset[str] | None:
+    def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
         """Return the instances that this one misses as a relay; None where it is none."""
         own = self._roster.own.name
         if own not in relays_among(self._roster.live):
             return None
         known = {instance.name for instance in self._roster.known}
-        return frozenset(known - self._heard(now) - {own})
+        return frozenset(known - heard - {own})
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -96,8 +96,8 @@
 SEND_FAILED = _event(402, logging.INFO, "a send to a searcher gave no answer")
 SEARCHER_LISTED = _event(403, logging.INFO, "a searcher's entry came, changed or went")
 SENT_AGAIN = _event(404, logging.INFO, "a request was sent to another searcher as well")
-SEARCHERS_LISTED = _event(406, logging.INFO, "entries of many searchers came, changed or went")
 SHARDS_HEDGED = _event(405, logging.INFO, "late shards of a search were asked elsewhere as well")
+SEARCHERS_LISTED = _event(406, logging.INFO, "entries of many searchers came, changed or went")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-node/src/limpethollow_node/process/garbage.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/garbage.py
@@ -7,8 +7,6 @@
 _YOUNG = 10_000
 # Looks at the younger objects before the older ones are looked at too; the interpreter's values.
 _MIDDLE, _OLD = 10, 10
-
-
 # Young objects for which a look between requests is worth its while: those of one search.
 _WORTH_A_LOOK = 500
 # Looks at the youngest objects for each one at those that have outlived it.
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
@@ -22,20 +22,21 @@
 class Arrivals:
     """The requests of the last seconds, with whether each was admitted."""
 
-    __slots__ = ("_began", "_last", "_recent", "_usual")
+    __slots__ = ("_began", "_recent", "_refused_at", "_usual")
 
     def __init__(self) -> None:
         self._recent: deque[tuple[float, bool]] = deque()
         self._usual = 0.0
         self._began: float | None = None
-        self._last = 0.0
+        self._refused_at = float("-inf")
 
     def add(self, now: float, *, admitted: bool) -> None:
         """Note a request."""
         if self._began is None:
-            self._began = self._last = now
+            self._began = now
+        if not admitted:
+            self._refused_at = now
         self._usual = self._faded(now) + 1.0 / _USUAL_SECONDS
-        self._last = now
         self._recent.append((now, admitted))
         while self._recent[0][0] < now - _MEMORY:
             self._recent.popleft()
@@ -52,7 +53,7 @@
 
     def since_last(self, now: float) -> float:
         """Return the seconds since the last request; infinite before the first."""
-        return now - self._last if self._began is not None else float("inf")
+        return now - self._recent[-1][0] if self._recent else float("inf")
 
     def usual_rate(self, now: float) -> float:
         """Return the requests a second of the last half minute; infinite until it is known."""
@@ -63,7 +64,7 @@
 
     def any_refused(self, now: float) -> bool:
         """Return whether a request was refused just now."""
-        return any(not admitted for at, admitted in self._recent if at >= now - _SPAN)
+        return self._refused_at >= now - _SPAN
 
     def highest_admitted(self, now: float) -> float:
         """Return the requests a second that were admitted in the fullest span.
@@ -82,4 +83,4 @@
         return max(len(last), 1) / max(_SPAN, now - last[0] if last else _SPAN)
 
     def _faded(self, now: float) -> float:
-        return self._usual * math.exp(-(now - self._last) / _USUAL_SECONDS)
+        return self._usual * math.exp(-self.since_last(now) / _USUAL_SECONDS)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
@@ -69,7 +69,8 @@
     def _is_probing(self, now: float, objective: float) -> bool:
         """Return whether the searchers were full just now.
 
-        Once they no longer are, refusals here are no reason to be slow: searchers that were stuck
-        for some seconds at calm load were offered half of the calm requests 20 s later.
+        Once they no longer are, refusals here are no reason to be slow. Without this and a least
+        rate, searchers that were stuck for 8 s got 17 of 60 calm requests from 6 to 12 s after they
+        were well again, and 59 now (test_shedding.py).
         """
         return now - self._full_at <= _FULL_SECONDS
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -29,6 +29,27 @@
             self.value -= self.value * _STEP * (1.0 - self._share)
 
 
+class RunningMean:
+    """Averages the last values of a stream in constant space.
+
+    Args:
+        averaged: Values over which it averages; the first ones count at once.
+        start: What it is before the first value.
+    """
+
+    __slots__ = ("_averaged", "_values", "value")
+
+    def __init__(self, averaged: int, start: float = 0.0) -> None:
+        self._averaged = averaged
+        self._values = 0
+        self.value = start
+
+    def add(self, value: float) -> None:
+        """Take in one value."""
+        self._values = min(self._values + 1, self._averaged)
+        self.value += (value - self.value) / self._values
+
+
 class CallerPatience:
     """Learns how long a route's callers wait in all, and so how long one has waited already.
 
@@ -103,7 +124,7 @@
     instance with little processor, answers would otherwise all come just after their objective.
     """
 
-    __slots__ = ("_answers", "_late", "_work")
+    __slots__ = ("_late", "_work")
 
     # Merging and writing an answer of twenty parts takes 2 ms on half of a core. Where it takes
     # less, as much is left for what the system takes to send it.
@@ -117,13 +138,16 @@
 
     def __init__(self) -> None:
         self._late = RunningQuantile(self._QUANTILE, self._FIRST_SECONDS)
-        self._work = self._LEAST_WORK_SECONDS
-        self._answers = 0
+        self._work = RunningMean(self._AVERAGED, self._LEAST_WORK_SECONDS)
 
     @property
     def allowance(self) -> float:
         """Return how many seconds before its time an answer is made ready."""
-        return max(self._work, self._LEAST_WORK_SECONDS) + self._late.value
+        return self._work_seconds + self._late.value
+
+    @property
+    def _work_seconds(self) -> float:
+        return max(self._work.value, self._LEAST_WORK_SECONDS)
 
     def add(self, seconds: float) -> None:
         """Take in how late a timer was."""
@@ -134,9 +158,7 @@
 
         Times far above the usual ones, as when the process was frozen, count as four times it.
         """
-        self._answers = min(self._answers + 1, self._AVERAGED)
-        seconds = min(seconds, 4 * max(self._work, self._LEAST_WORK_SECONDS))
-        self._work += (seconds - self._work) / self._answers
+        self._work.add(min(seconds, 4 * self._work_seconds))
 
 
 class OwnPace:
@@ -146,17 +168,16 @@
     and 0.5 ms on 0.12 of one, where 87 calls of a search take 45 of its 120 ms.
     """
 
-    __slots__ = ("_seconds", "_searches")
+    __slots__ = ("_start",)
 
     # Sending a call, and reading and judging its reply, against choosing its searcher and keeping
     # account of it: 0.5 and 0.15 ms on 0.12 of a core.
     _CALL_OVER_START = 3.5
-    # Searches over which the time is averaged; the first ones count at once.
+    # Searches over which the time that a shard takes at the start is averaged.
     _AVERAGED = 8
 
     def __init__(self) -> None:
-        self._seconds = 0.0
-        self._searches = 0
+        self._start = RunningMean(self._AVERAGED)
 
     def started(self, shards: int, seconds: float) -> None:
         """Take in how long it took to start a search over some shards.
@@ -165,12 +186,11 @@
             shards: How many.
             seconds: The time, without calls that were made at once.
         """
-        self._searches = min(self._searches + 1, self._AVERAGED)
-        self._seconds += (seconds / shards - self._seconds) / self._searches
+        self._start.add(seconds / shards)
 
     def calls_within(self, seconds: float) -> float:
         """Return how many calls it makes in some seconds; infinite before the first search."""
-        call_seconds = self._CALL_OVER_START * self._seconds
+        call_seconds = self._CALL_OVER_START * self._start.value
         return seconds / call_seconds if call_seconds > 0 else float("inf")
 
 
