--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from limpethollow_policy.process.catchups import Known
+from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import RoutingVersion
@@ -107,6 +108,15 @@
     gone: list[str]
 
 
+class EvacuationNews(Frame, frozen=True, tag="evacuations"):
+    """Failure domains that were evacuated or restored; as `SearcherNews`."""
+
+    base: int | None
+    revision: int
+    put: list[Evacuation]
+    gone: list[str]
+
+
 class Ask(Frame, frozen=True, tag="ask"):
     """Asks for all that is newer than what the sender knows.
 
@@ -215,6 +225,7 @@
     | VersionNews
     | SearcherNews
     | InstanceNews
+    | EvacuationNews
     | Ask
     | Batch
     | BatchParts
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from limpethollow_node.engine.frames import InstanceNews, SearcherNews
+from limpethollow_node.engine.frames import EvacuationNews, InstanceNews, SearcherNews
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.roster import Roster
@@ -12,13 +12,14 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.beliefs import Belief
 from limpethollow_policy.process.catchups import Known
+from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.removals import RemovalDelay
 from limpethollow_policy.version.routes import RoutingVersion
 
 T = TypeVar("T")
-N = TypeVar("N", SearcherNews, InstanceNews)
+N = TypeVar("N", SearcherNews, InstanceNews, EvacuationNews)
 OnVersion = Callable[[RoutingVersion], None]
 
 
@@ -58,6 +59,7 @@
         "_removals",
         "_roster",
         "_searchers_confirmed_at",
+        "evacuations",
         "instances",
         "searchers",
     )
@@ -81,6 +83,7 @@
             self._searcher_put, self._searcher_gone, self._log_listed
         )
         self.instances: Belief[Instance] = Belief(roster.put, roster.remove)
+        self.evacuations: Belief[Evacuation] = Belief(self._evacuate, self._restore)
 
     @property
     def version_number(self) -> int:
@@ -119,16 +122,27 @@
         metrics.gauge("searchers_known", lambda: len(self.searchers.items))
         metrics.gauge("searchers_age_seconds", lambda: now() - self._searchers_confirmed_at)
         metrics.gauge("instances_known", lambda: len(self._roster))
+        metrics.gauge("domains_evacuated", lambda: len(self.evacuations.items))
 
     @property
     def known(self) -> Known:
         """Return how much this instance can tell others."""
-        return Known(self.version_number, self.searchers.changed_at, self.instances.changed_at)
+        return Known(
+            self.version_number,
+            self.searchers.changed_at,
+            self.instances.changed_at,
+            self.evacuations.changed_at,
+        )
 
     @property
     def known_up_to(self) -> Known:
         """Return up to where nothing is missing here."""
-        return Known(self.version_number, self.searchers.revision, self.instances.revision)
+        return Known(
+            self.version_number,
+            self.searchers.revision,
+            self.instances.revision,
+            self.evacuations.revision,
+        )
 
     def searchers_since(self, revision: int) -> SearcherNews:
         """Return the searchers that changed after a revision, or all where that isn't known."""
@@ -138,6 +152,10 @@
         """Return the instances that changed after a revision, or all where that isn't known."""
         return _news(InstanceNews, self.instances, revision)
 
+    def evacuations_since(self, revision: int) -> EvacuationNews:
+        """Return the evacuations that changed after a revision, or all, as `searchers_since`."""
+        return _news(EvacuationNews, self.evacuations, revision)
+
     def take_searchers(self, news: SearcherNews) -> bool:
         """Take in news of searchers; return False where all are needed."""
         return _take(self.searchers, news, {searcher.id: searcher for searcher in news.put})
@@ -146,6 +164,11 @@
         """Take in news of instances; return False where all are needed."""
         return _take(self.instances, news, {instance.name: instance for instance in news.put})
 
+    def take_evacuations(self, news: EvacuationNews) -> bool:
+        """Take in news of evacuated failure domains; return False where all are needed."""
+        put = {evacuation.failure_domain: evacuation for evacuation in news.put}
+        return _take(self.evacuations, news, put)
+
     def set_removal_delay(self, seconds: float) -> None:
         """Change for how long searchers whose entries went are kept."""
         self._removals.seconds = seconds
@@ -156,6 +179,16 @@
             self._remove(searcher_id, "delay_over")
         self._log_listed()
 
+    def _evacuate(self, evacuation: Evacuation) -> None:
+        domain = evacuation.failure_domain
+        if domain not in self._dispatch.fleet.evacuated:
+            self._dispatch.evacuate(domain)
+            events.DOMAIN_EVACUATED.log(domain=domain, revision=self.evacuations.revision)
+
+    def _restore(self, failure_domain: str) -> None:
+        self._dispatch.restore(failure_domain)
+        events.DOMAIN_RESTORED.log(domain=failure_domain, revision=self.evacuations.revision)
+
     def _searcher_put(self, searcher: Searcher) -> None:
         self._removals.cancel(searcher.id)
         known = self._dispatch.fleet.get(searcher.id)
@@ -207,7 +240,9 @@
         events.SEARCHERS_LISTED.log(count=len(listed), searchers=by_state, revision=revision)
 
 
-def _take(belief: Belief[T], news: SearcherNews | InstanceNews, put: dict[str, T]) -> bool:
+def _take(
+    belief: Belief[T], news: SearcherNews | InstanceNews | EvacuationNews, put: dict[str, T]
+) -> bool:
     if news.base is None:
         return belief.replace(put, news.revision)
     return belief.change(news.base, news.revision, put, news.gone)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -103,7 +103,7 @@
                 continue
             for replica in self.fleet.of(service):
                 searcher = replica.searcher
-                if searcher.failure_domain == self.fleet.own_domain and not searcher.draining:
+                if searcher.failure_domain == self.fleet.own_domain and replica.is_in_service:
                     self._pool_of(replica).warm()
 
     def use_version(self, version: RoutingVersion) -> None:
@@ -111,11 +111,12 @@
         self._service_limits = {
             name: limits.connections for name, limits in version.services.items()
         }
+        self.fleet.use_limits(version.services)
         self._services_in_use = version.service_names()
         self._apply_limits()
 
     def share_among(self, sharers: float) -> None:
-        """Divide repeated sends and connections among instances.
+        """Divide repeated sends, connections and calls to cold searchers among instances.
 
         Args:
             sharers: Instances among which they are divided, for this one's part; one that makes
@@ -123,6 +124,7 @@
         """
         self._sharers = max(1.0, sharers)
         self.budget.share_among(self._sharers, self.loop.time())
+        self.fleet.share_among(self._sharers)
         self._apply_limits()
 
     def put_searcher(self, searcher: Searcher) -> None:
@@ -135,6 +137,17 @@
         if self.fleet.remove(searcher_id) is not None:
             self._drop_pool(searcher_id)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Send nothing new to a failure domain, also no calls that still wait for a connection."""
+        for replica in self.fleet.evacuate(failure_domain):
+            pool = self._pools.get(replica.searcher.id)
+            if pool is not None:
+                pool.refuse_waiting()
+
+    def restore(self, failure_domain: str) -> None:
+        """Use an evacuated failure domain again."""
+        self.fleet.restore(failure_domain, self.loop.time())
+
     def sweep(self, now: float) -> None:
         """Close connections that were idle for too long."""
         for pool in self._pools.values():
@@ -149,7 +162,7 @@
 
     def _new_pool(self, replica: Replica) -> Pool:
         def unreachable(error: Exception) -> None:
-            replica.unreachable(self.loop.time())
+            self.fleet.unreachable(replica, self.loop.time())
             self.metrics.count("searcher_connect_failures")
             events.SEARCHER_UNREACHABLE.log(
                 searcher=replica.searcher.id,
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
@@ -7,6 +7,7 @@
 from limpethollow_node.engine.frames import (
     AnyFrame,
     Ask,
+    EvacuationNews,
     InstanceNews,
     SearcherNews,
     VersionNews,
@@ -38,6 +39,7 @@
             VersionNews: self._take_version,
             SearcherNews: self._take_searchers,
             InstanceNews: self._take_instances,
+            EvacuationNews: self._take_evacuations,
             Ask: self._answer,
         }
 
@@ -84,8 +86,15 @@
         if not self._catalog.take_instances(news):
             self._catch_up_after(LACKING_SECONDS)
 
+    def _take_evacuations(self, link: PeerLink, news: EvacuationNews) -> None:
+        if not self._catalog.take_evacuations(news):
+            self._catch_up_after(LACKING_SECONDS)
+
     def _answer(self, link: PeerLink, ask: Ask) -> None:
         catalog, known = self._catalog, ask.known
+        # Before the searchers: one that has just started must not send calls meanwhile.
+        if catalog.evacuations.changed_at > known.evacuations:
+            link.send(catalog.evacuations_since(known.evacuations))
         if catalog.version is not None and catalog.version_number > known.version:
             link.send(VersionNews(catalog.version))
         if catalog.searchers.changed_at > known.searchers:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -178,6 +178,10 @@
         if call in self._waiting:
             self._waiting.remove(call)
 
+    def refuse_waiting(self) -> None:
+        """Fail the calls that have not been sent; their requests go elsewhere."""
+        self._fail_waiting(ConnectionError("The searcher gets no new calls."))
+
     def sweep(self, now: float) -> None:
         """Close connections that were idle for too long, or all where none may be kept."""
         for connection in [c for c in self._idle if not self.keeps_idle or _is_stale(c, now)]:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -63,9 +63,12 @@
         self._timer = loop.call_later(self._batch.merge_for, self._merge_over)
         for call in self._batch.calls:
             replica = self._dispatch.fleet.get(call.searcher)
-            if replica is None or replica.searcher.draining:
+            if replica is None:
                 self._fail(call.shard, Verdict.NOT_SENT, 0, "searcher_not_known_there")
                 continue
+            if not replica.is_in_service:
+                self._fail(call.shard, Verdict.NOT_SENT, 0, "searcher_not_in_service")
+                continue
             self._calls[call.shard] = _Call(self, call.shard, replica, loop.time())
         for call in list(self._calls.values()):
             self._dispatch.send(call.replica, call.call)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -81,7 +81,7 @@
         self.started = now
         self.call: OpenCall | None = None
         replica.in_flight[self._number] = now
-        replica.window.sent(now)
+        replica.sent(now)
 
     def go(self) -> None:
         """Make the call from here."""
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import (
@@ -48,8 +49,7 @@
     zone: str
     state: str
     slots: int = 1
-    # How much longer the searcher is slow after its start. Not used: calls show it as soon. It is
-    # decoded since an entry with a field of another type names no searcher to use.
+    # How much longer the searcher is cold after its start.
     cold_left_ms: float = 0
     # Millisecond of the process's start: a new one under the old id is another process.
     born: int = 0
@@ -79,6 +79,9 @@
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     max_conns: int = 16
+    cold_start_s: float = 0.0
+    # Requests a second that a cold searcher stands; 0 where it stands any number.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -118,6 +121,7 @@
         slots=entry.slots,
         draining=entry.state == _DRAINING,
         incarnation=entry.born,
+        cold_left=max(0.0, entry.cold_left_ms / 1000),
     )
 
 
@@ -134,7 +138,7 @@
     return RoutingVersion(
         number=found.version,
         routes=tuple(_decode_route(route) for route in found.routes),
-        services={service.name: ServiceLimits(service.max_conns) for service in found.services},
+        services={service.name: _decode_limits(service) for service in found.services},
         limits=CallerLimits(
             header_bytes=found.limits.max_header_bytes,
             body_bytes=found.limits.max_body_bytes,
@@ -159,6 +163,19 @@
     return instance
 
 
+def decode_evacuation(stored: StoredObject) -> Evacuation:
+    """Decode the operator's order to evacuate a failure domain: its name says which."""
+    return Evacuation(stored.name)
+
+
+def _decode_limits(service: _Service) -> ServiceLimits:
+    return ServiceLimits(
+        connections=service.max_conns,
+        cold_seconds=service.cold_start_s,
+        cold_rate=service.cold_per_s,
+    )
+
+
 def _decode_route(route: _Route) -> Route:
     targets: tuple[WeightedService, ...] = ()
     if route.traffic_split:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -80,7 +80,9 @@
         self._budget = SendBudget(
             bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
         )
-        self._dispatch = Dispatch(Fleet(settings.zone), self._budget, HEADERS, self.metrics)
+        self._dispatch = Dispatch(
+            Fleet(settings.zone, self._rng), self._budget, HEADERS, self.metrics
+        )
         self._engine = Engine(self._dispatch, VersionBook())
         self._roster = Roster(_own_instance(settings), self._instances_changed)
         self._catalog = Catalog(
@@ -181,7 +183,8 @@
 
     def _new_feeds(self) -> list[Feed]:
         """Return a feed for each kind, that of instances last."""
-        sinks = sinks_for(self._catalog, self._peers.tell)
+        evacuations = self._settings.follows_evacuations
+        sinks = sinks_for(self._catalog, self._peers.tell, evacuations=evacuations)
         started = asyncio.get_running_loop().time()
         slow_until = started + (_FIRST_START_SECONDS if self._settings.bootstrap else 0.0)
         return [
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -11,6 +11,8 @@
 # Longest time that a removed searcher may be kept: its entry may be back within about two seconds
 # where it lapsed only because the store was away.
 _LAPSE_SECONDS = 2.2
+# Part of the platform's rules with which operators may evacuate failure domains.
+_EVACUATIONS = "places"
 # What is kept back of the time within which a leaving searcher must get no more requests.
 _DRAIN_RESERVE = 0.8
 
@@ -81,6 +83,7 @@
         platform: The store.
         seeds: Addresses of a few instances.
         bootstrap: Whether the whole system starts for the first time.
+        contracts: Parts of the platform's rules that are in force; empty where it doesn't say.
     """
 
     node_name: str
@@ -93,6 +96,12 @@
     bounds: Bounds = Bounds()
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
+    contracts: frozenset[str] = frozenset()
+
+    @property
+    def follows_evacuations(self) -> bool:
+        """Return whether operators may evacuate failure domains here."""
+        return not self.contracts or _EVACUATIONS in self.contracts
 
     @property
     def seed_hosts(self) -> tuple[str, ...]:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -3,10 +3,17 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-from limpethollow_node.engine.frames import Frame, InstanceNews, SearcherNews, VersionNews
+from limpethollow_node.engine.frames import (
+    EvacuationNews,
+    Frame,
+    InstanceNews,
+    SearcherNews,
+    VersionNews,
+)
 from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_node.platform.codec import (
     StoredObject,
+    decode_evacuation,
     decode_instance,
     decode_searcher,
     decode_version,
@@ -112,7 +119,7 @@
         self,
         belief: Belief[T],
         decode: Callable[[StoredObject], T],
-        news: type[SearcherNews] | type[InstanceNews],
+        news: type[SearcherNews] | type[InstanceNews] | type[EvacuationNews],
         tell: Tell,
     ) -> None:
         self._belief = belief
@@ -159,15 +166,18 @@
             return stored.name, None
 
 
-def sinks_for(catalog: Catalog, tell: Tell) -> dict[str, Sink]:
-    """Return the sinks of all kinds that are followed.
+def sinks_for(catalog: Catalog, tell: Tell, *, evacuations: bool) -> dict[str, Sink]:
+    """Return the sinks of all kinds that are followed, that of instances last.
 
     Args:
         catalog: What this instance believes.
         tell: Sends a frame to the peers.
+        evacuations: Whether operators may evacuate failure domains.
     """
-    return {
-        "config": ConfigurationSink(catalog, tell),
-        "servers": BeliefSink(catalog.searchers, decode_searcher, SearcherNews, tell),
-        "instances": BeliefSink(catalog.instances, decode_instance, InstanceNews, tell),
-    }
+    sinks: dict[str, Sink] = {"config": ConfigurationSink(catalog, tell)}
+    if evacuations:
+        evacuated = BeliefSink(catalog.evacuations, decode_evacuation, EvacuationNews, tell)
+        sinks["evacuations"] = evacuated
+    sinks["servers"] = BeliefSink(catalog.searchers, decode_searcher, SearcherNews, tell)
+    sinks["instances"] = BeliefSink(catalog.instances, decode_instance, InstanceNews, tell)
+    return sinks
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -98,6 +98,8 @@
 SENT_AGAIN = _event(404, logging.INFO, "a request was sent to another searcher as well")
 SHARDS_HEDGED = _event(405, logging.INFO, "late shards of a search were asked elsewhere as well")
 SEARCHERS_LISTED = _event(406, logging.INFO, "entries of many searchers came, changed or went")
+DOMAIN_EVACUATED = _event(407, logging.INFO, "a failure domain gets no new calls from here")
+DOMAIN_RESTORED = _event(408, logging.INFO, "an evacuated failure domain is used again")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/beliefs.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/beliefs.py
@@ -99,7 +99,8 @@
         return Step(revision, self.revision, put, sorted(gone))
 
     def _apply(self, put: Mapping[str, T], gone: list[str], revision: int) -> None:
-        if put or gone:
+        # The first list counts as a change even if it is empty: others that have none ask for it.
+        if put or gone or not self.revision:
             self.changed_at = revision
             self._steps.append(Step(self.revision, revision, put, gone))
         self.revision = revision
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
@@ -20,11 +20,13 @@
         version: Number of its configuration version; -1 where it knows none.
         searchers: Revision of the last change of searchers that it knows.
         instances: Revision of the last change of instances that it knows.
+        evacuations: Revision of the last change of evacuated failure domains that it knows.
     """
 
     version: int = -1
     searchers: int = 0
     instances: int = 0
+    evacuations: int = 0
 
     def is_ahead_of(self, other: "Known") -> bool:
         """Return whether it holds something that is newer than all that the other knows."""
@@ -32,6 +34,7 @@
             self.version > other.version
             or self.searchers > other.searchers
             or self.instances > other.instances
+            or self.evacuations > other.evacuations
         )
 
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -1,9 +1,12 @@
 """Which searchers exist, what is known of each, and which one a call goes to."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 from limpethollow_policy.process.callwindows import CallWindow
+from limpethollow_policy.process.coldstarts import ColdStart, ColdStartLimits
+from limpethollow_policy.version.routes import ServiceLimits
 
 # Evidence on a slow or failing searcher loses half its weight in this many seconds. Troubles last
 # 5 to 10 s; with 3 s a searcher that has recovered is tried again 10 s after its last bad call.
@@ -20,6 +23,8 @@
 # A searcher whose entry is gone is asked only where every other one is far slower.
 _UNLISTED_FACTOR = 6.0
 _SLOWEST, _FASTEST = 30.0, 0.3
+# A cold searcher counts as this much slower than usual until its own calls show more.
+_COLD_SLOWNESS = 1.5
 # Pauses after connects that failed, in seconds: the first, and the longest.
 _FIRST_BLOCK, _LONGEST_BLOCK = 0.25, 2.0
 
@@ -36,6 +41,7 @@
         slots: Requests that it runs at once.
         draining: Whether it is about to leave.
         incarnation: Start of its process; another value means that it has started anew.
+        cold_left: Seconds for which it was still slow after its start when it wrote its entry.
     """
 
     id: str
@@ -45,6 +51,7 @@
     slots: int
     draining: bool = False
     incarnation: int = 0
+    cold_left: float = 0.0
 
 
 @dataclass(slots=True)
@@ -60,7 +67,9 @@
         blocked_until: It takes no calls before this monotonic second.
         block: Length of the next block in seconds.
         unlisted: Its entry is gone, but it may be back in a moment.
+        evacuated: The operator wants nothing sent to its failure domain.
         window: Bounds the calls under way where it answers too late.
+        cold_start: Paces the calls while it is cold.
     """
 
     searcher: Searcher
@@ -71,22 +80,51 @@
     blocked_until: float = 0.0
     block: float = _FIRST_BLOCK
     unlisted: bool = False
+    evacuated: bool = False
     window: CallWindow = field(default_factory=CallWindow)
+    cold_start: ColdStart = field(default_factory=lambda: ColdStart(ColdStartLimits()))
+
+    @property
+    def is_in_service(self) -> bool:
+        """Return whether it gets new calls at all, now or in a moment."""
+        return not self.searcher.draining and not self.evacuated
 
     def takes_calls(self, now: float) -> bool:
         """Return whether it may get a call now."""
-        if self.blocked_until > now or self.searcher.draining:
+        if self.blocked_until > now or self.searcher.draining or self.evacuated:
+            return False
+        if not self.cold_start.is_open(now):
             return False
         return self.window.is_open(len(self.in_flight), now)
 
     def wait(self, now: float) -> float:
         """Return in how many seconds it may get a call; 0 where that is now."""
         blocked = self.blocked_until - now
-        return max(blocked, self.window.wait(len(self.in_flight), now), 0.0)
+        window = self.window.wait(len(self.in_flight), now)
+        return max(blocked, window, self.cold_start.wait(now), 0.0)
+
+    def sent(self, now: float) -> None:
+        """Note that a call is sent to it."""
+        self.window.sent(now)
+        self.cold_start.sent(now)
+
+    def turned_cold(self, seconds: float, phase: float, now: float) -> None:
+        """Take in that it is cold.
+
+        Args:
+            seconds: How much longer it is cold.
+            phase: As for `ColdStart.begin`.
+            now: Monotonic second.
+        """
+        if not self.cold_start.is_cold(now):
+            self._fade(now)
+            self.slowness = max(self.slowness, _COLD_SLOWNESS)
+        self.cold_start.begin(seconds, phase, now)
 
     def observe(self, ratio: float, now: float) -> None:
         """Take in a call's time as a multiple of the usual time."""
         self._fade(now)
+        self.cold_start.answered(now)
         ratio = min(max(ratio, _FASTEST), _SLOWEST)
         self.slowness += _NEWEST * (ratio - self.slowness)
         self.failures -= _NEWEST * self.failures
@@ -103,8 +141,14 @@
         self._fade(now)
         self.failures += _NEWEST * (1.0 - self.failures)
 
-    def unreachable(self, now: float) -> None:
-        """Take in a connection that could not be opened; the searcher is left alone for a while."""
+    def unreachable(self, phase: float, now: float) -> None:
+        """Take in a connection that could not be opened; the searcher is left alone for a while.
+
+        Args:
+            phase: As for `ColdStart.begin`.
+            now: Monotonic second.
+        """
+        self.cold_start.lost(phase, now)
         self.blocked_until = now + self.block
         self.block = min(self.block * 2, _LONGEST_BLOCK)
 
@@ -140,14 +184,33 @@
 
 
 class Fleet:
-    """All searchers that may be used, by service."""
+    """All searchers that may be used, by service.
+
+    Args:
+        own_domain: Failure domain of this instance.
+        rng: Source for the moments at which calls to cold searchers begin.
+    """
 
-    __slots__ = ("_by_id", "_by_service", "_own_domain")
+    __slots__ = (
+        "_by_id",
+        "_by_service",
+        "_cold_rates",
+        "_cold_starts",
+        "_evacuated",
+        "_own_domain",
+        "_rng",
+        "_sharers",
+    )
 
-    def __init__(self, own_domain: str) -> None:
+    def __init__(self, own_domain: str, rng: Random) -> None:
         self._own_domain = own_domain
+        self._rng = rng
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, dict[str, Replica]] = {}
+        self._evacuated: set[str] = set()
+        self._cold_starts: dict[str, ColdStartLimits] = {}
+        self._cold_rates: dict[str, float] = {}
+        self._sharers = 1.0
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -157,10 +220,68 @@
         """Return the failure domain of this instance."""
         return self._own_domain
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the failure domains whose searchers get no new calls."""
+        return frozenset(self._evacuated)
+
     def get(self, searcher_id: str) -> Replica | None:
         """Return a searcher by its id."""
         return self._by_id.get(searcher_id)
 
+    def use_limits(self, services: Mapping[str, ServiceLimits]) -> None:
+        """Take over what the searchers of each service stand while they are cold."""
+        self._cold_rates = {name: limits.cold_rate for name, limits in services.items()}
+        for name, limits in services.items():
+            self._cold_limits(name).seconds = limits.cold_seconds
+        self._set_intervals()
+
+    def share_among(self, sharers: float) -> None:
+        """Divide the calls to cold searchers among instances.
+
+        Args:
+            sharers: Instances among which they are divided, for this one's part.
+        """
+        self._sharers = sharers
+        self._set_intervals()
+
+    def unreachable(self, replica: Replica, now: float) -> None:
+        """Take in that no connection to a searcher could be opened."""
+        replica.unreachable(self._rng.random(), now)
+
+    def evacuate(self, failure_domain: str) -> list[Replica]:
+        """Send nothing new to a failure domain; return its searchers."""
+        self._evacuated.add(failure_domain)
+        return self._set_evacuated(failure_domain, True)
+
+    def restore(self, failure_domain: str, now: float) -> list[Replica]:
+        """Use an evacuated failure domain again; return its searchers.
+
+        They have had no calls for a while, and count as cold: as much as they stood before, at
+        once and from all instances, would bring them down.
+        """
+        self._evacuated.discard(failure_domain)
+        restored = self._set_evacuated(failure_domain, False)
+        for replica in restored:
+            cold = self._cold_limits(replica.searcher.service).seconds
+            replica.turned_cold(cold, self._rng.random(), now)
+        return restored
+
+    def _set_evacuated(self, failure_domain: str, evacuated: bool) -> list[Replica]:
+        found = [r for r in self._by_id.values() if r.searcher.failure_domain == failure_domain]
+        for replica in found:
+            replica.evacuated = evacuated
+        return found
+
+    def _cold_limits(self, service: str) -> ColdStartLimits:
+        """Return what all searchers of a service share."""
+        return self._cold_starts.setdefault(service, ColdStartLimits())
+
+    def _set_intervals(self) -> None:
+        for name, limits in self._cold_starts.items():
+            rate = self._cold_rates.get(name, 0.0)
+            limits.interval = self._sharers / rate if rate > 0 else 0.0
+
     def put(self, searcher: Searcher, now: float) -> Replica | None:
         """Add or update a searcher.
 
@@ -172,13 +293,21 @@
         if known is not None and _same_process(known.searcher, searcher):
             known.searcher = searcher
             known.unlisted = False
+            self._note_cold(known, now)
             return None
         replaced = self.remove(searcher.id)
         replica = Replica(searcher, evidence_at=now)
+        replica.evacuated = searcher.failure_domain in self._evacuated
+        replica.cold_start = ColdStart(self._cold_limits(searcher.service))
+        self._note_cold(replica, now)
         self._by_id[searcher.id] = replica
         self._by_service.setdefault(searcher.service, {})[searcher.id] = replica
         return replaced
 
+    def _note_cold(self, replica: Replica, now: float) -> None:
+        if replica.searcher.cold_left > 0:
+            replica.turned_cold(replica.searcher.cold_left, self._rng.random(), now)
+
     def remove(self, searcher_id: str) -> Replica | None:
         """Forget a searcher; return it where it was known."""
         replica = self._by_id.pop(searcher_id, None)
@@ -195,14 +324,14 @@
         found: dict[str, int] = {}
         for service in services:
             for replica in self.of(service):
-                if not replica.searcher.draining:
+                if replica.is_in_service:
                     domain = replica.searcher.failure_domain
                     found[domain] = found.get(domain, 0) + 1
         return found
 
     def wait(self, service: str, now: float) -> float:
         """Return in how many seconds a service can get a call; infinite without a searcher."""
-        waits = [r.wait(now) for r in self.of(service) if not r.searcher.draining]
+        waits = [r.wait(now) for r in self.of(service) if r.is_in_service]
         return min(waits, default=float("inf"))
 
     def choose(
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
@@ -80,9 +80,14 @@
 
     Attributes:
         connections: Connections to one searcher from all instances together.
+        cold_seconds: How long a searcher is cold after its start.
+        cold_rate: Requests a second that a cold searcher stands from all instances together; 0
+            where it stands any number.
     """
 
     connections: int
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -39,14 +39,28 @@
 
 
 class SearchPlay:
-    """One search over `shards` shards with two searchers each, all in its own failure domain."""
-
-    def __init__(self, shards: int = 4, slack: float = 56.0, **fields) -> None:
+    """One search over `shards` shards with two searchers each, all in its own failure domain.
+
+    Args:
+        shards: How many shards.
+        slack: Slack of the budget of repeated sends.
+        prepare: Called with the dispatch before the search starts.
+        **fields: Fields of the route.
+    """
+
+    def __init__(
+        self,
+        shards: int = 4,
+        slack: float = 56.0,
+        prepare: Callable[[VirtualDispatch], None] = lambda dispatch: None,
+        **fields,
+    ) -> None:
         self.dispatch = VirtualDispatch(slack)
         names = tuple(f"s-{number}" for number in range(shards))
         for name in names:
             for replica in (1, 2):
                 self.dispatch.add(name, f"{name}-{replica}")
+        prepare(self.dispatch)
         self.calls: dict[str, list[Call]] = defaultdict(list)
         self.dispatch.on_send = self._sent
         taken = request()
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from random import Random
 
 from limpethollow_node.engine.messages import Reply, Request
 from limpethollow_node.engine.process.pools import Call
@@ -64,7 +65,7 @@
         self.isolation = Isolation()
         self.own_delay = OwnDelay()
         self.own_pace = OwnPace()
-        self.fleet = Fleet("a")
+        self.fleet = Fleet("a", Random(1))
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
         self.metrics = Metrics()
--- a/tests/system/platform/test_peers.py
+++ b/tests/system/platform/test_peers.py
@@ -85,7 +85,8 @@
         instances = [system.instance(f"front-{number}") for number in range(1, 4)]
         linked(*instances)
         wait_for(
-            lambda: system.store.waiting() == {"config": 1, "servers": 1, "instances": 1},
+            lambda: system.store.waiting()
+            == {"config": 1, "evacuations": 1, "servers": 1, "instances": 1},
             "one watch a kind is left",
         )
         system.configure(2, forward_route("desk"), forward_route("desk", pathPrefix="/new/"))
--- a/tests/unit/engine/test_fleets.py
+++ b/tests/unit/engine/test_fleets.py
@@ -1,5 +1,7 @@
 """Choice of a searcher, and what is forgotten when one starts anew."""
 
+from random import Random
+
 from limpethollow_policy.process.fleets import Fleet, Searcher
 from limpethollow_policy.process.removals import RemovalDelay
 
@@ -11,7 +13,7 @@
 
 
 def fleet_of(*searchers: Searcher) -> Fleet:
-    fleet = Fleet("a")
+    fleet = Fleet("a", Random(1))
     for each in searchers:
         fleet.put(each, 0.0)
     return fleet
@@ -46,7 +48,7 @@
 
     def test_leaving_and_blocked_searchers_get_nothing(self):
         fleet = fleet_of(searcher("leaving", draining=True), searcher("dead"))
-        fleet.get("dead").unreachable(1.0)
+        fleet.unreachable(fleet.get("dead"), 1.0)
         assert fleet.choose("s", 1.1, USUAL) is None
         assert fleet.choose("s", 2.0, USUAL).searcher.id == "dead"
 
