--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -98,8 +98,8 @@
     "call-windows",
     "any number of calls to a searcher that answers too late",
     _fleets(
-        "return max(blocked, self.window.wait(len(self.in_flight), now), 0.0)",
-        "return max(blocked, 0.0)",
+        "return max(blocked, window, self.cold_start.wait(now), 0.0)",
+        "return max(blocked, self.cold_start.wait(now), 0.0)",
     ),
 )
 _mechanism(
--- a/packages/limpethollow-node/src/limpethollow_node/process/configs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/configs.py
@@ -164,9 +164,12 @@
     def merge(self, records: Iterable[ServiceRecord]) -> tuple[ServiceRecord, ...]:
         """Take in records from anywhere; return those that came into force."""
         with self._lock:
+            evacuated = {r.name: _evacuated_in(r) for r in self._configuration.records}
             applied = self._configuration.merge(records)
         if applied:
             events.RECORDS_APPLIED.log(versions={r.name: r.version for r in applied})
+            for record in applied:
+                _log_evacuations(record, evacuated.get(record.name, frozenset()))
             for listener in self._listeners:
                 listener(applied)
         return applied
@@ -268,3 +271,15 @@
                 self._metrics.count("records_unreadable", "platform")
                 events.RECORD_UNREADABLE.log(service=stored.name, error=str(error))
         return records
+
+
+def _evacuated_in(record: ServiceRecord) -> frozenset[str]:
+    return frozenset(record.spec.evacuated) if record.spec else frozenset()
+
+
+def _log_evacuations(record: ServiceRecord, before: frozenset[str]) -> None:
+    after = _evacuated_in(record)
+    for domain in sorted(after - before):
+        events.DOMAIN_EVACUATED.log(domain=domain, service=record.name, version=record.version)
+    for domain in sorted(before - after):
+        events.DOMAIN_RESTORED.log(domain=domain, service=record.name, version=record.version)
--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -24,6 +24,9 @@
         spec: The searcher as configured.
         slots: Calls that this group may have on their way to it.
         rng: Source for jitter.
+
+    Attributes:
+        evacuated: Whether the operator wants nothing new sent to its failure domain.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         "_pause",
         "_rng",
         "epoch",
+        "evacuated",
         "slots",
         "spec",
         "versions",
@@ -46,6 +50,7 @@
         self.spec = spec
         self.slots = slots
         self._drain = DrainEvidence(spec.draining)
+        self.evacuated = False
         self.epoch = 0
         self.versions: dict[int, frozenset[int]] = {}
         self._rng = rng
@@ -63,6 +68,11 @@
         self._drain.configured = self.spec.draining
         return self._drain.is_leaving()
 
+    @property
+    def is_in_service(self) -> bool:
+        """Whether it gets new work at all, now or after a pause."""
+        return not self.draining and not self.evacuated
+
     @property
     def in_flight(self) -> int:
         """Calls on their way that take a slot."""
@@ -80,7 +90,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether new work may go to it."""
-        return not self.draining and now >= self._down_until
+        return self.is_in_service and now >= self._down_until
 
     def inventory_is_fresh(self, now: float, max_age: float) -> bool:
         """Return whether its list of versions is young enough to pin a snapshot by."""
@@ -125,7 +135,9 @@
 
     def wants_probe(self, now: float) -> bool:
         """Return whether traffic should ask a leaving searcher if it is back."""
-        return now >= self._down_until and self.draining and self._drain.wants_probe(now)
+        if self.evacuated or now < self._down_until:
+            return False
+        return self.draining and self._drain.wants_probe(now)
 
     def answered(self, reply: SearcherReply, latency: float | None, now: float) -> bool:
         """Take in a reply, the best evidence there is.
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/replicas.py
@@ -86,6 +86,7 @@
                 state = SearcherState(searcher, slots, self._rng)
             state.spec = searcher
             state.slots = slots
+            state.evacuated = searcher.failure_domain in spec.evacuated
             self._searchers[searcher.id] = state
         kept = self._searchers.values()
         self._removed = [s for s in known if s.in_flight and s not in kept]
@@ -245,14 +246,14 @@
 
     def any_paused(self, now: float) -> bool:
         """Return whether some searcher is paused and will be tried again."""
-        return any(s.down_until > now and not s.draining for s in self._searchers.values())
+        return any(s.down_until > now and s.is_in_service for s in self._searchers.values())
 
     def comes_back(self, shard: int, now: float) -> float | None:
         """Return when a paused holder of a shard may be tried again, None where none is paused."""
         paused = [
             searcher.down_until
             for searcher in self.holders(shard)
-            if not searcher.draining and searcher.down_until > now
+            if searcher.is_in_service and searcher.down_until > now
         ]
         return min(paused, default=None)
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -402,5 +402,5 @@
             if not gather.is_pinned:
                 times += self._pinner.wake_times(gather)
         if self._replicas.any_paused(now):
-            times += [s.down_until for s in self._replicas if not s.draining]
+            times += [s.down_until for s in self._replicas if s.is_in_service]
         return times
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/plans.py
@@ -200,6 +200,8 @@
         if spec
         for shard in spec.shards
     }
+    moved = set(old.evacuated if old else ()) ^ set(new.evacuated if new else ())
+    touched.update(shard for s in after.values() if s.failure_domain in moved for shard in s.shards)
     return PlanEffect(
         shards=tuple(sorted(touched)),
         searchers_added=tuple(sorted(after.keys() - before.keys())),
@@ -209,6 +211,17 @@
     )
 
 
+def _evacuated_shards(spec: ServiceSpec) -> set[int]:
+    """Return the shards that no searcher outside the evacuated failure domains holds."""
+    served = {
+        shard
+        for searcher in spec.searchers
+        if searcher.failure_domain not in spec.evacuated
+        for shard in searcher.shards
+    }
+    return set(range(spec.shards)) - served
+
+
 def _warnings(old: ServiceSpec | None, new: ServiceSpec | None) -> tuple[str, ...]:
     if new is None:
         return ("Searches and bookings of this service will be refused at once.",) if old else ()
@@ -219,6 +232,9 @@
             replicas[shard] += 1
     if min(replicas.values()) < 2:
         warnings.append("Some shards have one replica only; its loss is missing coverage.")
+    dark = _evacuated_shards(new)
+    if dark:
+        warnings.append(f"All searchers of {len(dark)} shards are in evacuated failure domains.")
     if not new.callers:
         warnings.append("No caller is listed, so nobody may use the service.")
     if old and old.shards != new.shards and old.epoch == new.epoch:
--- a/packages/limpethollow-wire/src/limpethollow_wire/services.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/services.py
@@ -103,6 +103,7 @@
         replica_choice: Name of a registered replica choice.
         dispatch: Name of a registered dispatch policy: `owner` sends a group's calls from its
             owner, `direct` from any instance (a baseline for measurements).
+        evacuated: Failure domains whose searchers get no new work.
     """
 
     name: str
@@ -120,6 +121,12 @@
     queries_per_call: int = 1
     replica_choice: str = "shortest_wait"
     dispatch: str = "owner"
+    evacuated: tuple[str, ...] = ()
+
+    @property
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains in which searchers run."""
+        return frozenset(searcher.failure_domain for searcher in self.searchers)
 
     def check(self) -> None:
         """Check what the types alone can't say.
@@ -162,6 +169,10 @@
             (self.searchers_per_group > 0, "'searchers_per_group' must be above 0"),
             (0 < self.queries_per_call <= 64, "'queries_per_call' must be 1 to 64"),
             (all(c.share > 0 for c in self.callers), "'share' must be above 0"),
+            (
+                set(self.evacuated) <= self.failure_domains,
+                "'evacuated' must name failure domains of its searchers only",
+            ),
         ]
 
 
--- a/packages/limpethollow/src/limpethollow/commands.py
+++ b/packages/limpethollow/src/limpethollow/commands.py
@@ -111,6 +111,11 @@
     wanted.add_argument("--delete", metavar="SERVICE", help="service to delete")
 
 
+def _evacuation_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("service")
+    parser.add_argument("domain", metavar="FAILURE-DOMAIN")
+
+
 def _confirm_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("plan", help="id of the plan")
     parser.add_argument(
@@ -183,6 +188,28 @@
         return operator.plan(intent)
 
 
+@command(
+    "evacuate",
+    "get a plan that sends nothing new to a failure domain",
+    _operator_options,
+    _evacuation_options,
+)
+def _evacuate(options: argparse.Namespace) -> Any:
+    with _operator(options) as operator:
+        return operator.plan_evacuation(options.service, options.domain, evacuated=True)
+
+
+@command(
+    "restore",
+    "get a plan that uses an evacuated failure domain again",
+    _operator_options,
+    _evacuation_options,
+)
+def _restore(options: argparse.Namespace) -> Any:
+    with _operator(options) as operator:
+        return operator.plan_evacuation(options.service, options.domain, evacuated=False)
+
+
 @command("confirm", "carry a plan out", _operator_options, _confirm_options)
 def _confirm(options: argparse.Namespace) -> Any:
     with _operator(options) as operator:
--- a/packages/limpethollow/src/limpethollow/operators.py
+++ b/packages/limpethollow/src/limpethollow/operators.py
@@ -2,9 +2,12 @@
 
 from typing import Any
 
+import msgspec
+
 from limpethollow.adapters import Adapter, HttpAdapter
 from limpethollow_wire.instances import InstanceStatus
 from limpethollow_wire.plans import Confirmation, ConfirmRequest, Intent, Plan
+from limpethollow_wire.services import ServiceRecord
 
 _WAIT_SECONDS = 7.0
 _GRACE_SECONDS = 10.0
@@ -39,6 +42,24 @@
         """Ask for a plan; nothing changes."""
         return self._send("POST", "/v1/plans", Plan, intent)
 
+    def plan_evacuation(self, service: str, failure_domain: str, *, evacuated: bool) -> Plan:
+        """Ask for a plan that evacuates a failure domain for a service, or restores it.
+
+        Args:
+            service: The service.
+            failure_domain: The failure domain.
+            evacuated: Whether its searchers shall get no new work.
+
+        Raises:
+            UnknownService: There is no such service.
+            BadRequest: None of its searchers runs in this failure domain.
+        """
+        record = self._send("GET", f"/v1/services/{service}", ServiceRecord)
+        others = [domain for domain in record.spec.evacuated if domain != failure_domain]
+        wanted = [*others, failure_domain] if evacuated else others
+        spec = msgspec.structs.replace(record.spec, evacuated=tuple(sorted(wanted)))
+        return self.plan(Intent(service=spec))
+
     def confirm(self, plan_id: str, wait: float = _WAIT_SECONDS) -> Confirmation:
         """Carry a plan out and wait for it to be in force everywhere.
 
--- a/packages/limpethollow/src/limpethollow/statuses.py
+++ b/packages/limpethollow/src/limpethollow/statuses.py
@@ -27,6 +27,7 @@
         instances: Instances that it knows, itself included.
         linked: Instances that it hears.
         follows_store: Whether it follows the platform's store itself.
+        evacuated: Failure domains whose searchers get no new calls.
         missing: What is missing, each with a remedy.
     """
 
@@ -38,6 +39,7 @@
     instances: int
     linked: int
     follows_store: bool
+    evacuated: int = 0
     missing: list[str] = field(default_factory=list)
 
 
@@ -78,6 +80,7 @@
             instances=int(values["instances_known"]),
             linked=int(values["instances_heard"]),
             follows_store=bool(values["follows_store"]),
+            evacuated=int(values["domains_evacuated"]),
         )
     except KeyError as error:
         raise Unavailable(f"{address} has no metric {error}; is it a metrics address?") from None
--- a/packages/limpethollow/src/limpethollow/views.py
+++ b/packages/limpethollow/src/limpethollow/views.py
@@ -50,6 +50,7 @@
         f"  {status.searchers} searchers, confirmed {status.searchers_age:.1f} s ago",
         f"  {status.instances} instances, {status.linked} others heard",
         f"  follows the store {follows}",
+        f"  {status.evacuated} failure domains evacuated",
         *(f"  missing: {line}" for line in status.missing),
     ]
 
--- a/tests/system/lifecycle/test_drains.py
+++ b/tests/system/lifecycle/test_drains.py
@@ -143,3 +143,21 @@
         marked = SearcherSpec(leaver.id, leaver.address, leaver.shards, draining=True)
         assert cluster.put_service(SERVICE, [marked, stayer]).lacking == ()
         check_no_new_work(cluster, leaver)
+
+
+class TestEvacuation:
+    def test_an_evacuated_failure_domain_gets_no_new_work_until_it_is_restored(self, cluster):
+        leaver, _ = start(cluster)
+        search(cluster)
+        set_evacuated(cluster, leaver.failure_domain, evacuated=True)
+        check_no_new_work(cluster, leaver)
+        set_evacuated(cluster, leaver.failure_domain, evacuated=False)
+        before = work(cluster, leaver)
+        wait_for(lambda: search(cluster) or work(cluster, leaver) > before, "it gets work")
+
+
+def set_evacuated(cluster: Cluster, domain: str, *, evacuated: bool) -> None:
+    """Plan and confirm that a failure domain gets no new work, or gets it again."""
+    with cluster.operator() as operator:
+        plan = operator.plan_evacuation(SERVICE, domain, evacuated=evacuated)
+        assert operator.confirm(plan.id).lacking == ()
--- a/tests/system/search/loads.py
+++ b/tests/system/search/loads.py
@@ -76,10 +76,19 @@
     def assert_all_complete(self) -> None:
         """Check that each search got a true answer of all shards."""
         assert not self.false_labels
-        assert not self.errors, [str(error) for error in self.errors[:3]]
+        assert not self.errors, self._what_failed()
         partial = [a.coverage for a in self.answers if not a.coverage.complete]
         assert not partial, partial[:3]
 
+    def _what_failed(self) -> tuple[list[str], dict[str, float]]:
+        """Return the first errors, and how many repeats each instance had no budget for."""
+        refused = 'retries_refused_total{reason="budget"}'
+        listed = self._cluster.listed
+        return (
+            [str(error) for error in self.errors[:3]],
+            {instance: self._cluster.metric(instance, refused) for instance in listed},
+        )
+
     def _run(self, thread: int) -> None:
         ids = list(self._cluster.listed)
         with ExitStack() as stack:
--- a/tests/system/test_command_line.py
+++ b/tests/system/test_command_line.py
@@ -23,6 +23,7 @@
 id = "s0"
 address = "{address}"
 shards = [0, 1]
+failure_domain = "lton-a"
 """
 
 
@@ -108,6 +109,22 @@
         assert "warning: Some shards have one replica only" in out
         assert "limpethollow confirm" in out
 
+    def test_a_failure_domain_is_evacuated_and_restored_by_plans(self, shell, service_file):
+        for arguments in (("plan", "--file", service_file("ferry")),):
+            assert shell("confirm", json.loads(shell(*arguments, "--json")[1])["id"])[0] == 0
+        code, out, _ = shell("evacuate", "ferry", "lton-a")
+        assert (code, 'evacuated: [] -> ["lton-a"]' in out) == (0, True)
+        assert "All searchers of 2 shards are in evacuated failure domains." in out
+        plan = json.loads(shell("evacuate", "ferry", "lton-a", "--json")[1])
+        assert shell("confirm", plan["id"])[0] == 0
+        assert shell("search", "ferry", "--deadline", "5")[0] == 1
+        plan = json.loads(shell("restore", "ferry", "lton-a", "--json")[1])
+        assert shell("confirm", plan["id"])[0] == 0
+        assert shell("search", "ferry", "--deadline", "10")[0] == 0
+        code, _, err = shell("evacuate", "ferry", "nowhere")
+        assert code == 1
+        assert "'evacuated' must name failure domains" in err
+
     def test_views_of_instances_and_metrics(self, shell):
         assert "id=n0" in shell("instances")[1]
         assert "limpethollow_threads" in shell("metrics")[1]
--- a/tests/unit/configuration/test_plans.py
+++ b/tests/unit/configuration/test_plans.py
@@ -94,3 +94,20 @@
     def test_an_intent_must_name_a_service(self, intent):
         with pytest.raises(BadRequest):
             intended_name(intent)
+
+
+def in_domain(domain: str, evacuated: str) -> ServiceSpec:
+    searcher = SearcherSpec("s", "127.0.0.1:1", (0,), failure_domain=domain)
+    return ServiceSpec("club", 1, (searcher,), evacuated=(evacuated,))
+
+
+class TestEvacuations:
+    def test_a_plan_says_what_it_touches_and_which_shards_nobody_serves(self):
+        made = make_plan("p", Intent(service=in_domain("a", "a")), None)
+        assert made.effect.shards == (0,)
+        assert any("evacuated" in warning for warning in made.warnings)
+
+    def test_a_domain_without_a_searcher_is_refused(self):
+        """Guards against a mistyped failure domain that seems to be evacuated."""
+        with pytest.raises(BadRequest, match="evacuated"):
+            make_plan("p", Intent(service=in_domain("a", "b")), None)
--- a/tests/unit/search/test_reconfigurations.py
+++ b/tests/unit/search/test_reconfigurations.py
@@ -84,3 +84,36 @@
         driver.reconfigure(msgspec.structs.replace(driver.spec, searchers=(other,)))
         assert isinstance(driver.slots["first"], GrantSlot)
         assert isinstance(driver.slots["second"], DenySlot)
+
+
+def in_domains(spec, *domains: str):
+    """Return a service whose searchers run in these failure domains, in order."""
+    placed = zip(spec.searchers, domains, strict=True)
+    searchers = tuple(msgspec.structs.replace(s, failure_domain=d) for s, d in placed)
+    return msgspec.structs.replace(spec, searchers=searchers)
+
+
+class TestEvacuations:
+    def test_an_evacuated_searcher_gets_nothing_new_and_what_it_has_ends(self):
+        """Guards against work for searchers that the operator is emptying, and against cutting."""
+        driver = warm_driver((0,), (0,), objective=COVERAGE)
+        spec = in_domains(driver.spec, "a", "b")
+        driver.search("before")
+        (call,) = driver.search_calls()
+        gone = next(s for s in spec.searchers if s.id == call.searcher_id)
+        driver.reconfigure(msgspec.structs.replace(spec, evacuated=(gone.failure_domain,)))
+        driver.answer(call.call_id)
+        assert driver.coverage("before").complete
+        driver.search("after")
+        assert not driver.calls_to(gone.id)
+        driver.answer_all()
+        assert driver.coverage("after").complete
+
+    def test_a_restored_searcher_is_used_again(self):
+        driver = warm_driver((0,), objective=COVERAGE)
+        spec = in_domains(driver.spec, "a")
+        driver.reconfigure(msgspec.structs.replace(spec, evacuated=("a",)))
+        driver.reconfigure(spec)
+        driver.search("q")
+        driver.answer_all()
+        assert driver.coverage("q").complete
--- a/tests/unit/test_statuses.py
+++ b/tests/unit/test_statuses.py
@@ -14,6 +14,7 @@
     "instances_known": 8,
     "instances_heard": 7,
     "follows_store": 0,
+    "domains_evacuated": 0,
 }
 
 
@@ -28,6 +29,9 @@
         found = status_of(metrics(), "here")
         assert (found.ready, found.version, found.searchers, found.missing) == (True, 7, 48, [])
 
+    def test_evacuated_domains_are_counted(self):
+        assert status_of(metrics(domains_evacuated=2), "here").evacuated == 2
+
     @pytest.mark.parametrize(
         "changed, word",
         [
