--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -21,6 +21,8 @@
 # An instance that is no relay then leaves the lists of all else to the relays for this long: nobody
 # calls yet. They have them 0.1 s later, and a link is up within half a second.
 FIRST_START_SECONDS = 2.0
+# The same for one that starts anew: callers wait for it, and its peers answer within 0.1 s.
+RESTART_SECONDS = 0.4
 
 
 class StoreFeed(Protocol):
@@ -144,22 +146,20 @@
         )
 
     def _may_read(self, feed: StoreFeed, live: Collection[Instance], now: float) -> bool:
-        """Return whether to read a kind for the first time, or to wait for a relay's news of it.
+        """Return whether to read a kind for the first time, or to wait for a peer's news of it.
 
-        An instance that starts anew reads all itself: callers wait for it, and the relays may be
-        starting too. When all start for the first time nobody waits, and 195 instances would make
-        390 calls for what their relays tell them.
+        The list of searchers alone takes a call for each 50 of them, and a peer has it in one
+        frame. Relays read at once: where all start together, the others have it from them.
         """
-        if not self._first_start:
-            return True
         if self._started_at is None:
             self._started_at = now
         if feed is self._members:
-            return now >= self._started_at + FIRST_LIST_SECONDS
+            return not self._first_start or now >= self._started_at + FIRST_LIST_SECONDS
+        patience = FIRST_START_SECONDS if self._first_start else RESTART_SECONDS
         if not self._members.listed:
-            return False
+            return not self._first_start and now >= self._started_at + patience
         if self._read_at is None:
-            self._read_at = now + FIRST_START_SECONDS
+            self._read_at = now + patience
         return self._role.is_relay(live) or now >= self._read_at
 
     def tick(self, now: float) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
@@ -52,10 +52,14 @@
         return True
 
     def heard(self, link: PeerLink, known: Known) -> None:
-        """Note what a peer knows, and ask for it if it is still missing here in a moment."""
+        """Note what a peer knows, and ask for it if it is still missing here in a moment.
+
+        An instance that can't serve callers yet asks at once.
+        """
         link.source.known = known
-        if known.is_ahead_of(self._catalog.known_up_to):
-            self._catch_up_after(LACKING_SECONDS)
+        own = self._catalog.known_up_to
+        if known.is_ahead_of(own):
+            self._catch_up_after(0.0 if own.is_nothing else LACKING_SECONDS)
 
     def _catch_up_after(self, seconds: float) -> None:
         if self._catching_up is None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -138,6 +138,10 @@
         self.follows = False
         self._heartbeats.say(self._links.values())
 
+    def announce(self) -> None:
+        """Tell all linked instances at once what this one knows: some may have nothing yet."""
+        self._heartbeats.say(self._links.values())
+
     def leave(self) -> None:
         """Tell all linked instances that this one takes no new callers."""
         self._broadcast(Leaving())
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -203,6 +203,8 @@
         self._follower.choose(asyncio.get_running_loop().time())
         if kind == KIND:
             self._peers.link_up()
+        if all(feed.listed for feed in self._feeds):
+            self._peers.announce()
 
     def _jobs(self) -> list:
         doors = [(self._front, self._doors.front), (self._directory, self._doors.directory)]
--- a/tests/unit/engine/test_followers.py
+++ b/tests/unit/engine/test_followers.py
@@ -5,6 +5,7 @@
 from limpethollow_node.engine.process.followers import (
     FIRST_LIST_SECONDS,
     FIRST_START_SECONDS,
+    RESTART_SECONDS,
     StoreFollower,
 )
 from limpethollow_policy.process.placements import Instance
@@ -113,10 +114,15 @@
         assert feed.active
 
 
-class FirstStart:
-    """An instance that starts with all others for the first time, and has read nothing."""
+class Start:
+    """An instance that starts, and has read nothing.
 
-    def __init__(self, name: str) -> None:
+    Args:
+        name: Its name.
+        first: Whether all others start too, for the first time.
+    """
+
+    def __init__(self, name: str, *, first: bool = True) -> None:
         self.members, self.other, self.health = FakeFeed(), FakeFeed(), FakeHealth()
         self.members.listed = self.other.listed = False
         self.follower = StoreFollower(
@@ -128,7 +134,7 @@
             None,
             FakePeers(),
             None,
-            first_start=True,
+            first_start=first,
         )
 
     def choose(self, now: float) -> tuple[bool, bool]:
@@ -145,23 +151,46 @@
 
     def test_instances_are_read_first_and_the_rest_by_relays_alone(self):
         for name, expected in ((RELAY, True), (OTHER, False)):
-            play = FirstStart(name)
+            play = Start(name)
             assert play.choose(100.0) == (False, False)
             assert play.choose(100.0 + FIRST_LIST_SECONDS) == (True, False)
             play.members.listed = True
             assert play.choose(100.6) == (False, expected)
 
     def test_without_news_from_a_relay_all_is_read_in_the_end(self):
-        play = FirstStart(OTHER)
+        play = Start(OTHER)
         play.members.listed = True
         play.choose(100.0)
         assert play.choose(100.0 + FIRST_START_SECONDS) == (False, True)
         assert play.health.urgent
 
     def test_news_from_a_relay_are_enough(self):
-        play = FirstStart(OTHER)
+        play = Start(OTHER)
         play.members.listed = True
         play.choose(100.0)
         play.other.listed = True
         assert play.choose(101.0) == (False, False)
         assert not play.health.active
+
+
+class TestRestart:
+    """Guards against each instance that starts listing all searchers, 50 a call, for itself."""
+
+    def test_all_but_relays_wait_for_a_peers_news(self):
+        for name, expected in ((RELAY, True), (OTHER, False)):
+            play = Start(name, first=False)
+            assert play.choose(100.0) == (True, False)
+            play.members.listed = True
+            assert play.choose(100.1) == (False, expected)
+
+    def test_without_news_from_a_peer_all_is_read_soon(self):
+        play = Start(OTHER, first=False)
+        play.members.listed = True
+        play.choose(100.0)
+        assert play.choose(100.0 + RESTART_SECONDS) == (False, True)
+        assert play.health.urgent
+
+    def test_a_store_that_does_not_give_the_instances_is_still_asked_for_the_rest(self):
+        play = Start(OTHER, first=False)
+        play.choose(100.0)
+        assert play.choose(100.0 + RESTART_SECONDS) == (True, True)
