--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -7,7 +7,6 @@
 from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
-from limpethollow_node.process import events
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.topology import WatchRole
 
@@ -59,7 +58,7 @@
     """This instance's entry in the store, and those of others."""
 
     def look(self, listed: bool, now: float) -> bool:
-        """Return whether to join again."""
+        """Return whether to join, for the first time or again."""
 
     async def join(self) -> None:
         """Write the own entry."""
@@ -89,10 +88,10 @@
         "_feeds",
         "_first_start",
         "_health",
+        "_joining",
         "_members",
         "_peers",
         "_read_at",
-        "_rejoin",
         "_removing",
         "_role",
         "_roster",
@@ -123,7 +122,7 @@
         self._catalog = catalog
         self._peers = peers
         self._entry = entry
-        self._rejoin: asyncio.Task[None] | None = None
+        self._joining: asyncio.Task[None] | None = None
         self._removing: dict[str, asyncio.Task[None]] = {}
 
     def choose(self, now: float) -> None:
@@ -144,6 +143,8 @@
         self._peers.follows = (
             follow and self._health.answers and all(feed.connected for feed in self._feeds)
         )
+        if self._members.listed:
+            self._stay_listed(now)
 
     def _may_read(self, feed: StoreFeed, live: Collection[Instance], now: float) -> bool:
         """Return whether to read a kind for the first time, or to wait for a peer's news of it.
@@ -168,7 +169,6 @@
         if self._peers.follows:
             self._catalog.confirm_searchers()
             self._remove_gone(now)
-        self._stay_listed(now)
 
     def _remove_gone(self, now: float) -> None:
         for name in self._roster.silent_for(GONE_SECONDS, now):
@@ -178,7 +178,11 @@
                 task.add_done_callback(lambda _, gone=name: self._removing.pop(gone, None))
 
     def _stay_listed(self, now: float) -> None:
-        listed = self._roster.own.name in self._catalog.instances.items
+        """Write the own entry where it is missing, or says something else.
+
+        That of the process before says the same but for the start, which peers hear on their links.
+        """
+        entry = self._catalog.instances.items.get(self._roster.own.name)
+        listed = entry is not None and entry.is_same_place(self._roster.own)
         if self._entry.look(listed, now):
-            events.OWN_OBJECT_GONE.log()
-            self._rejoin = asyncio.create_task(self._entry.join())
+            self._joining = asyncio.create_task(self._entry.join())
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -254,6 +254,7 @@
             return
         self._links[hello.name] = link
         self._silence.linked(hello.name, link.heard_at)
+        self._roster.started(hello.name, hello.incarnation)
         if older is not None:
             older.close()
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
@@ -301,4 +302,4 @@
     def _on_leaving(self, link: PeerLink, _: Leaving) -> None:
         if link.name is not None:
             link.ready = False
-            self._roster.set_leaving(link.name)
+            self._roster.set_leaving(link.name, link.incarnation)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -25,7 +25,7 @@
         self._known: dict[str, Instance] = {own.name: own}
         self._silent: set[str] = set()
         self._silent_since: dict[str, float] = {}
-        self._leaving: set[str] = set()
+        self._leaving: dict[str, int] = {}
         self._on_change = on_change
 
     def __len__(self) -> int:
@@ -70,7 +70,7 @@
         known = self._known.get(instance.name)
         if known is None or known.incarnation != instance.incarnation:
             self._silent.discard(instance.name)
-            self._leaving.discard(instance.name)
+            self.started(instance.name, instance.incarnation)
         self._known[instance.name] = instance
         if known != instance:
             self._on_change()
@@ -80,7 +80,7 @@
         if name != self.own.name and self._known.pop(name, None) is not None:
             self._silent.discard(name)
             self._silent_since.pop(name, None)
-            self._leaving.discard(name)
+            self._leaving.pop(name, None)
             self._on_change()
 
     def set_silent(self, name: str, silent: bool, now: float) -> None:
@@ -96,6 +96,11 @@
         """Return the instances that have been silent at least this long."""
         return [name for name, since in self._silent_since.items() if now - since >= seconds]
 
-    def set_leaving(self, name: str) -> None:
-        """Note that an instance takes no new callers; a new start of it clears that."""
-        self._leaving.add(name)
+    def set_leaving(self, name: str, incarnation: int) -> None:
+        """Note that a process of an instance takes no new callers; its next one may."""
+        self._leaving[name] = incarnation
+
+    def started(self, name: str, incarnation: int) -> None:
+        """Note which process of an instance runs now."""
+        if self._leaving.get(name) != incarnation:
+            self._leaving.pop(name, None)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -45,6 +45,7 @@
         on_listed: Called after each list, and before the first watch: most instances leave that
             to others. 18 that started together made 51 watches in the moment until they knew.
         pace: Says how long to wait after changes; without one the next watch follows at once.
+        store_is_away: Returns whether the store doesn't answer checks now; calls wait meanwhile.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "_rng",
         "_sink",
         "_store",
+        "_store_is_away",
         "_wake",
     )
 
@@ -71,6 +73,7 @@
         rng: Random,
         on_listed: Callable[[], None] = lambda: None,
         pace: ChangePace | None = None,
+        store_is_away: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -78,6 +81,7 @@
         self._rng = rng
         self._on_listed = on_listed
         self._pace = pace
+        self._store_is_away = store_is_away
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._call: asyncio.Future | None = None
         self._begun = 0.0
@@ -139,6 +143,8 @@
     async def _pause(self, seconds: float) -> None:
         """Wait before another try, or until the store is back."""
         self._wake.clear()
+        if self._store_is_away():
+            seconds = _LONGEST_PAUSE
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._wake.wait(), seconds)
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -1,6 +1,8 @@
 """This instance's own object in the store, and the removal of those that are gone for good."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -26,39 +28,61 @@
     Args:
         store: The store.
         own: This instance.
+        rng: Source for jitter.
         first_start: Whether the whole system starts for the first time, so that no object of
             this name is to be expected.
-        rng: Source for jitter.
+        store_is_away: Returns whether the store doesn't answer checks now.
     """
 
-    def __init__(self, store: Store, own: Instance, rng: Random, *, first_start: bool) -> None:
+    def __init__(
+        self,
+        store: Store,
+        own: Instance,
+        rng: Random,
+        *,
+        first_start: bool,
+        store_is_away: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._store = store
         self._own = own
         self._expects_object = not first_start
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
+        self._store_is_away = store_is_away
+        self._store_returned = asyncio.Event()
         self._joining = False
+        self._joined = False
         self._missing_since: float | None = None
 
     def look(self, listed: bool, now: float) -> bool:
-        """Return whether to join again: the own object is gone though this instance runs.
+        """Return whether to join: the own object is missing though this instance runs.
 
-        Another instance removes it after a long silence, and that may cross a return. Nobody would
-        then link to this one or name it to callers until its next start.
+        It was never written, or another instance removed it after a long silence, which may cross a
+        return. Nobody would then link to this one or name it to callers until its next start.
 
         Args:
             listed: Whether the own object is in the newest list.
             now: Monotonic second.
         """
         if listed or self._joining:
+            self._joined = self._joined or listed
             self._missing_since = None
             return False
+        if not self._joined:
+            return True
         if self._missing_since is None:
             self._missing_since = now
-        return now - self._missing_since > MISSING_SECONDS
+        gone = now - self._missing_since > MISSING_SECONDS
+        if gone:
+            events.OWN_OBJECT_GONE.log()
+        return gone
+
+    def store_is_back(self) -> None:
+        """Write the object now where that failed while the store was away."""
+        self._store_returned.set()
 
     async def join(self) -> None:
         """Write the own object, however long that takes."""
-        self._joining = True
+        self._joining = self._joined = True
         while True:
             try:
                 await self._put()
@@ -66,7 +90,15 @@
                 return
             except LimpethollowError as error:
                 events.PLATFORM_FAILED.log(call="join", error=str(error))
-                await asyncio.sleep(self._backoff.failed())
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before another try; while the store is away, until it is back."""
+        seconds = self._backoff.failed()
+        self._store_returned.clear()
+        with contextlib.suppress(TimeoutError):
+            longest = _LONGEST_PAUSE if self._store_is_away() else seconds
+            await asyncio.wait_for(self._store_returned.wait(), longest)
 
     async def remove(self, name: str) -> None:
         """Remove the object of an instance that is gone for good."""
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -107,10 +107,6 @@
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
         )
         self._store = Store(settings.platform.addr, self.metrics)
-        self._membership = Membership(
-            self._store, self._roster.own, self._rng, first_start=settings.bootstrap
-        )
-        self._feeds = self._new_feeds()
         self._check = StoreCheck(
             self._store,
             KIND,
@@ -118,6 +114,14 @@
             self._peers.stop_following,
             self._store_is_back,
         )
+        self._membership = Membership(
+            self._store,
+            self._roster.own,
+            self._rng,
+            first_start=settings.bootstrap,
+            store_is_away=lambda: self._check.away,
+        )
+        self._feeds = self._new_feeds()
         *others, members = self._feeds
         self._follower = StoreFollower(
             members,
@@ -195,6 +199,7 @@
                 self._rng,
                 partial(self._listed, kind),
                 ChangePace(slow_until) if kind in _PACED_KINDS else None,
+                lambda: self._check.away,
             )
             for kind, sink in sinks.items()
         ]
@@ -207,14 +212,16 @@
             self._peers.announce()
 
     def _jobs(self) -> list:
+        # Where all start for the first time, the first list of instances shall have all of them.
+        joining = [self._membership.join()] if self._settings.bootstrap else []
         doors = [(self._front, self._doors.front), (self._directory, self._doors.directory)]
         return [
             *(feed.run() for feed in self._feeds),
             self._life.open(doors),
             self._check.run(),
             self._peers.run(),
-            self._membership.join(),
             self._tick(),
+            *joining,
         ]
 
     async def _listen(self) -> None:
@@ -228,6 +235,7 @@
     def _store_is_back(self) -> None:
         for feed in self._feeds:
             feed.restart()
+        self._membership.store_is_back()
 
     async def _tick(self) -> None:
         """Do what has no event of its own to wait for."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/placements.py
@@ -1,7 +1,7 @@
 """Which instances callers are told to connect to."""
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # Callers are not told of more instances than this.
 MOST_ENTRIES = 64
@@ -35,6 +35,10 @@
     strength: float = 1.0
     incarnation: int = 0
 
+    def is_same_place(self, other: "Instance") -> bool:
+        """Return whether another start is of this instance, at the same addresses and strength."""
+        return replace(other, incarnation=self.incarnation) == self
+
 
 def entries_for(
     live: Collection[Instance],
--- a/tests/unit/engine/test_followers.py
+++ b/tests/unit/engine/test_followers.py
@@ -1,5 +1,6 @@
 """Who follows the store, and who only asks whether it is there."""
 
+from dataclasses import replace
 from random import Random
 
 from limpethollow_node.engine.process.followers import (
@@ -8,6 +9,7 @@
     RESTART_SECONDS,
     StoreFollower,
 )
+from limpethollow_policy.process.beliefs import Belief
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.topology import WatchRole, relays_among
 
@@ -33,6 +35,7 @@
 
 
 class FakeRoster:
+    own = EVERYONE[0]
     ready = True
     live = EVERYONE
     known = EVERYONE
@@ -42,11 +45,30 @@
     follows = False
 
 
+class FakeCatalog:
+    """Has listed some instances."""
+
+    def __init__(self, *listed: Instance) -> None:
+        self.instances = Belief(lambda instance: None, lambda name: None)
+        self.instances.replace({instance.name: instance for instance in listed}, 7)
+
+
+class FakeEntry:
+    """Keeps whether the own entry was found as it should be, as often as that was looked at."""
+
+    def __init__(self) -> None:
+        self.found: list[bool] = []
+
+    def look(self, listed: bool, now: float) -> bool:
+        self.found.append(listed)
+        return False
+
+
 def follower(name: str, roster=FakeRoster) -> tuple[StoreFollower, FakeFeed, FakeHealth]:
     feed, health = FakeFeed(), FakeHealth()
     role = WatchRole(name, Random(1))
     role.relay_heard(RELAY, 99.5)
-    made = StoreFollower(feed, [], health, role, roster(), None, FakePeers(), None)
+    made = StoreFollower(feed, [], health, role, roster(), FakeCatalog(), FakePeers(), FakeEntry())
     return made, feed, health
 
 
@@ -119,11 +141,13 @@
 
     Args:
         name: Its name.
+        *listed: The instances that the store has.
         first: Whether all others start too, for the first time.
     """
 
-    def __init__(self, name: str, *, first: bool = True) -> None:
+    def __init__(self, name: str, *listed: Instance, first: bool = True) -> None:
         self.members, self.other, self.health = FakeFeed(), FakeFeed(), FakeHealth()
+        self.entry = FakeEntry()
         self.members.listed = self.other.listed = False
         self.follower = StoreFollower(
             self.members,
@@ -131,9 +155,9 @@
             self.health,
             WatchRole(name, Random(1)),
             StartingRoster(),
-            None,
+            FakeCatalog(*listed),
             FakePeers(),
-            None,
+            self.entry,
             first_start=first,
         )
 
@@ -194,3 +218,27 @@
         play = Start(OTHER, first=False)
         play.choose(100.0)
         assert play.choose(100.0 + RESTART_SECONDS) == (True, True)
+
+
+class TestOwnEntry:
+    """Guards against a write to the store at each restart, for an entry that says the same."""
+
+    def look(self, *listed: Instance) -> list[bool]:
+        play = Start(OTHER, *listed, first=False)
+        play.members.listed = True
+        play.choose(100.0)
+        return play.entry.found
+
+    def test_that_of_the_process_before_is_as_good(self):
+        assert self.look(replace(FakeRoster.own, incarnation=3)) == [True]
+
+    def test_one_with_another_address_is_not(self):
+        assert self.look(replace(FakeRoster.own, address="9:9")) == [False]
+
+    def test_none_is_not(self):
+        assert self.look() == [False]
+
+    def test_nothing_is_looked_for_before_the_instances_are_known(self):
+        play = Start(OTHER, first=False)
+        play.choose(100.0)
+        assert play.entry.found == []
--- a/tests/unit/engine/test_roster.py
+++ b/tests/unit/engine/test_roster.py
@@ -17,7 +17,7 @@
         """
         roster = Roster(instance("own"), lambda: None)
         roster.put(instance("other", 5000))
-        roster.set_leaving("other")
+        roster.set_leaving("other", 5000)
         roster.set_silent("other", True, 1.0)
         assert roster.live == []
         roster.put(instance("other", 3000))
@@ -26,10 +26,20 @@
     def test_the_same_start_told_again_changes_nothing(self):
         roster = Roster(instance("own"), lambda: None)
         roster.put(instance("other"))
-        roster.set_leaving("other")
+        roster.set_leaving("other", 5)
         roster.put(instance("other"))
         assert roster.live == []
 
+    def test_a_link_from_its_next_process_is_enough(self):
+        """Guards against an instance that left and is back with the entry that it had."""
+        roster = Roster(instance("own"), lambda: None)
+        roster.put(instance("other"))
+        roster.set_leaving("other", 7)
+        roster.started("other", 7)
+        assert roster.live == []
+        roster.started("other", 8)
+        assert [each.name for each in roster.live] == ["other"]
+
 
 class TestSilence:
     def test_it_is_counted_from_its_begin(self):
