--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -1,6 +1,7 @@
 """What instances say to each other: CBOR frames over websockets."""
 
 import zlib
+from collections.abc import Iterator
 from typing import get_args
 
 import msgspec
@@ -8,6 +9,7 @@
 from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import RoutingVersion
 from limpethollow_wire.codecs import convert, from_cbor, to_cbor
@@ -173,20 +175,26 @@
         proofs: Signatures by shard.
         milliseconds: How long each call took, in the order of `proofs`.
         records: The greatest records of these parts together, as one body.
+        loads: What the searchers said of their load, in the order of `proofs`; None where a
+            searcher said nothing.
     """
 
     number: int
     proofs: dict[str, bytes]
     milliseconds: list[int]
     records: bytes
+    loads: list[LoadReport | None]
+
+    def __post_init__(self) -> None:
+        """Refuse a frame whose lists don't go together: a shard would be lost without a word."""
+        if not len(self.proofs) == len(self.milliseconds) == len(self.loads):
+            raise ValueError("A frame of parts has not one time and load for each proof.")
 
     @property
-    def seconds(self) -> dict[str, float]:
-        """Return how long each shard's call took."""
-        return {
-            shard: taken / 1000
-            for shard, taken in zip(self.proofs, self.milliseconds, strict=False)
-        }
+    def calls(self) -> Iterator[tuple[str, float, LoadReport | None]]:
+        """Return each shard, the seconds that its call took, and its searcher's load."""
+        for shard, taken, load in zip(self.proofs, self.milliseconds, self.loads, strict=True):
+            yield shard, taken / 1000, load
 
 
 class BatchFailure(Frame, frozen=True, tag="failure"):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
@@ -1,7 +1,10 @@
 """Requests and replies inside the engine, and the header names that a deployment speaks."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from limpethollow_policy.process.loadreports import LoadReport
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers that concern one connection only (RFC 9110, 7.6.1); both sides write their own.
@@ -48,6 +51,8 @@
         not_run: Present where a searcher did not run the request.
         part_proofs: Signatures of the parts in a search's answer.
         missing_parts: Number of shards left out of a search's answer.
+        load: What a searcher says of its load.
+        decode_load: Decodes that header; raises `BadRequest` where it can't be read.
     """
 
     request_id: bytes
@@ -57,6 +62,8 @@
     not_run: bytes
     part_proofs: bytes
     missing_parts: bytes
+    load: bytes
+    decode_load: Callable[[bytes], LoadReport]
 
 
 @dataclass(slots=True)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -58,9 +58,26 @@
 
 
 class SearchAdmission(Admission):
-    """An admitted search: held up while too many of its shards have not answered."""
+    """An admitted search: held up while too many of its shards have not answered.
 
-    __slots__ = ()
+    Args:
+        dispatch: As for `Admission`.
+        shedder: As for `Admission`.
+        outgoing: As for `Admission`.
+        queue_depth: Calls that waited for each slot of its searchers; None where they don't tell.
+    """
+
+    __slots__ = ("_queue_depth",)
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        shedder: LoadShedder,
+        outgoing: Outgoing,
+        queue_depth: float | None,
+    ) -> None:
+        super().__init__(dispatch, shedder, outgoing)
+        self._queue_depth = queue_depth
 
     def came(self, parts: int) -> None:
         """Tell how many shards have answered so far."""
@@ -69,6 +86,10 @@
 
     def over(self, parts: int) -> None:
         """Tell how many shards had answered when the answer was due, or nothing more would come."""
+        if self._queue_depth is not None:
+            late = parts < self._outgoing.route.least_parts
+            self._shedder.target.answered(self._queue_depth, late=late)
+            self._queue_depth = None
         self._tell(1.0 if self._is_congested(parts) else 0.0)
 
     def _is_congested(self, parts: int) -> bool:
@@ -144,9 +165,12 @@
         Raises:
             Overloaded: Its searchers can't answer it in time; it says when there will be room.
         """
-        shedder = self._searches[outgoing.route.shards]
-        self._admit(shedder, outgoing)
-        return SearchAdmission(self._dispatch, shedder, outgoing)
+        shards = outgoing.route.shards
+        shedder = self._searches[shards]
+        now = self._dispatch.loop.time()
+        depth = self._dispatch.fleet.queue_depth(shards, shedder.report_age(now), now)
+        self._admit(shedder, outgoing, depth)
+        return SearchAdmission(self._dispatch, shedder, outgoing, depth)
 
     def admit_single(self, outgoing: Outgoing, service: str) -> SingleAdmission:
         """Take on a request that one searcher answers.
@@ -162,8 +186,11 @@
         self._admit(shedder, outgoing)
         return SingleAdmission(self._dispatch, shedder, outgoing)
 
-    def _admit(self, shedder: LoadShedder, outgoing: Outgoing) -> None:
-        wait = shedder.wait(self._dispatch.loop.time(), in_time=outgoing.in_time)
+    def _admit(
+        self, shedder: LoadShedder, outgoing: Outgoing, queue_depth: float | None = None
+    ) -> None:
+        now = self._dispatch.loop.time()
+        wait = shedder.wait(now, in_time=outgoing.in_time, queue_depth=queue_depth)
         if wait > 0:
             self._dispatch.metrics.count("requests_shed", outgoing.route.name)
             raise Overloaded(
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -8,8 +8,9 @@
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
-from limpethollow_node.engine.request.judging import judge, render_call
+from limpethollow_node.engine.request.judging import judge, read_load, render_call
 from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.verdicts import Verdict
 
@@ -35,6 +36,7 @@
         "_dispatch",
         "_done",
         "_link",
+        "_loads",
         "_merging",
         "_milliseconds",
         "_parts",
@@ -52,6 +54,7 @@
         self._calls: dict[str, _Call] = {}
         self._parts = PartSet(batch.top)
         self._milliseconds: list[int] = []
+        self._loads: list[LoadReport | None] = []
         self._merging = True
         self._deadline = dispatch.loop.time() + batch.left
         self._timer = None
@@ -88,11 +91,15 @@
         names = self._dispatch.names
         verdict = judge(reply, names, self._batch.request_id or None)
         call = self._calls.pop(shard)
+        load = read_load(reply, names)
+        if load is not None:
+            call.replica.reported(load, self._dispatch.loop.time())
         if verdict is not Verdict.ANSWERED:
             self._fail(shard, verdict, reply.status, f"status_{reply.status}")
         elif self._parts.add(shard, reply.header(names.proof), reply.body):
             passed = self._dispatch.loop.time() - call.started
             self._milliseconds.append(round(passed * 1000))
+            self._loads.append(load)
         else:
             self._fail(shard, Verdict.UNKNOWN, 0, "signature_of_another_shard")
         self._check()
@@ -132,10 +139,12 @@
             self._telling = None
         if not self._milliseconds:
             return
-        parts, milliseconds = self._parts, self._milliseconds
-        frame = BatchParts(self._batch.number, parts.by_shard, milliseconds, parts.merged())
+        parts = self._parts
+        frame = BatchParts(
+            self._batch.number, parts.by_shard, self._milliseconds, parts.merged(), self._loads
+        )
         self._link.send(frame)
-        self._parts, self._milliseconds = PartSet(self._batch.top), []
+        self._parts, self._milliseconds, self._loads = PartSet(self._batch.top), [], []
 
 
 class _Call:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -122,8 +122,8 @@
 
     def _parts_came(self, parts: BatchParts) -> None:
         self._on_group(parts.proofs, parts.records)
-        for shard, seconds in parts.seconds.items():
-            self._sends[shard].carried(seconds)
+        for shard, seconds, load in parts.calls:
+            self._sends[shard].carried(seconds, load)
 
     def _call_failed(self, shard: str, verdict: Verdict, status: int, reason: str) -> None:
         self._sends[shard].carried_failed(verdict, status, reason)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
@@ -1,7 +1,10 @@
 """Reads a searcher's reply for what it proves."""
 
 from limpethollow_node.engine.messages import HeaderNames, Reply
+from limpethollow_node.process import events
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.request.verdicts import Verdict, judge_reply
+from limpethollow_wire.exceptions import BadRequest
 
 
 def judge(reply: Reply, names: HeaderNames, request_id: bytes | None) -> Verdict:
@@ -21,6 +24,18 @@
     )
 
 
+def read_load(reply: Reply, names: HeaderNames) -> LoadReport | None:
+    """Return what a searcher says of its load with a reply; None where it says nothing of use."""
+    value = reply.header(names.load)
+    if value is None:
+        return None
+    try:
+        return names.decode_load(value)
+    except BadRequest as error:
+        events.LOAD_UNREADABLE.log(error=str(error))
+        return None
+
+
 def render_call(head: bytes, body: bytes, names: HeaderNames, searcher: str, left: float) -> bytes:
     """Return a request to one searcher as it is sent.
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -6,9 +6,10 @@
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
-from limpethollow_node.engine.request.judging import judge, render_call
+from limpethollow_node.engine.request.judging import judge, read_load, render_call
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.request.verdicts import Verdict
 
 # A searcher whose address belongs to another one now is left alone this long. Its entry lapses some
@@ -106,14 +107,17 @@
         """Return whether the request may be on its way to the searcher."""
         return self.call is not None and self.call.sent
 
-    def carried(self, seconds: float) -> None:
+    def carried(self, seconds: float, load: LoadReport | None) -> None:
         """Take in that another instance made the call, and has merged the answer with others.
 
         Args:
             seconds: How long the searcher took. Until the merged answer is here, as long has passed
                 for all of them as for the slowest: by that, each searcher was four times as slow
                 as it is, and second sends went out as late as they may.
+            load: What the searcher said of its load; None where it said nothing.
         """
+        if load is not None:
+            self.replica.reported(load, self._now())
         if self.is_open:
             self._observe(Verdict.ANSWERED, 200, seconds)
             self._owner.ended(self, Verdict.ANSWERED, None, "")
@@ -161,6 +165,9 @@
     def _replied(self, reply: Reply) -> None:
         names = self._owner.dispatch.names
         verdict = judge(reply, names, self._owner.outgoing.request_id)
+        load = read_load(reply, names)
+        if load is not None:
+            self.replica.reported(load, self._now())
         self._observe(verdict, reply.status, self._age())
         self._owner.ended(self, verdict, reply, f"status_{reply.status}")
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -6,6 +6,7 @@
 
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.version.routes import (
     CallerLimits,
@@ -148,6 +149,21 @@
     )
 
 
+def decode_load(value: bytes) -> LoadReport:
+    """Decode a searcher's word on its load: running, waiting, slots and, at most, the slowdown.
+
+    Raises:
+        BadRequest: It isn't three or four whole numbers, or there are no slots.
+    """
+    fields = [field.strip() for field in value.split(b",")]
+    if len(fields) not in (3, 4) or not all(field.isdigit() for field in fields):
+        raise BadRequest(f"The load {value!r} is no list of three or four numbers.")
+    load = LoadReport(*map(int, fields))
+    if load.slots < 1:
+        raise BadRequest(f"The load {value!r} has no slots.")
+    return load
+
+
 def decode_instance(stored: StoredObject) -> Instance:
     """Decode an instance's own object.
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/headers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/headers.py
@@ -1,6 +1,7 @@
 """The platform's header names."""
 
 from limpethollow_node.engine.messages import HeaderNames
+from limpethollow_node.platform.codec import decode_load
 
 HEADERS = HeaderNames(
     request_id=b"x-limpethollow-request-id",
@@ -10,4 +11,6 @@
     not_run=b"x-limpethollow-not-executed",
     part_proofs=b"x-limpethollow-part-stamps",
     missing_parts=b"x-limpethollow-missing-parts",
+    load=b"x-limpethollow-server-load",
+    decode_load=decode_load,
 )
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -100,6 +100,7 @@
 SEARCHERS_LISTED = _event(406, logging.INFO, "entries of many searchers came, changed or went")
 DOMAIN_EVACUATED = _event(407, logging.INFO, "a failure domain gets no new calls from here")
 DOMAIN_RESTORED = _event(408, logging.INFO, "an evacuated failure domain is used again")
+LOAD_UNREADABLE = _event(409, logging.DEBUG, "what a searcher says of its load can't be read")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -1,11 +1,12 @@
 """Which searchers exist, what is known of each, and which one a call goes to."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
 from limpethollow_policy.process.callwindows import CallWindow
 from limpethollow_policy.process.coldstarts import ColdStart, ColdStartLimits
+from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.version.routes import ServiceLimits
 
 # Evidence on a slow or failing searcher loses half its weight in this many seconds. Troubles last
@@ -70,6 +71,8 @@
         evacuated: The operator wants nothing sent to its failure domain.
         window: Bounds the calls under way where it answers too late.
         cold_start: Paces the calls while it is cold.
+        load: What it last said of its own load; None where it never did.
+        load_at: When it said so.
     """
 
     searcher: Searcher
@@ -83,6 +86,8 @@
     evacuated: bool = False
     window: CallWindow = field(default_factory=CallWindow)
     cold_start: ColdStart = field(default_factory=lambda: ColdStart(ColdStartLimits()))
+    load: LoadReport | None = None
+    load_at: float = float("-inf")
 
     @property
     def is_in_service(self) -> bool:
@@ -121,6 +126,11 @@
             self.slowness = max(self.slowness, _COLD_SLOWNESS)
         self.cold_start.begin(seconds, phase, now)
 
+    def reported(self, load: LoadReport, now: float) -> None:
+        """Take in what it says of its own load."""
+        self.load = load
+        self.load_at = now
+
     def observe(self, ratio: float, now: float) -> None:
         """Take in a call's time as a multiple of the usual time."""
         self._fade(now)
@@ -329,6 +339,27 @@
                     found[domain] = found.get(domain, 0) + 1
         return found
 
+    def queue_depth(self, services: Sequence[str], max_age: float, now: float) -> float | None:
+        """Return how many calls wait for each slot of a service's searchers.
+
+        Args:
+            services: The services.
+            max_age: Seconds for which a searcher's word counts.
+            now: Monotonic second.
+
+        Returns:
+            The mean over the services; None where under half of them have said it of late.
+        """
+        since = now - max_age
+        depths = []
+        for service in services:
+            reported = [r.load.queue_depth for r in self.of(service) if r.load_at >= since]
+            if reported:
+                depths.append(sum(reported) / len(reported))
+        if 2 * len(depths) < len(services):
+            return None
+        return sum(depths) / len(depths)
+
     def wait(self, service: str, now: float) -> float:
         """Return in how many seconds a service can get a call; infinite without a searcher."""
         waits = [r.wait(now) for r in self.of(service) if r.is_in_service]
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -6,6 +6,11 @@
 """
 
 from limpethollow_policy.process.arrivals import Arrivals
+from limpethollow_policy.process.loadreports import (
+    BURST_REPORT_SECONDS,
+    CALM_REPORT_SECONDS,
+    QueueTarget,
+)
 
 # Share of a search's shards that had not answered, from which on the search counts as congested. A
 # few shards with slow or dark searchers are no congestion: fewer calls would not help them.
@@ -44,6 +49,8 @@
 # An operator may state no objective at all, or one that nothing meets; the rate is then looked at
 # this often.
 _SHORTEST_OBJECTIVE = 0.01
+# Searches a second that are assumed to come where none has come of late.
+_SLOWEST_PROMISE = 1.0
 _UNBOUNDED = float("inf")
 
 
@@ -83,6 +90,9 @@
     rate is too high, whatever their rank, and a rank that goes first starves the others where
     callers of the first alone are too many.
 
+    Attributes:
+        target: How long the searchers' queues may be, where they tell it.
+
     Usage:
         wait = shedder.wait(now)            # 0: admitted
         ...
@@ -98,6 +108,7 @@
         "_look_at",
         "_promised",
         "_rate",
+        "target",
     )
 
     def __init__(self) -> None:
@@ -109,13 +120,19 @@
         self._look_at = float("-inf")
         self._ended = 0
         self._congestion = 0.0
+        self.target = QueueTarget()
 
     @property
     def rate(self) -> float:
         """Return the searches a second that are admitted; infinite where all are."""
         return self._rate
 
-    def wait(self, now: float, *, in_time: bool = True) -> float:
+    def report_age(self, now: float) -> float:
+        """Return the seconds for which a searcher's word on its load counts now."""
+        bursts = self._arrivals.rate(now) > _BURST * self._arrivals.usual_rate(now)
+        return BURST_REPORT_SECONDS if bursts else CALM_REPORT_SECONDS
+
+    def wait(self, now: float, *, in_time: bool = True, queue_depth: float | None = None) -> float:
         """Admit a search; return 0, or in how many seconds there will be room for it.
 
         A search that can't be answered in time any more yields to those that can. Most such callers
@@ -130,14 +147,15 @@
         Args:
             now: Monotonic second.
             in_time: Whether its answer can still come within its objective.
+            queue_depth: Calls that wait for each slot, as its searchers said of late; None where
+                they didn't, and the own rate decides.
         """
+        if queue_depth is not None:
+            return self._wait_by_depth(queue_depth, in_time, now)
         if self._rate == _UNBOUNDED or (self._takes(now) if in_time else self._has_room(now)):
             self._arrivals.add(now, admitted=True)
             return 0.0
-        if in_time:
-            self._arrivals.add(now, admitted=False)
-        self._promised = max(self._promised, now) + 1.0 / self._rate
-        return self._promised - now
+        return self._refuse(in_time, self._rate, now)
 
     def ended(self, congestion: float, started: float, now: float, objective: float) -> bool:
         """Take in a search whose answer was due, and adapt the rate.
@@ -172,6 +190,34 @@
         self._look_at = now + objective
         return cut
 
+    def _wait_by_depth(self, queue_depth: float, in_time: bool, now: float) -> float:
+        share = self.target.admitted_share(queue_depth)
+        if share == 1.0 or (in_time and self._has_credit(share)):
+            self._arrivals.add(now, admitted=True)
+            return 0.0
+        return self._refuse(in_time, share * max(self._arrivals.rate(now), _SLOWEST_PROMISE), now)
+
+    def _refuse(self, in_time: bool, rate: float, now: float) -> float:
+        """Refuse a search; return in how many seconds there will be room for it.
+
+        Args:
+            in_time: Whether its answer could still come within its objective.
+            rate: Searches a second that are admitted now.
+            now: Monotonic second.
+        """
+        if in_time:
+            self._arrivals.add(now, admitted=False)
+        self._promised = max(self._promised, now) + 1.0 / rate
+        return self._promised - now
+
+    def _has_credit(self, share: float) -> bool:
+        """Admit this share of searches, evenly."""
+        self._credit = min(self._credit + share, _MOST_CREDIT)
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
     def _takes(self, now: float) -> bool:
         """Admit the share of searches by which the rate is kept, evenly.
 
@@ -181,11 +227,7 @@
         coming = self._arrivals.rate(now)
         share = self._rate / coming if coming > 0 else 1.0
         share = min(1.0, max(share, self._rate * self._arrivals.since_last(now)))
-        self._credit = min(self._credit + share, _MOST_CREDIT)
-        if self._credit < 1.0:
-            return False
-        self._credit -= 1.0
-        return True
+        return self._has_credit(share)
 
     def _has_room(self, now: float) -> bool:
         """Return whether the room for a search would go unused otherwise."""
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -70,6 +70,7 @@
         patient: Whether callers come back when they were told to, or at once.
         single: Whether each request goes to one searcher of one service, whose searchers these
             `replicas` are, instead of to all shards.
+        tells_load: Whether searchers say in their replies how many calls they have.
     """
 
     shards: int = 20
@@ -87,6 +88,7 @@
     repeats: int = 1
     patient: bool = True
     single: bool = False
+    tells_load: bool = False
 
     @property
     def services(self) -> list[str]:
@@ -178,6 +180,9 @@
         self._running.discard(connection)
         proof = b"%b.%b" % (self._name.encode(), connection.request_id)
         reply = [(HEADERS.proof, proof)]
+        if self._world.tells_load:
+            load = b"%d,%d,%d" % (len(self._running), len(self._queue), self._world.slots)
+            reply.append((HEADERS.load, load))
         self._loop.call_later(SEARCHER_WAY, lambda: connection.reply(200, reply))
         self._work()
 
--- a/tests/unit/engine/test_batchworks.py
+++ b/tests/unit/engine/test_batchworks.py
@@ -50,7 +50,8 @@
         play.answer(3)
         assert play.parts == []
         play.run(MERGE_FOR)
-        assert [parts.seconds for parts in play.parts] == [{"s-0": 0.005, "s-3": 0.015}]
+        calls = [list(parts.calls) for parts in play.parts]
+        assert calls == [[("s-0", 0.005, None), ("s-3", 0.015, None)]]
 
     def test_the_same_signature_for_two_shards_does_not_count(self):
         """A caller refused a whole answer, since two of its parts bore the same signature."""
--- a/tests/unit/engine/test_overload.py
+++ b/tests/unit/engine/test_overload.py
@@ -20,7 +20,7 @@
 @pytest.fixture
 def admitting_all(monkeypatch):
     """Return a function that lets every search in from then on."""
-    return lambda: monkeypatch.setattr(LoadShedder, "wait", lambda self, now, in_time: 0.0)
+    return lambda: monkeypatch.setattr(LoadShedder, "wait", lambda self, now, **_: 0.0)
 
 
 def bursts(times: float) -> list[Tally]:
--- a/tests/unit/engine/test_refusals.py
+++ b/tests/unit/engine/test_refusals.py
@@ -16,7 +16,7 @@
 
         The log line of a request that was refused before it started named no route.
         """
-        monkeypatch.setattr(LoadShedder, "wait", lambda self, now, in_time: 0.2)
+        monkeypatch.setattr(LoadShedder, "wait", lambda self, now, **_: 0.2)
         caplog.set_level(logging.INFO, logger="limpethollow")
         loop = VirtualLoop()
         instance = ModelInstance(World(), loop, {})
