--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -1,6 +1,7 @@
 """Which requests this instance takes on, and what it learns from how they end."""
 
 from collections import defaultdict
+from collections.abc import Sequence
 
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -22,12 +23,20 @@
         dispatch: What the process shares.
         shedder: What admitted it.
         outgoing: The request.
+        queue_depth: Calls that waited for each slot of its searchers; None where they don't tell.
     """
 
-    __slots__ = ("_dispatch", "_outgoing", "_shedder", "_started", "_told")
+    __slots__ = ("_dispatch", "_outgoing", "_queue_depth", "_shedder", "_started", "_told")
 
-    def __init__(self, dispatch: Dispatch, shedder: LoadShedder, outgoing: Outgoing) -> None:
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        shedder: LoadShedder,
+        outgoing: Outgoing,
+        queue_depth: float | None,
+    ) -> None:
         self._dispatch = dispatch
+        self._queue_depth = queue_depth
         self._shedder = shedder
         self._outgoing = outgoing
         self._started = dispatch.loop.time()
@@ -47,6 +56,12 @@
         if self._shedder.ended(congestion, self._started, now, objective):
             self._log_cut()
 
+    def _teach_target(self, *, late: bool) -> None:
+        """Tell whether the answer was there when it was due; only the first word counts."""
+        if self._queue_depth is not None:
+            self._shedder.target.answered(self._queue_depth, late=late)
+            self._queue_depth = None
+
     def _log_cut(self) -> None:
         route = self._outgoing.route
         self._dispatch.metrics.count("admission_cuts", route.name)
@@ -58,26 +73,9 @@
 
 
 class SearchAdmission(Admission):
-    """An admitted search: held up while too many of its shards have not answered.
-
-    Args:
-        dispatch: As for `Admission`.
-        shedder: As for `Admission`.
-        outgoing: As for `Admission`.
-        queue_depth: Calls that waited for each slot of its searchers; None where they don't tell.
-    """
-
-    __slots__ = ("_queue_depth",)
+    """An admitted search: held up while too many of its shards have not answered."""
 
-    def __init__(
-        self,
-        dispatch: Dispatch,
-        shedder: LoadShedder,
-        outgoing: Outgoing,
-        queue_depth: float | None,
-    ) -> None:
-        super().__init__(dispatch, shedder, outgoing)
-        self._queue_depth = queue_depth
+    __slots__ = ()
 
     def came(self, parts: int) -> None:
         """Tell how many shards have answered so far."""
@@ -86,10 +84,7 @@
 
     def over(self, parts: int) -> None:
         """Tell how many shards had answered when the answer was due, or nothing more would come."""
-        if self._queue_depth is not None:
-            late = parts < self._outgoing.route.least_parts
-            self._shedder.target.answered(self._queue_depth, late=late)
-            self._queue_depth = None
+        self._teach_target(late=parts < self._outgoing.route.least_parts)
         self._tell(1.0 if self._is_congested(parts) else 0.0)
 
     def _is_congested(self, parts: int) -> bool:
@@ -106,11 +101,13 @@
 
     def answered(self) -> None:
         """Tell that its answer has come."""
+        self._teach_target(late=False)
         self._shedder.answered(self._dispatch.loop.time())
         self._tell_passed()
 
     def due(self) -> None:
         """Tell that its answer is due."""
+        self._teach_target(late=True)
         self._tell(1.0)
 
     def full(self) -> None:
@@ -167,9 +164,7 @@
         """
         shards = outgoing.route.shards
         shedder = self._searches[shards]
-        now = self._dispatch.loop.time()
-        depth = self._dispatch.fleet.queue_depth(shards, shedder.report_age(now), now)
-        self._admit(shedder, outgoing, depth)
+        depth = self._admit(shedder, shards, outgoing)
         return SearchAdmission(self._dispatch, shedder, outgoing, depth)
 
     def admit_single(self, outgoing: Outgoing, service: str) -> SingleAdmission:
@@ -183,17 +178,20 @@
             Overloaded: As for `admit_search`.
         """
         shedder = self._singles[service]
-        self._admit(shedder, outgoing)
-        return SingleAdmission(self._dispatch, shedder, outgoing)
+        depth = self._admit(shedder, (service,), outgoing)
+        return SingleAdmission(self._dispatch, shedder, outgoing, depth)
 
     def _admit(
-        self, shedder: LoadShedder, outgoing: Outgoing, queue_depth: float | None = None
-    ) -> None:
+        self, shedder: LoadShedder, services: Sequence[str], outgoing: Outgoing
+    ) -> float | None:
+        """Admit a request; return the queues that it meets, None where its searchers don't tell."""
         now = self._dispatch.loop.time()
-        wait = shedder.wait(now, in_time=outgoing.in_time, queue_depth=queue_depth)
+        depth = self._dispatch.fleet.queue_depth(services, shedder.report_age(now), now)
+        wait = shedder.wait(now, in_time=outgoing.in_time, queue_depth=depth)
         if wait > 0:
             self._dispatch.metrics.count("requests_shed", outgoing.route.name)
             raise Overloaded(
                 "More requests come than the searchers can answer in time.",
                 retry_after=min(max(wait, _RETRY_SOON), _RETRY_LATE),
             )
+        return depth
