--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -209,3 +209,29 @@
         "fresh=False",
     ),
 )
+_mechanism(
+    "cold-pace",
+    "calls to cold searchers keep no interval",
+    _fleets(
+        "limits.interval = self._sharers / rate if rate > 0 else 0.0",
+        "limits.interval = 0.0",
+    ),
+)
+_mechanism(
+    "cold-slowness",
+    "a cold searcher counts like a warm one until its calls show more",
+    _fleets("_COLD_SLOWNESS = 1.5", "_COLD_SLOWNESS = 1.0"),
+)
+_mechanism(
+    "reported-queues",
+    "what searchers say of their queues doesn't count",
+    _fleets(
+        "        since = now - max_age\n        depths = []",
+        "        return None\n        depths = []",
+    ),
+)
+_mechanism(
+    "news-at-start",
+    "an instance that starts reads all from the store itself",
+    Edit(_ENGINE + "process/followers.py", "RESTART_SECONDS = 0.4", "RESTART_SECONDS = 0.0"),
+)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -16,8 +16,8 @@
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.limits import MAX_FRAME_BYTES
 
-# Frames over this size are lists of searchers, instances or routes, whose fields repeat: 400 of
-# them take a sixth of their bytes at the fastest level, in 0.3 ms. Records of parts do not shrink.
+# Frames over this size are lists of searchers, instances or routes, whose fields repeat, so they
+# shrink well at the fastest level. Records of parts do not shrink.
 _SMALL_BYTES = 2048
 _LEVEL = 1
 # First byte of compressed data. A frame is a CBOR array, whose first byte is 0x80 to 0x9f.
@@ -65,8 +65,8 @@
 class Silent(Frame, frozen=True, tag="silent"):
     """The instances that a relay knows and doesn't hear, or that aren't ready; said on changes.
 
-    Relays link to all instances, so there are few such names; a list of all that are heard was
-    a kilobyte with 65 instances, and 13 MB a day.
+    Relays link to all instances, so there are few such names, and a list of all that are heard
+    would be long.
 
     Attributes:
         names: Their names; None where the sender is no relay any more.
@@ -242,8 +242,8 @@
 )
 
 
-# Frames by the tag that stands first in each. Converting to the union of all kinds works its types
-# out anew each time: 7.1 instead of 1.6 us for a heartbeat (`timeit`).
+# Frames by the tag that stands first in each. Converting to the union of all kinds would work its
+# types out anew each time.
 _KINDS: dict[str, type[Frame]] = {kind.__struct_config__.tag: kind for kind in get_args(AnyFrame)}
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
@@ -59,7 +59,7 @@
         link.source.known = known
         own = self._catalog.known_up_to
         if known.is_ahead_of(own):
-            self._catch_up_after(0.0 if own.is_nothing else LACKING_SECONDS)
+            self._catch_up_after(LACKING_SECONDS if own.can_serve else 0.0)
 
     def _catch_up_after(self, seconds: float) -> None:
         if self._catching_up is None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -67,11 +67,9 @@
     def cancel(self) -> None:
         """Want no reply any more; the searcher sees the connection close and stops its work.
 
-        The connection is given up for that. Kept for another quarter of a second it would spare a
-        connect, but the searcher works on: one that was paused goes through all calls that lost
-        to their second sends before it takes a new one. Over 18 days of 45 searches a second, 9 %
-        fewer answers lacked a part (5,460 instead of 6,026) and 11 % fewer bytes crossed failure
-        domains, for 2.2 times as many connects.
+        The connection is given up for that. Kept it would spare a connect, but the searcher works
+        on: one that was paused goes through all calls that lost to their second sends before it
+        takes a new one.
         """
         self.on_reply = self.on_failed = _ignore
         if not self.sent:
@@ -99,9 +97,9 @@
     Args:
         address: Host and port.
         share: Connections that this instance may have open. Under one, it opens one for a call and
-            closes it after the reply: a searcher that takes 120 connections reset those of 195
-            instances that each kept one, and a request that ran into a reset may not be repeated
-            where it may run once only (711 of 10,500 requests on one route ended so).
+            closes it after the reply: where more instances keep one than a searcher takes, it
+            resets them, and a request that runs into a reset may not be repeated where it may run
+            once only.
         on_unreachable: Called with the error when a connection can't be opened.
         on_sign: Called when the searcher took a connection or replied.
     """
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -24,8 +24,7 @@
 
 # A call that was given up on counts as one that would have taken this many times its age. It lost
 # to a second send, so its age alone says "a little slow" even of a searcher that takes ten times as
-# long, and that one is chosen again. On 76 instances 201 instead of 259 of 3,924 requests were
-# late, on three smaller deployments 1,791 instead of 1,842 of 91,723.
+# long, and that one is chosen again.
 _LOST_AGES = 2.0
 
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
@@ -29,9 +29,9 @@
     evacuations: int = 0
 
     @property
-    def is_nothing(self) -> bool:
-        """Return whether callers can't be served by it."""
-        return self.version < 0 or self.searchers == 0
+    def can_serve(self) -> bool:
+        """Return whether callers can be served by it."""
+        return self.version >= 0 and self.searchers > 0
 
     def is_ahead_of(self, other: "Known") -> bool:
         """Return whether it holds something that is newer than all that the other knows."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -242,6 +242,8 @@
     def use_limits(self, services: Mapping[str, ServiceLimits]) -> None:
         """Take over what the searchers of each service stand while they are cold."""
         self._cold_rates = {name: limits.cold_rate for name, limits in services.items()}
+        in_use = services.keys() | {name for name, found in self._by_service.items() if found}
+        self._cold_starts = {n: limits for n, limits in self._cold_starts.items() if n in in_use}
         for name, limits in services.items():
             self._cold_limits(name).seconds = limits.cold_seconds
         self._set_intervals()
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -14,12 +14,9 @@
 
 # Share of a search's shards that had not answered, from which on the search counts as congested. A
 # few shards with slow or dark searchers are no congestion: fewer calls would not help them.
-# Troubles take up to 0.19 of the searchers, and seldom both of one shard.
 _CONGESTED_SHARE = 0.25
-# A search that was congested until after this share of its time counts in part. Searches that are
-# answered just in time leave no room for chance: judged by the late ones alone, at five times the
-# usual traffic 0.17 of the answers were late and 0.59 in time, now 0.13 and 0.58 (three seeds of
-# the model in test_overload.py, six instances).
+# A search that was congested until after this share of its time counts in part: searches that are
+# answered just in time leave no room for chance.
 _NEARLY_LATE, _NEARLY_LATE_WEIGHT = 0.7, 0.75
 # The rate is cut above the first share of congested searches, deeper above the second, and raised
 # below the third.
@@ -28,12 +25,10 @@
 # two searches follow each other into a pause.
 _LEAST_ENDED = 4
 # An instance that sees few searches cuts after as many as come within one objective, if they come
-# this many times as fast as usual. With 48 instances that each waited for four, 0.30 of a burst of
-# five times the traffic was in time, and 0.52 now (same model). Without more callers than usual one
-# congested search is chance, and calm traffic would be refused.
+# this many times as fast as usual. Without more callers than usual one congested search is chance,
+# and calm traffic would be refused.
 _BURST = 1.5
-# What a cut leaves of the rate. With 0.85 and 0.7 the same share of bursts of four to six times the
-# traffic is answered in time, within 3 %, but more is refused.
+# What a cut leaves of the rate.
 _CUT, _DEEP_CUT = 0.9, 0.75
 # Growth in one objective's time: while searches are refused, and while all are admitted.
 _PROBING, _RECOVERING = 0.04, 0.1
@@ -82,9 +77,7 @@
     until then, so calm days refuse nothing. It is a rate and not a number under way, as many
     instances share the load: each of 16 would have under one search at a time.
 
-    Counts of all instances, told each other every 0.1 s, were tried and are worse than each one's
-    own: all cut at the same moment, and again before the first cut showed (0.46 instead of 0.52 of
-    a burst in time with 65 instances).
+    Where searchers report their queues, these decide instead, and the rate is not used.
 
     Searches of all ranks are treated alike. Those with a tight objective suffer first where the
     rate is too high, whatever their rank, and a rank that goes first starves the others where
@@ -137,9 +130,7 @@
 
         A search that can't be answered in time any more yields to those that can. Most such callers
         were refused before and came back. Served first come, first served, they take the room of
-        callers that come after them, whose answers are late in turn: at five times the traffic
-        1,129 of 2,767 searches were in time, and 1,616 of 2,733 with this (three seeds of that
-        model).
+        callers that come after them, whose answers are late in turn.
 
         Each refused search is told a later time than the one before it, at the pace at which
         searches are admitted, so that callers don't come back together.
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
@@ -11,7 +11,7 @@
 # a queue that was full takes about as long to empty.
 _FULL_SECONDS = 2.0
 # Share that is admitted of what searchers answered once they are full. The rest of their work
-# empties queues of half a second in 0.8 s, and to where answers are in time in a third of that.
+# empties the queues.
 _FULL_CUT = 0.4
 # A change of the rate shows in single requests after this share of their objective: usual ones take
 # a quarter of it, and some queue remains.
@@ -24,13 +24,9 @@
     One slow searcher of four makes a quarter of these late, and fewer requests would not help. So
     late ones count only while the searchers themselves refuse as full.
 
-    Their own queues bound the load too late: three slots with twelve waiting make each caller wait
-    for 0.55 s, which is the whole objective of the users' look-ups. Full searchers work as fast as
-    they can, so what was answered here of late is this instance's part of that, and the rate goes
-    below it until the queues are shorter.
-
-    With 25 times the usual look-ups, four searchers and six instances, 203 of the 355 that these
-    can do in 4 s were answered in time and 210 late; now 308 and 79 (test_overload.py).
+    Their own queues bound the load too late: behind a full one, a caller waits for its whole
+    objective. Full searchers work as fast as they can, so what was answered here of late is this
+    instance's part of that, and the rate goes below it until the queues are shorter.
     """
 
     __slots__ = ("_answers", "_full_at")
@@ -69,8 +65,6 @@
     def _is_probing(self, now: float, objective: float) -> bool:
         """Return whether the searchers were full just now.
 
-        Once they no longer are, refusals here are no reason to be slow. Without this and a least
-        rate, searchers that were stuck for 8 s got 17 of 60 calm requests from 6 to 12 s after they
-        were well again, and 59 now (test_shedding.py).
+        Once they no longer are, refusals here are no reason to be slow.
         """
         return now - self._full_at <= _FULL_SECONDS
