--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -52,6 +52,7 @@
         "_active",
         "_backoff",
         "_begun",
+        "_begun_while_away",
         "_call",
         "_failed",
         "_kind",
@@ -85,6 +86,7 @@
         self._backoff = Backoff(_FIRST_PAUSE, _LONGEST_PAUSE, rng)
         self._call: asyncio.Future | None = None
         self._begun = 0.0
+        self._begun_while_away = False
         self._must_list = False
         self._active = asyncio.Event()
         self._wake = asyncio.Event()
@@ -113,14 +115,23 @@
             self._active.set()
         elif self._active.is_set():
             self._active.clear()
-            self.restart()
+            self._give_up()
 
     def restart(self) -> None:
         """Ask anew: the store may have forgotten the watch, or the list, that is under way."""
+        if (
+            self._call is None
+            or not self._lists
+            or self._begun_while_away
+            or self._passed() > _LIST_SECONDS
+        ):
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """End the call that is under way, or the pause before the next one."""
         if self._call is None:
             self._wake.set()
-            return
-        if not self._lists or self._passed() > _LIST_SECONDS:
+        else:
             self._call.cancel()
 
     async def run(self) -> None:
@@ -179,6 +190,7 @@
     async def _ask(self, call: Coroutine[Any, Any, T]) -> T | None:
         """Return the store's answer; None where the call was given up by `restart`."""
         self._begun = asyncio.get_running_loop().time()
+        self._begun_while_away = self._store_is_away()
         self._call = asyncio.ensure_future(call)
         try:
             await asyncio.wait({self._call})
--- a/tests/unit/platform/test_feeds.py
+++ b/tests/unit/platform/test_feeds.py
@@ -46,9 +46,13 @@
         """A store that is merely slow would otherwise never get to answer one."""
         assert asyncio.run(self.play(0.0)) == (1, None)
 
-    async def play(self, silent_for: float) -> tuple[int, int | None]:
+    def test_one_that_was_asked_for_while_the_store_was_away_is_not(self):
+        """Guards against a start that waits a second for a list that nobody will answer."""
+        assert asyncio.run(self.play(0.0, away=True)) == (2, 7)
+
+    async def play(self, silent_for: float, *, away: bool = False) -> tuple[int, int | None]:
         store, sink = ForgetfulStore(), KeepingSink()
-        feed = Feed(store, "kind", sink, Random(1))
+        feed = Feed(store, "kind", sink, Random(1), store_is_away=lambda: away)
         feed.set_active(True)
         task = asyncio.create_task(feed.run())
         while not store.lists:
@@ -167,3 +171,23 @@
     async def watch(self, kind: str, revision: int, wait: float) -> None:
         self.watches += 1
         await asyncio.Event().wait()
+
+
+class TestStoppedFeed:
+    def test_the_list_under_way_is_given_up(self):
+        """Guards against a feed that is told to read again and still waits for its old list."""
+        assert asyncio.run(self.play()) == (2, 7)
+
+    async def play(self) -> tuple[int, int | None]:
+        store, sink = ForgetfulStore(), KeepingSink()
+        feed = Feed(store, "kind", sink, Random(1))
+        feed.set_active(True)
+        task = asyncio.create_task(feed.run())
+        while not store.lists:
+            await asyncio.sleep(0)
+        feed.set_active(False)
+        await asyncio.sleep(0.02)
+        feed.set_active(True)
+        await asyncio.sleep(0.02)
+        task.cancel()
+        return store.lists, sink.revision
