--- a/demo/platform.py
+++ b/demo/platform.py
@@ -25,6 +25,7 @@
             _search,
             _book,
             _reconfigure,
+            _evacuate,
             _lose_the_store,
             _kill,
         )
@@ -73,6 +74,23 @@
     return f"version 2 in force, heard from {' and '.join(sorted(set(sources)))}"
 
 
+def _evacuate(system: PlatformSystem) -> str:
+    """The operator evacuates a failure domain; its searchers get nothing until it is restored."""
+    system.store.put("evacuations", ZONES[0], {})
+    for instance in system.instances:
+        wait_for(lambda i=instance: i.events(407), "the evacuation is known")
+    before = [len(backend.seen) for backend in system.backends_in(ZONES[0])]
+    reply = system.instances[0].ask("/find/bays")
+    missing = reply.headers["X-Limpethollow-Missing-Parts"]
+    require(reply.status == 200 and missing == "0", f"{missing} shards are missing")
+    after = [len(backend.seen) for backend in system.backends_in(ZONES[0])]
+    require(after == before, "a searcher of the evacuated failure domain got a request")
+    system.store.take_away("evacuations", ZONES[0])
+    for instance in system.instances:
+        wait_for(lambda i=instance: i.events(408), "the failure domain is restored")
+    return f"all {len(SHARDS)} shards from the other failure domain, then both again"
+
+
 def _lose_the_store(system: PlatformSystem) -> str:
     """The store goes away; requests go on."""
     system.store.refuses = True
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -149,8 +149,8 @@
     def _may_read(self, feed: StoreFeed, live: Collection[Instance], now: float) -> bool:
         """Return whether to read a kind for the first time, or to wait for a peer's news of it.
 
-        The list of searchers alone takes a call for each 50 of them, and a peer has it in one
-        frame. Relays read at once: where all start together, the others have it from them.
+        Each list is a call or more, and a peer has all of them in a few frames. Relays read at
+        once: where all start together, the others have the lists from them.
         """
         if self._started_at is None:
             self._started_at = now
--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -228,6 +228,7 @@
         self.folder = folder
         self.store = ObjectStoreStandIn()
         self.instances: list[PlatformInstance] = []
+        self.backends: list[BackendStandIn] = []
         self._stack = ExitStack()
 
     def __enter__(self) -> "PlatformSystem":
@@ -241,8 +242,13 @@
         """Start a searcher and register it."""
         backend = self._stack.enter_context(BackendStandIn(service, name, **fields))
         self.store.put("servers", name, backend.entry())
+        self.backends.append(backend)
         return backend
 
+    def backends_in(self, zone: str) -> list[BackendStandIn]:
+        """Return the searchers that say that they run in a zone."""
+        return [backend for backend in self.backends if backend.zone == zone]
+
     def configure(self, version: int, *routes: dict[str, Any]) -> None:
         self.store.put("config", "main", configuration(version, *routes))
 
