--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -193,6 +193,10 @@
             self._waits_for_floor = True
 
     def _deadline_passed(self) -> None:
+        if len(self._parts) >= self._least_parts:
+            # A caller that comes back may have less time left than the objective.
+            self._answer("little_time")
+            return
         self._fail(AnswerLate("Too few shards answered in time."), "deadline")
 
     def _give_up(self) -> None:
--- a/packages/limpethollow/src/limpethollow/explanations.py
+++ b/packages/limpethollow/src/limpethollow/explanations.py
@@ -30,6 +30,7 @@
     "whole": "All shards answered.",
     "answered": "The searcher's answer was passed on.",
     "objective": "At the objective some shards had not answered; the answer went out without them.",
+    "little_time": "The caller's time ended before the objective; what had come was answered.",
     "late": "Too few shards for the floor had answered at the objective; the answer waited.",
     "floor_out_of_reach": "Too many shards failed for the floor to be reached; see their lines.",
     "too_few_shards": "Too few shards had a searcher that could take a call; nothing was sent.",
--- a/tests/unit/engine/test_searches.py
+++ b/tests/unit/engine/test_searches.py
@@ -33,3 +33,14 @@
         play.run(10.0)
         assert all(len(calls) == 1 for calls in play.calls.values())
         assert [reply.status for reply in play.exchange.replies] == [504]
+
+
+class TestDeadline:
+    def test_what_is_there_is_answered_at_a_deadline_before_the_objective(self):
+        """Guards against an error for a caller with little time left whose floor was met."""
+        play = SearchPlay(timeout=0.06, objective=0.1)
+        for shard in (0, 1, 2):
+            play.answer(shard)
+        play.run(1.0)
+        (reply,) = play.exchange.replies
+        assert (reply.status, play.outcomes[0].parts) == (200, 3)
