Logs tell requests that come again apart, and which searchers were lost under each

Ids are new with each repeat, and path, caller and body stood nowhere. Change: event 520 has a fingerprint (method, host, target, credentials, body); event 410 tells at a request's end which searchers' connections ended under it before any byte of a reply, with target and caller. A new verdict, lost, tells these from replies that break off; it decides nothing yet. No decision changed.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -44,6 +44,11 @@
         """Return the seconds from here to the caller and back; None where they aren't known."""
         return self._connection.round_trip
 
+    @property
+    def caller_host(self) -> str | None:
+        """Return the caller's IP address; None where the connection is gone."""
+        return self._connection.peer_host
+
     @property
     def is_first(self) -> bool:
         """Return whether the connection was opened for this request."""
@@ -79,6 +84,7 @@
         "_transport",
         "idle_since",
         "message_since",
+        "peer_host",
         "requests",
         "round_trip",
     )
@@ -102,6 +108,7 @@
         self.message_since: float | None = None
         self.requests = 0
         self.round_trip: float | None = None
+        self.peer_host: str | None = None
 
     @property
     def busy(self) -> bool:
@@ -142,6 +149,7 @@
         sock = transport.get_extra_info("socket")
         set_probes(sock)
         self.round_trip = round_trip(sock)
+        self.peer_host = (transport.get_extra_info("peername") or (None,))[0]
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -24,6 +24,10 @@
     """The connection ended, or what came was no reply, before a whole reply was read."""
 
 
+class LostConnection(BrokenConnection):
+    """The connection ended before any byte of the reply to its request came."""
+
+
 class ClientConnection(asyncio.Protocol):
     """Sends a request, reads the whole reply, and tells whether the connection may be kept.
 
@@ -43,6 +47,7 @@
         "_on_idle",
         "_on_reply",
         "_parser",
+        "_reply_begun",
         "_transport",
         "_until_close",
         "idle_since",
@@ -66,6 +71,7 @@
         self._is_head = False
         self._until_close = False
         self._broken = False
+        self._reply_begun = False
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
 
@@ -92,6 +98,7 @@
         self._on_reply = on_reply
         self._on_broken = on_broken
         self._is_head = head
+        self._reply_begun = False
         self._transport.write(data)
 
     def close(self) -> None:
@@ -115,6 +122,7 @@
             # this connection can't be told from an answer, so it is not used again.
             self._end(BrokenConnection("The server sent bytes that nobody asked for."))
             return
+        self._reply_begun = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -129,7 +137,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the request under way, if any, that its reply won't come."""
-        self._end(BrokenConnection(f"The connection ended without a whole reply ({exc})."))
+        if self._reply_begun:
+            self._end(BrokenConnection(f"The connection ended within a reply ({exc})."))
+        else:
+            self._end(LostConnection(f"The connection ended without a reply ({exc})."))
         self._on_closed(self)
 
     # Called by the parser.
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -162,8 +162,10 @@
 
     def _new_pool(self, replica: Replica) -> Pool:
         def unreachable(error: Exception) -> None:
-            self.fleet.unreachable(replica, self.loop.time())
+            is_first = self.fleet.unreachable(replica, self.loop.time())
             self.metrics.count("searcher_connect_failures")
+            if not is_first:
+                return
             events.SEARCHER_UNREACHABLE.log(
                 searcher=replica.searcher.id,
                 address=replica.searcher.address,
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -5,6 +5,7 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.intake import Intake
 from limpethollow_node.engine.request.batches import BatchDesk
+from limpethollow_node.engine.request.fingerprints import fingerprint_of
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -129,6 +130,7 @@
 
     def _logger(self, exchange: Exchange, route: Route | None) -> OutcomeLog:
         request_id = exchange.request.header(self._dispatch.names.request_id)
+        fingerprint = fingerprint_of(exchange.request)
         current = self.versions.current
 
         def log(outcome: Outcome) -> None:
@@ -141,8 +143,11 @@
                 if route is not None:
                     metrics.count("route_unserved", f"{route.name}/{outcome.status}")
             metrics.observe("request", seconds)
+            if outcome.lost:
+                self._log_lost(exchange, fingerprint, outcome)
             events.REQUEST_ENDED.log(
                 request=_text(request_id),
+                fingerprint=fingerprint,
                 route=route.name if route else None,
                 version=current.number if current else None,
                 version_age_s=round(self.versions.age(now), 2) if current else None,
@@ -160,6 +165,21 @@
 
         return log
 
+    def _log_lost(self, exchange: Exchange, fingerprint: str, outcome: Outcome) -> None:
+        """Tell what a request asks for under which searchers may have ended."""
+        request = exchange.request
+        events.SEARCHERS_LOST.log(
+            request=_text(request.header(self._dispatch.names.request_id)),
+            fingerprint=fingerprint,
+            method=_text(request.method),
+            host=_text(request.header(b"host")),
+            target=_text(request.target),
+            caller=exchange.caller_host,
+            searchers=outcome.lost,
+            parts=outcome.parts,
+            status=outcome.status,
+        )
+
 
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -8,7 +8,7 @@
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
-from limpethollow_node.engine.request.judging import judge, read_load, render_call
+from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.request.parts import PartSet
@@ -107,7 +107,7 @@
     def broke(self, shard: str, error: Exception, *, sent: bool) -> None:
         """Take in that a call gets no reply."""
         del self._calls[shard]
-        self._fail(shard, Verdict.UNKNOWN if sent else Verdict.NOT_SENT, 0, repr(error))
+        self._fail(shard, judge_failure(error, sent=sent), 0, repr(error))
         self._check()
 
     def render(self, searcher: str) -> bytes:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -120,6 +120,10 @@
     def _report(self, status: int, reason: str) -> None:
         self._log(
             Outcome(
-                status, reason, searchers=list(self._tries.searchers), hedges=self._tries.hedges
+                status,
+                reason,
+                searchers=list(self._tries.searchers),
+                hedges=self._tries.hedges,
+                lost=self._tries.lost,
             )
         )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
@@ -1,5 +1,6 @@
 """Reads a searcher's reply for what it proves."""
 
+from limpethollow_node.engine.connection.clients import LostConnection
 from limpethollow_node.engine.messages import HeaderNames, Reply
 from limpethollow_node.process import events
 from limpethollow_policy.process.loadreports import LoadReport
@@ -24,6 +25,18 @@
     )
 
 
+def judge_failure(error: Exception, *, sent: bool) -> Verdict:
+    """Return what is known of a request that gets no whole reply.
+
+    Args:
+        error: Why there is none.
+        sent: Whether bytes of the request went out.
+    """
+    if not sent:
+        return Verdict.NOT_SENT
+    return Verdict.LOST if isinstance(error, LostConnection) else Verdict.UNKNOWN
+
+
 def read_load(reply: Reply, names: HeaderNames) -> LoadReport | None:
     """Return what a searcher says of its load with a reply; None where it says nothing of use."""
     value = reply.header(names.load)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outcomes.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outcomes.py
@@ -15,6 +15,7 @@
         missing: For each shard left out: its service, why, and the searchers that were asked.
         searchers: Searchers that a forwarded request was sent to.
         hedges: Second sends made because the first was late.
+        lost: Searchers whose connection ended under the request, before any byte of a reply.
     """
 
     status: int
@@ -23,6 +24,7 @@
     missing: list[str] = field(default_factory=list)
     searchers: list[str] = field(default_factory=list)
     hedges: int = 0
+    lost: list[str] = field(default_factory=list)
 
 
 OutcomeLog = Callable[[Outcome], None]
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -261,5 +261,6 @@
                     f"{t.service}:{t.reason or 'late'}:{'+'.join(t.searchers)}" for t in missing
                 ],
                 hedges=sum(t.hedges for t in self._tries),
+                lost=[searcher for t in self._tries for searcher in t.lost],
             )
         )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -6,7 +6,7 @@
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
-from limpethollow_node.engine.request.judging import judge, read_load, render_call
+from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
@@ -171,7 +171,7 @@
         self._owner.ended(self, verdict, reply, f"status_{reply.status}")
 
     def _failed(self, error: Exception) -> None:
-        verdict = Verdict.UNKNOWN if self.has_left else Verdict.NOT_SENT
+        verdict = judge_failure(error, sent=self.has_left)
         self._observe(verdict, 0, self._age())
         self._owner.ended(self, verdict, None, repr(error))
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -38,6 +38,9 @@
         service: The service.
         on_done: Called once with this object when the outcome is settled.
         carrier: May take over the first send.
+
+    Attributes:
+        lost: Ids of the searchers whose connection ended under the request, in order.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         "dispatch",
         "done",
         "hedges",
+        "lost",
         "outgoing",
         "reason",
         "reply",
@@ -80,6 +84,7 @@
         self.service = service
         self.done = False
         self.hedges = 0
+        self.lost: list[str] = []
         self.reply: Reply | None = None
         self.verdict = Verdict.NOT_SENT
         self.reason = ""
@@ -186,6 +191,8 @@
             self._arrivals -= 1
         if verdict in (Verdict.NOT_SENT, Verdict.NOT_RUN):
             self._runs -= 1
+        if verdict is Verdict.LOST:
+            self.lost.append(send.replica.searcher.id)
         if self.done:
             return
         if verdict is Verdict.ANSWERED:
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -101,6 +101,7 @@
 DOMAIN_EVACUATED = _event(407, logging.INFO, "a failure domain gets no new calls from here")
 DOMAIN_RESTORED = _event(408, logging.INFO, "an evacuated failure domain is used again")
 LOAD_UNREADABLE = _event(409, logging.DEBUG, "what a searcher says of its load can't be read")
+SEARCHERS_LOST = _event(410, logging.WARNING, "connections to searchers ended under a request")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -257,9 +257,15 @@
         self._sharers = sharers
         self._set_intervals()
 
-    def unreachable(self, replica: Replica, now: float) -> None:
-        """Take in that no connection to a searcher could be opened."""
+    def unreachable(self, replica: Replica, now: float) -> bool:
+        """Take in that no connection to a searcher could be opened.
+
+        Returns:
+            Whether this is the first time since it last answered a call.
+        """
+        is_first = replica.block == _FIRST_BLOCK
         replica.unreachable(self._rng.random(), now)
+        return is_first
 
     def evacuate(self, failure_domain: str) -> list[Replica]:
         """Send nothing new to a failure domain; return its searchers."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/verdicts.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/verdicts.py
@@ -13,6 +13,8 @@
         FAILED: The searcher says that the request failed; it may have run.
         NOT_RUN: The searcher says that the request has not run and will not.
         NOT_SENT: No byte of the request reached the searcher.
+        LOST: The connection ended after the request was sent and before any byte of a reply: the
+            searcher may have run the request, and may have ended under it.
         UNKNOWN: The request may have run; nothing usable came back.
     """
 
@@ -20,6 +22,7 @@
     FAILED = "failed"
     NOT_RUN = "not_run"
     NOT_SENT = "not_sent"
+    LOST = "lost"
     UNKNOWN = "unknown"
 
 
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -22,6 +22,7 @@
         self.on_gone = None
         self.is_first = False
         self.round_trip: float | None = None
+        self.caller_host = "10.9.0.1"
         self.replies: list[Reply] = []
         self.on_reply: Callable[[Reply], None] = lambda reply: None
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from random import Random
 
+from limpethollow_node.engine.connection.clients import LostConnection
 from limpethollow_node.engine.messages import Reply, Request
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.platform.headers import HEADERS
@@ -113,6 +114,12 @@
     call.on_failed(ConnectionResetError("reset"))
 
 
+def lose(call: Call):
+    """Let a call's connection end after the request was sent, as when its searcher crashes."""
+    call.sent = True
+    call.on_failed(LostConnection("ended"))
+
+
 def request(method: bytes = b"GET", target: bytes = b"/x") -> Request:
     return Request(method, target, [(b"Host", b"h"), (HEADERS.request_id, b"r1")])
 
