--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -1,7 +1,7 @@
 """Stand-in for a searcher as the users' platform defines it, with full control over its bytes.
 
 `answer` decides what a request gets: a `Bytes` is written as it stands, `HANG` is never answered,
-`CUT` closes the connection after the request was read, `RESET` resets it.
+`CUT` closes the connection after the request was read, `RESET` resets it, `CRASH` ends the searcher.
 """
 
 import socket
@@ -51,7 +51,11 @@
         self.before = before
 
 
-Answer = bytes | Hang | Cut | Reset
+class Crash:
+    """End the searcher: all its connections and its listener close."""
+
+
+Answer = bytes | Hang | Cut | Reset | Crash
 
 
 @dataclass
@@ -77,9 +81,12 @@
     seen: list[Seen] = field(default_factory=list)
     closed: list[float] = field(default_factory=list)
     connections: int = 0
+    ended: bool = False
+    _open: list[socket.socket] = field(default_factory=list)
 
     def __enter__(self) -> "BackendStandIn":
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
         return self
 
@@ -91,7 +98,17 @@
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+        return f"127.0.0.1:{self._port}"
+
+    def crash(self) -> None:
+        """End as a killed process does."""
+        self.ended = True
+        self.__exit__()
+        for connection in self._open:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
 
     def entry(self, **fields: object) -> dict[str, object]:
         """Return what the searcher writes to the store about itself."""
@@ -142,6 +159,7 @@
             except OSError:
                 return
             self.connections += 1
+            self._open.append(connection)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
@@ -167,6 +185,9 @@
             return False
         if isinstance(answer, Cut):
             return False
+        if isinstance(answer, Crash):
+            self.crash()
+            return False
         if isinstance(answer, Reset):
             if answer.before:
                 connection.sendall(answer.before)
