A request that ends its searchers is stopped: trials at one searcher, quarantine at all instances

Cause: a send knew nothing of those before it. A lost connection was answered by a second send like any other, so one attempt went to both searchers of each shard; the next attempt, at whichever instance, began anew. Change: CrashEvidence adds up, by request fingerprint, which searchers' connections ended before any reply while nobody answered. Three make a suspect, which runs at one searcher at a time until one answers; two such trials make a quarantine. Evidence is told on over the links, and quarantines are kept in the store, which relays read once after a start. Why this works: a request that does not end its searchers is answered by the first one on trial, so it loses one call's time; one that does is known everywhere within a link's delay, before its next repeat.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from limpethollow_policy.process.catchups import Known
+from limpethollow_policy.process.crashes import CrashReport
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.loadreports import LoadReport
@@ -119,6 +120,12 @@
     gone: list[str]
 
 
+class CrashNews(Frame, frozen=True, tag="crashes"):
+    """Evidence on requests under which searchers end; told to all, and told on where it is new."""
+
+    reports: list[CrashReport]
+
+
 class Ask(Frame, frozen=True, tag="ask"):
     """Asks for all that is newer than what the sender knows.
 
@@ -234,6 +241,7 @@
     | SearcherNews
     | InstanceNews
     | EvacuationNews
+    | CrashNews
     | Ask
     | Batch
     | BatchParts
--- a/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from limpethollow_policy.process.loadreports import LoadReport
 
 Headers = list[tuple[bytes, bytes]]
 
+# Enough that two requests never have the same by chance.
+_FINGERPRINT_BYTES = 16
+
 # Headers that concern one connection only (RFC 9110, 7.6.1); both sides write their own.
 CONNECTION_HEADERS = frozenset(
     {
@@ -75,6 +79,22 @@
     headers: Headers
     body: bytes = b""
     keep_alive: bool = True
+    _fingerprint: str | None = field(default=None, init=False, repr=False, compare=False)
+
+    @property
+    def fingerprint(self) -> str:
+        """Return a digest of what is asked by whom: the same for each repeat of the request.
+
+        Ids and deadlines differ between repeats, and are left out.
+        """
+        if self._fingerprint is None:
+            digest = blake2b(digest_size=_FINGERPRINT_BYTES)
+            host = (self.header(b"host") or b"").lower()
+            credentials = self.header(b"authorization") or b""
+            for part in (self.method, host, self.target, credentials, self.body):
+                digest.update(b"%d:%b" % (len(part), part))
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
 
     @property
     def path(self) -> str:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -5,6 +5,7 @@
 
 from limpethollow_node.engine.messages import HeaderNames
 from limpethollow_node.engine.process.pools import Call, Pool
+from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
@@ -51,6 +52,7 @@
         "names",
         "own_delay",
         "own_pace",
+        "quarantines",
     )
 
     def __init__(
@@ -65,6 +67,7 @@
         self.isolation = Isolation()
         self.own_delay = OwnDelay()
         self.own_pace = OwnPace()
+        self.quarantines = Quarantines(metrics, self.loop.time)
         self._pools: dict[str, Pool] = {}
         self._timings: dict[str, RouteTimings] = {}
         self._service_limits: dict[str, int] = {}
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -5,7 +5,6 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.intake import Intake
 from limpethollow_node.engine.request.batches import BatchDesk
-from limpethollow_node.engine.request.fingerprints import fingerprint_of
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -103,6 +102,7 @@
 
         Raises:
             BadRequest: The request's headers can't be understood.
+            Quarantined: Searchers ended under earlier tries of the request.
             Overloaded: The route's searchers can't answer the request in time.
         """
         outgoing = Outgoing.of(exchange, route, self._dispatch)
@@ -111,6 +111,7 @@
 
         def ended(outcome: Outcome) -> None:
             self._running.discard(running)
+            self._dispatch.quarantines.ended(outgoing.guard)
             log(outcome)
 
         if route.shards:
@@ -130,7 +131,6 @@
 
     def _logger(self, exchange: Exchange, route: Route | None) -> OutcomeLog:
         request_id = exchange.request.header(self._dispatch.names.request_id)
-        fingerprint = fingerprint_of(exchange.request)
         current = self.versions.current
 
         def log(outcome: Outcome) -> None:
@@ -144,10 +144,10 @@
                     metrics.count("route_unserved", f"{route.name}/{outcome.status}")
             metrics.observe("request", seconds)
             if outcome.lost:
-                self._log_lost(exchange, fingerprint, outcome)
+                self._log_lost(exchange, outcome)
             events.REQUEST_ENDED.log(
                 request=_text(request_id),
-                fingerprint=fingerprint,
+                fingerprint=exchange.request.fingerprint,
                 route=route.name if route else None,
                 version=current.number if current else None,
                 version_age_s=round(self.versions.age(now), 2) if current else None,
@@ -165,12 +165,12 @@
 
         return log
 
-    def _log_lost(self, exchange: Exchange, fingerprint: str, outcome: Outcome) -> None:
+    def _log_lost(self, exchange: Exchange, outcome: Outcome) -> None:
         """Tell what a request asks for under which searchers may have ended."""
         request = exchange.request
         events.SEARCHERS_LOST.log(
             request=_text(request.header(self._dispatch.names.request_id)),
-            fingerprint=fingerprint,
+            fingerprint=request.fingerprint,
             method=_text(request.method),
             host=_text(request.header(b"host")),
             target=_text(request.target),
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -10,6 +10,7 @@
 from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS, PeerLink
 from limpethollow_node.engine.frames import (
     AnyFrame,
+    CrashNews,
     Frame,
     Heartbeat,
     Hello,
@@ -18,9 +19,11 @@
     encode_frame,
 )
 from limpethollow_node.engine.process.catalog import Catalog
+from limpethollow_node.engine.process.crashnews import CrashNewsExchange
 from limpethollow_node.engine.process.dialling import Dialler
 from limpethollow_node.engine.process.heartbeats import Heartbeats
 from limpethollow_node.engine.process.news import NewsExchange
+from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.engine.process.silence import SilenceJudge
 from limpethollow_node.process import events
@@ -53,6 +56,7 @@
         role: Decides whether this instance watches the store.
         rng: Source for jitter.
         metrics: The process's counters.
+        quarantines: The evidence on requests that end searchers.
         seeds: IP addresses of instances that may be tried before any is known from the store.
     """
 
@@ -63,6 +67,7 @@
         role: WatchRole,
         rng: Random,
         metrics: Metrics,
+        quarantines: Quarantines,
         seeds: Collection[str] = (),
     ) -> None:
         self._roster = roster
@@ -74,6 +79,7 @@
         self._dialler = Dialler(rng, lambda socket: self._run(socket, dialled=True))
         self._silence = SilenceJudge(roster, self._links)
         self._news = NewsExchange(catalog, self._links)
+        self._crash_news = CrashNewsExchange(quarantines, self._links)
         self._member_hosts: set[str] = set(seeds)
         self._suspects: dict[str, float] = {}
         self._turn = 0
@@ -258,6 +264,7 @@
         if older is not None:
             older.close()
         events.PEER_LINKED.log(peer=hello.name, version=hello.known.version)
+        self._crash_news.greet(link)
         self._news.heard(link, hello.known)
         self._heartbeats.say([link])
         told = self._silence.told
@@ -293,6 +300,10 @@
         if beat.ready:
             self._roster.set_silent(link.name, False, link.heard_at)
 
+    @_handles(CrashNews)
+    def _on_crashes(self, link: PeerLink, news: CrashNews) -> None:
+        self._crash_news.take(link, news)
+
     @_handles(Silent)
     def _on_silent(self, link: PeerLink, silent: Silent) -> None:
         if link.name is not None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -116,6 +116,7 @@
     def _stop(self) -> None:
         for timer in self._timers:
             timer.cancel()
+        self._outgoing.guard.close()
 
     def _report(self, status: int, reason: str) -> None:
         self._log(
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -12,6 +12,7 @@
 )
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_policy.process.timings import RouteTimings
+from limpethollow_policy.request.crashguards import CrashGuard
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import BadRequest
 
@@ -34,6 +35,7 @@
         route: The route.
         timings: The route's timings.
         is_head: Whether the method is HEAD.
+        guard: Keeps the request from ending one searcher after the other.
     """
 
     head: bytes
@@ -45,6 +47,7 @@
     route: Route
     timings: RouteTimings
     is_head: bool
+    guard: CrashGuard
 
     @classmethod
     def of(cls, exchange: Exchange, route: Route, dispatch: Dispatch) -> "Outgoing":
@@ -57,9 +60,11 @@
 
         Raises:
             BadRequest: The time that the caller has left is no number.
+            Quarantined: Searchers ended under earlier tries of the request.
         """
         names = dispatch.names
         request, arrived = exchange.request, exchange.arrived_at
+        guard = dispatch.quarantines.guard(request.fingerprint, single_sends=not route.idempotent)
         timings = dispatch.timings(route)
         left = _time_left(request, names)
         way = exchange.round_trip or _USUAL_ROUND_TRIP
@@ -81,6 +86,7 @@
             route,
             timings,
             request.method == b"HEAD",
+            guard,
         )
 
     @property
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -68,9 +68,10 @@
         replica: The searcher.
         started: Monotonic second at which the searcher was chosen.
         call: The call; None until `go`, or until another instance is asked to make it.
+        on_trial: Whether it shows if the request ends its searchers.
     """
 
-    __slots__ = ("_number", "_owner", "call", "replica", "started")
+    __slots__ = ("_number", "_owner", "call", "on_trial", "replica", "started")
 
     _numbers = itertools.count(1)
 
@@ -80,6 +81,7 @@
         self.replica = replica
         self.started = now
         self.call: OpenCall | None = None
+        self.on_trial = owner.outgoing.guard.begin(replica.searcher.id)
         replica.in_flight[self._number] = now
         replica.sent(now)
 
@@ -90,7 +92,7 @@
             self._render,
             self._replied,
             self._failed,
-            fresh=not outgoing.route.idempotent,
+            fresh=not outgoing.route.idempotent or self.on_trial,
             head=outgoing.is_head,
         )
         self.call = call
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -8,6 +8,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.sends import Send
 from limpethollow_node.process import events
+from limpethollow_policy.process.crashes import Standing
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.request.verdicts import Verdict
 
@@ -20,6 +21,10 @@
 _FULL_STATUSES = (429, 503)
 # Why a request that may run once only is not sent again.
 _MAY_HAVE_RUN = "may_have_run"
+# Why a request that ended each searcher is not sent again.
+_QUARANTINED = "quarantined"
+# Why a request that may end its searchers waits before it is sent again.
+_ON_TRIAL_ELSEWHERE = "on_trial_elsewhere"
 
 
 class Carrier(Protocol):
@@ -52,6 +57,7 @@
         "_sends",
         "_under_way",
         "_used",
+        "_waits",
         "dispatch",
         "done",
         "hedges",
@@ -81,6 +87,7 @@
         self._runs = 0
         self._arrivals = 0
         self._refused_as_full = False
+        self._waits = False
         self.service = service
         self.done = False
         self.hedges = 0
@@ -117,8 +124,10 @@
         """
         if replica is None:
             self._finish(Verdict.NOT_SENT, "no_searcher")
-        else:
+        elif self.outgoing.guard.may_send():
             self._launch(replica)
+        else:
+            self._wait()
 
     def hedge(self) -> bool:
         """Ask a second searcher because the first is late; return whether both are asked now."""
@@ -128,6 +137,8 @@
         if other is None:
             return False
         first = self._under_way[0]
+        if not self.outgoing.guard.may_send():
+            return False
         if not first.has_left:
             # It still waits for a connection. Nothing has arrived, so moving it elsewhere is no
             # repeated send.
@@ -158,7 +169,7 @@
         self._runs += 1
         self._arrivals += 1
         carrier, self._carrier = self._carrier, None
-        if carrier is None or not carrier.offer(send):
+        if carrier is None or send.on_trial or not carrier.offer(send):
             send.go()
 
     def _choose(self) -> Replica | None:
@@ -191,8 +202,7 @@
             self._arrivals -= 1
         if verdict in (Verdict.NOT_SENT, Verdict.NOT_RUN):
             self._runs -= 1
-        if verdict is Verdict.LOST:
-            self.lost.append(send.replica.searcher.id)
+        self._tell_guard(send, verdict)
         if self.done:
             return
         if verdict is Verdict.ANSWERED:
@@ -210,22 +220,61 @@
             self._launch(other)
             self.dispatch.metrics.count("retries", verdict.value)
             self.log_again(verdict.value)
+        elif obstacle == _ON_TRIAL_ELSEWHERE:
+            self._wait()
         elif obstacle == _MAY_HAVE_RUN or not self._under_way:
             self._finish(verdict, reason)
 
+    def _tell_guard(self, send: Send, verdict: Verdict) -> None:
+        """Tell what the end of a send says of the request."""
+        guard, searcher = self.outgoing.guard, send.replica.searcher.id
+        if verdict is Verdict.ANSWERED:
+            guard.answered()
+            return
+        if verdict is not Verdict.LOST:
+            guard.ended(searcher)
+            return
+        self.lost.append(searcher)
+        guard.lost(searcher)
+        if guard.standing is Standing.QUARANTINED:
+            # Now, not at the request's end: other sends of it may last until its deadline.
+            self.dispatch.quarantines.ended(guard)
+
+    def _wait(self) -> None:
+        """Wait until a searcher has answered another send of the request, or it is this turn."""
+        if not self._waits:
+            self._waits = True
+            self.outgoing.guard.wait(self._resume)
+
+    def _resume(self) -> None:
+        self._waits = False
+        if self.done:
+            return
+        other = self._choose()
+        obstacle = self._obstacle(other)
+        if obstacle is None:
+            self._launch(other)
+        elif not self._under_way:
+            self._finish(Verdict.LOST if self.lost else Verdict.NOT_SENT, obstacle)
+
     def _obstacle(self, other: Replica | None) -> str | None:
         """Return why the request can't be sent once more; None where the budget was taken for it.
 
         Args:
             other: The searcher that would get it.
         """
+        guard = self.outgoing.guard
         if not self.outgoing.route.idempotent and self._runs:
             # Another send might run it twice, so the outcome stays as it is.
             return _MAY_HAVE_RUN
+        if guard.standing is Standing.QUARANTINED:
+            return _QUARANTINED
         if other is None:
             return "no_searcher"
         if not self._may_send():
             return "attempts"
+        if not guard.may_send():
+            return _ON_TRIAL_ELSEWHERE
         if not self._take():
             return "budget"
         return None
@@ -274,13 +323,15 @@
         self._on_done(self)
 
     def _drop_sends(self) -> None:
-        for send in self._under_way:
+        dropped, self._under_way = self._under_way, []
+        for send in dropped:
             send.drop()
-        self._under_way.clear()
+            self.outgoing.guard.ended(send.replica.searcher.id)
 
     def _withdraw(self, send: Send) -> None:
         self._under_way.remove(send)
         send.drop()
+        self.outgoing.guard.ended(send.replica.searcher.id)
         self._sends -= 1
         self._runs -= 1
         self._arrivals -= 1
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -24,6 +24,8 @@
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.platform.membership import KIND, Membership
+from limpethollow_node.platform.pauses import RetryPause
+from limpethollow_node.platform.quarantines import QuarantineKeeper
 from limpethollow_node.platform.settings import (
     Limits,
     PlatformSettings,
@@ -94,7 +96,13 @@
         )
         role = WatchRole(settings.node_name, self._rng)
         self._peers = Peers(
-            self._roster, self._catalog, role, self._rng, self.metrics, settings.seed_hosts
+            self._roster,
+            self._catalog,
+            role,
+            self._rng,
+            self.metrics,
+            self._dispatch.quarantines,
+            settings.seed_hosts,
         )
         self._engine.desk = BatchDesk(self._dispatch, self._peers)
         self._lifetime = ListLifetime(bounds.ttl_max_s)
@@ -121,6 +129,13 @@
             first_start=settings.bootstrap,
             store_is_away=lambda: self._check.away,
         )
+        self._quarantine_keeper = QuarantineKeeper(
+            self._store,
+            self._dispatch.quarantines,
+            RetryPause(self._rng, lambda: self._check.away),
+            lambda: self._peers.follows,
+            first_start=settings.bootstrap,
+        )
         self._feeds = self._new_feeds()
         *others, members = self._feeds
         self._follower = StoreFollower(
@@ -183,6 +198,7 @@
         self.metrics.gauge("admitted_rate", lambda: self._engine.admitted_rate)
         self.metrics.gauge("ready", lambda: self._life.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
+        self.metrics.gauge("quarantined_requests", lambda: self._dispatch.quarantines.count)
         self.metrics.gauge("instances_heard", lambda: self._peers.heard_count(loop.time()))
 
     def _new_feeds(self) -> list[Feed]:
@@ -220,6 +236,7 @@
             self._life.open(doors),
             self._check.run(),
             self._peers.run(),
+            self._quarantine_keeper.run(),
             self._tick(),
             *joining,
         ]
@@ -236,6 +253,7 @@
         for feed in self._feeds:
             feed.restart()
         self._membership.store_is_back()
+        self._quarantine_keeper.store_is_back()
 
     async def _tick(self) -> None:
         """Do what has no event of its own to wait for."""
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -0,0 +1,165 @@
+"""Quarantined requests in the store, where they outlast all instances."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from limpethollow_node.engine.process.quarantines import Quarantines
+from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.platform.pauses import RetryPause
+from limpethollow_node.platform.store import Store
+from limpethollow_node.process import events
+from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
+from limpethollow_wire.exceptions import BadRequest, Conflict, LimpethollowError, NotFound
+
+KIND = "quarantines"
+# How often a relay looks whether an operator has released a request.
+_LOOK_SECONDS = 60.0
+_TICK_SECONDS = 0.25
+
+
+class _Entry(msgspec.Struct, frozen=True, rename="camel"):
+    """A quarantined request; an operator sets `released` to let it run again."""
+
+    searchers: list[str]
+    on_trial: list[str]
+    epoch: int = 0
+    released: bool = False
+
+
+class QuarantineKeeper:
+    """Writes what this instance puts into quarantine, and reads what others did.
+
+    Instances tell each other on their links. The store is for a start of all, and for operators;
+    only relays read it.
+
+    Usage:
+        keeper = QuarantineKeeper(store, quarantines, pause, follows, first_start=False)
+        await keeper.run()
+
+    Args:
+        store: The store.
+        quarantines: The evidence on requests that end searchers.
+        pause: Waits between tries of a write.
+        follows: Returns whether this instance follows the store now.
+        first_start: Whether the whole system starts for the first time, so that there is nothing
+            to read yet.
+    """
+
+    __slots__ = (
+        "_follows",
+        "_has_news",
+        "_next_look",
+        "_pause",
+        "_quarantines",
+        "_store",
+        "_to_write",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        quarantines: Quarantines,
+        pause: RetryPause,
+        follows: Callable[[], bool],
+        *,
+        first_start: bool,
+    ) -> None:
+        self._store = store
+        self._quarantines = quarantines
+        self._pause = pause
+        self._follows = follows
+        now = asyncio.get_running_loop().time()
+        self._next_look = now + _LOOK_SECONDS if first_start else now
+        self._to_write: dict[str, CrashReport] = {}
+        self._has_news = asyncio.Event()
+        quarantines.on_quarantined = self._quarantined
+
+    def store_is_back(self) -> None:
+        """Try now what failed while the store was away."""
+        self._pause.end()
+
+    async def run(self) -> None:
+        """Keep the store and the evidence in step until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except LimpethollowError as error:
+                events.PLATFORM_FAILED.log(call=KIND, error=str(error))
+                await self._pause.after_failure()
+            else:
+                self._pause.succeeded()
+                await self._wait_for_news()
+
+    def _quarantined(self, report: CrashReport) -> None:
+        self._to_write[report.fingerprint] = report
+        self._has_news.set()
+
+    async def _wait_for_news(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._has_news.wait(), _TICK_SECONDS)
+        self._has_news.clear()
+
+    async def _step(self) -> None:
+        for fingerprint, report in list(self._to_write.items()):
+            await self._write(report)
+            del self._to_write[fingerprint]
+        expired = self._quarantines.expire()
+        if not self._follows():
+            return
+        for fingerprint in expired:
+            await self._delete(fingerprint)
+        if asyncio.get_running_loop().time() >= self._next_look:
+            await self._look()
+
+    async def _write(self, report: CrashReport) -> None:
+        spec = _spec_of(report.evidence)
+        try:
+            await self._store.create(KIND, report.fingerprint, spec)
+        except Conflict:
+            # Another instance found the same, or it was released and has ended searchers again.
+            await self._store.replace(KIND, report.fingerprint, spec)
+
+    async def _look(self) -> None:
+        listing = await self._store.list(KIND, allow_stale=True)
+        self._next_look = asyncio.get_running_loop().time() + _LOOK_SECONDS
+        for stored in listing.objects:
+            try:
+                await self._take(stored.name, _decode(stored))
+            except BadRequest as error:
+                events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
+
+    async def _take(self, fingerprint: str, entry: _Entry) -> None:
+        evidence = CrashEvidence(frozenset(entry.searchers), frozenset(entry.on_trial), entry.epoch)
+        report = CrashReport(fingerprint, evidence)
+        self._quarantines.learn(report, KIND)
+        if entry.released:
+            self._quarantines.release(fingerprint)
+            await self._delete(fingerprint)
+
+    async def _delete(self, fingerprint: str) -> None:
+        try:
+            await self._store.delete(KIND, fingerprint)
+        except NotFound:
+            return
+
+
+def _decode(stored: StoredObject) -> _Entry:
+    """Decode a quarantined request.
+
+    Raises:
+        BadRequest: It can't be read.
+    """
+    try:
+        entry = msgspec.convert(stored.spec, _Entry)
+    except msgspec.ValidationError as error:
+        raise BadRequest(f"The request {stored.name!r} can't be read: {error}.") from None
+    return entry
+
+
+def _spec_of(evidence: CrashEvidence) -> Any:
+    on_trial = sorted(evidence.on_trial)
+    return msgspec.to_builtins(_Entry(sorted(evidence.searchers), on_trial, evidence.epoch))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -83,16 +83,23 @@
         self._asker = Asker(address, _CONNECTIONS)
         self._metrics = metrics
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Read all objects of a kind.
 
+        Args:
+            kind: The kind.
+            allow_stale: Whether what it returns may be seconds old; the call then costs a tenth.
+
         The pages are read one after the other, so an object may change between two; a watch from
         the first page's revision then tells it again.
         """
-        page = await self._get("list", f"/objects/{kind}", _Page)
+        stale = "allowStale=1" if allow_stale else ""
+        page = await self._get("list", f"/objects/{kind}?{stale}".rstrip("?"), _Page)
         objects, revision = _readable(page.items), page.revision
         while page.more and objects:
-            page = await self._get("list", f"/objects/{kind}?after={objects[-1].name}", _Page)
+            after = f"after={objects[-1].name}"
+            target = f"/objects/{kind}?{'&'.join(filter(None, (after, stale)))}"
+            page = await self._get("list", target, _Page)
             objects += _readable(page.items)
         return Listing(objects, revision)
 
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -0,0 +1,189 @@
+"""Requests under which searchers end: the evidence on each, and which may not run any more."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+
+# Searchers that must have ended under a request before it counts as their cause.
+_LOST_TO_SUSPECT = 3
+# How many of them must have run it on trial. One end may be a coincidence: others crash them too.
+_TRIALS_TO_QUARANTINE = 2
+# Ids that are kept and told of one request; more would prove nothing more.
+_MOST_SEARCHERS = 8
+# Requests that are kept. The oldest go first, suspects before quarantined ones.
+_MOST_REQUESTS = 256
+_SUSPECT_SECONDS = 600.0
+QUARANTINE_SECONDS = 86_400.0
+
+
+class Standing(Enum):
+    """How far a request is trusted.
+
+    Attributes:
+        TRUSTED: It runs as usual.
+        SUSPECT: It runs at one searcher at a time until one answers.
+        QUARANTINED: It doesn't run.
+    """
+
+    TRUSTED = "trusted"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(slots=True, frozen=True)
+class CrashEvidence:
+    """Searchers whose connections ended under a request before any reply, while none answered it.
+
+    Attributes:
+        searchers: Their ids.
+        on_trial: Those of them that ran it on trial: on a connection that was known to work, and
+            one at a time.
+        epoch: How often an operator has released the request; older evidence counts no more.
+    """
+
+    searchers: frozenset[str] = frozenset()
+    on_trial: frozenset[str] = frozenset()
+    epoch: int = 0
+
+    def __bool__(self) -> bool:
+        return bool(self.searchers)
+
+    @property
+    def standing(self) -> Standing:
+        """Return how far it lets the request be trusted."""
+        if len(self.searchers) < _LOST_TO_SUSPECT:
+            return Standing.TRUSTED
+        if len(self.on_trial) < _TRIALS_TO_QUARANTINE:
+            return Standing.SUSPECT
+        return Standing.QUARANTINED
+
+    def with_lost(self, searcher: str, *, on_trial: bool) -> "CrashEvidence":
+        """Return this and one more searcher."""
+        more = frozenset((searcher,))
+        return self.merged(CrashEvidence(more, more if on_trial else frozenset(), self.epoch))
+
+    def released(self) -> "CrashEvidence":
+        """Return what is left of it once an operator has released the request."""
+        return CrashEvidence(epoch=self.epoch + 1)
+
+    def merged(self, other: "CrashEvidence") -> "CrashEvidence":
+        """Return this and other evidence, those on trial first where there are too many."""
+        if self.epoch != other.epoch:
+            return max(self, other, key=lambda evidence: evidence.epoch)
+        on_trial = sorted(self.on_trial | other.on_trial)[:_MOST_SEARCHERS]
+        others = sorted((self.searchers | other.searchers).difference(on_trial))
+        searchers = [*on_trial, *others][:_MOST_SEARCHERS]
+        return CrashEvidence(frozenset(searchers), frozenset(on_trial), self.epoch)
+
+
+_NO_EVIDENCE = CrashEvidence()
+
+
+@dataclass(slots=True, frozen=True)
+class CrashReport:
+    """The evidence on one request.
+
+    Attributes:
+        fingerprint: The request's fingerprint, the same for each repeat.
+        evidence: The evidence.
+    """
+
+    fingerprint: str
+    evidence: CrashEvidence
+
+
+@dataclass(slots=True)
+class _Record:
+    """What is known of one request, and when the last of it came in."""
+
+    evidence: CrashEvidence
+    changed_at: float
+
+
+class CrashLedger:
+    """The evidence on all requests, from this instance and from others.
+
+    Evidence is only ever added up, so instances that were told in another order, or twice, come to
+    the same conclusion.
+    """
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def evidence(self, fingerprint: str) -> CrashEvidence:
+        """Return the evidence on a request."""
+        record = self._records.get(fingerprint)
+        return record.evidence if record is not None else _NO_EVIDENCE
+
+    def reports(self) -> list[CrashReport]:
+        """Return all evidence, for an instance that may lack it."""
+        return [CrashReport(name, record.evidence) for name, record in self._records.items()]
+
+    def seconds_left(self, fingerprint: str, now: float) -> float:
+        """Return for how long a request is still quarantined."""
+        record = self._records.get(fingerprint)
+        if record is None or record.evidence.standing is not Standing.QUARANTINED:
+            return 0.0
+        return max(0.0, record.changed_at + QUARANTINE_SECONDS - now)
+
+    def quarantined(self) -> Collection[str]:
+        """Return the fingerprints of the requests that may not run."""
+        return [name for name, record in self._records.items() if _is_quarantined(record)]
+
+    def add(self, report: CrashReport, now: float) -> bool:
+        """Add evidence; return whether any of it was new."""
+        known = self.evidence(report.fingerprint)
+        merged = known.merged(report.evidence)
+        if merged == known:
+            return False
+        # Moved to the end: the order of records is that of their last changes.
+        self._records.pop(report.fingerprint, None)
+        self._records[report.fingerprint] = _Record(merged, now)
+        self._make_room()
+        return True
+
+    def release(self, fingerprint: str, now: float) -> CrashReport | None:
+        """Let a quarantined request run again; return what others must know of that.
+
+        Returns:
+            None where it isn't quarantined.
+        """
+        evidence = self.evidence(fingerprint)
+        if evidence.standing is not Standing.QUARANTINED:
+            return None
+        report = CrashReport(fingerprint, evidence.released())
+        self.add(report, now)
+        return report
+
+    def answered(self, fingerprint: str) -> bool:
+        """Take in that a searcher answered a request; return whether a suspicion ends by that."""
+        record = self._records.get(fingerprint)
+        if record is None or _is_quarantined(record):
+            return False
+        del self._records[fingerprint]
+        return True
+
+    def expire(self, now: float) -> list[str]:
+        """Forget what is too old; return the fingerprints of the requests that may run again."""
+        old = [name for name, record in self._records.items() if _is_over(record, now)]
+        released = [name for name in old if _is_quarantined(self._records[name])]
+        for name in old:
+            del self._records[name]
+        return released
+
+    def _make_room(self) -> None:
+        if len(self._records) > _MOST_REQUESTS:
+            oldest = next(iter(self._records))
+            suspects = (n for n, record in self._records.items() if not _is_quarantined(record))
+            del self._records[next(suspects, oldest)]
+
+
+def _is_quarantined(record: _Record) -> bool:
+    return record.evidence.standing is Standing.QUARANTINED
+
+
+def _is_over(record: _Record, now: float) -> bool:
+    lifetime = QUARANTINE_SECONDS if _is_quarantined(record) else _SUSPECT_SECONDS
+    return now - record.changed_at > lifetime
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -0,0 +1,113 @@
+"""Keeps one request from ending one searcher after the other."""
+
+from collections import deque
+from collections.abc import Callable
+
+from limpethollow_policy.process.crashes import CrashEvidence, Standing
+
+
+class CrashGuard:
+    """Decides which sends of a request may go out after connections have ended under it.
+
+    A request that ends its searchers looks like one that was on them when something else did. It is
+    told apart by trials: a suspect goes to one searcher at a time. An answer clears it, and what
+    waited goes out; as many ends as make a quarantine stop it.
+
+    Usage:
+        if not guard.may_send():
+            guard.wait(resume)              # called when it is this send's turn, or none may go out
+        on_trial = guard.begin(searcher)
+        ...
+        guard.lost(searcher)                # or answered(), or ended(searcher)
+
+    Args:
+        fingerprint: The request's fingerprint.
+        earlier: The evidence from earlier repeats of it, here or at other instances.
+        single_sends: Whether each send of the request is on a connection that is known to work.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_earlier",
+        "_on_trial",
+        "_single_sends",
+        "_waiting",
+        "evidence",
+        "fingerprint",
+    )
+
+    def __init__(self, fingerprint: str, earlier: CrashEvidence, *, single_sends: bool) -> None:
+        self._answered = False
+        self._earlier = earlier
+        self._on_trial: str | None = None
+        self._single_sends = single_sends
+        self._waiting: deque[Callable[[], None]] = deque()
+        self.evidence = CrashEvidence(epoch=earlier.epoch)
+        self.fingerprint = fingerprint
+
+    @property
+    def has_answer(self) -> bool:
+        """Return whether a searcher has answered the request."""
+        return self._answered
+
+    @property
+    def standing(self) -> Standing:
+        """Return how far the request is trusted now."""
+        return Standing.TRUSTED if self._answered else self._all_evidence.standing
+
+    @property
+    def wants_fresh(self) -> bool:
+        """Return whether sends must go on connections that are known to work.
+
+        One that was idle may have ended long ago, which says nothing of the request.
+        """
+        return self._single_sends or (not self._answered and bool(self._all_evidence))
+
+    @property
+    def _all_evidence(self) -> CrashEvidence:
+        return self._earlier.merged(self.evidence)
+
+    def may_send(self) -> bool:
+        """Return whether another send may go out now."""
+        standing = self.standing
+        return standing is Standing.TRUSTED or (
+            standing is Standing.SUSPECT and self._on_trial is None
+        )
+
+    def wait(self, resume: Callable[[], None]) -> None:
+        """Call back once a send may go out, or none may any more."""
+        self._waiting.append(resume)
+
+    def begin(self, searcher: str) -> bool:
+        """Note a send to a searcher; return whether it is a trial."""
+        if self._on_trial is not None or not self.wants_fresh:
+            return False
+        self._on_trial = searcher
+        return True
+
+    def lost(self, searcher: str) -> None:
+        """Take in that a connection ended under the request before any byte of a reply."""
+        on_trial = searcher == self._on_trial
+        self.evidence = self.evidence.with_lost(searcher, on_trial=on_trial)
+        self.ended(searcher)
+
+    def ended(self, searcher: str) -> None:
+        """Take in that a send ended, or was given up, in a way that proves nothing."""
+        if searcher == self._on_trial:
+            self._on_trial = None
+        self._resume()
+
+    def answered(self) -> None:
+        """Take in that a searcher answered the request."""
+        self._answered = True
+        self._on_trial = None
+        self._resume()
+
+    def close(self) -> None:
+        """Call nobody back any more: the request is over."""
+        self._waiting.clear()
+
+    def _resume(self) -> None:
+        """Call back as many sends as may go out; all of them where none may any more."""
+        while self._waiting and (self.may_send() or self.standing is Standing.QUARANTINED):
+            self._waiting.popleft()()
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -191,6 +191,13 @@
     remedy = "Come back after retry_after seconds."
 
 
+@error_kind("quarantined", 503)
+class Quarantined(Unavailable):
+    """Searchers ended under earlier tries of this very request; this one was not run."""
+
+    remedy = "Change the request, or ask the operator to release it once the searchers are mended."
+
+
 @error_kind("coverage_too_low", 503)
 class CoverageTooLow(LimpethollowError, TimeoutError):
     """Fewer shards answered in time than the service's coverage floor allows."""
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -1,7 +1,8 @@
 """Stand-in for a searcher as the users' platform defines it, with full control over its bytes.
 
 `answer` decides what a request gets: a `Bytes` is written as it stands, `HANG` is never answered,
-`CUT` closes the connection after the request was read, `RESET` resets it, `CRASH` ends the searcher.
+`CUT` closes the connection after the request was read, `RESET` resets it, `CRASH` ends the
+searcher.
 """
 
 import socket
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -41,6 +41,11 @@
                 self._system.store.take_away("servers", name)
                 self._start(searcher.service, searcher.zone)
 
+    def mend(self) -> None:
+        """Let no request end the searchers any more."""
+        for searcher in self._running.values():
+            searcher.answer = None
+
     def reached_by(self, target: str) -> set[str]:
         """Return the ids of the requests for a target that any searcher got."""
         return {seen.id for searcher in self.all for seen in searcher.seen if seen.target == target}
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -70,9 +70,10 @@
         found = route(shards=names, top=5, floor=0.25, **fields)
         outgoing = Outgoing.of(self.exchange, found, self.dispatch)
         self.hedge_delay = outgoing.timings.hedge_delay
+        self.guard = outgoing.guard
         admission = Intake(self.dispatch).admit_search(outgoing)
         self.search = Search(
-            self.dispatch, self.exchange, outgoing, NoDesk(), admission, self.outcomes.append
+            self.dispatch, self.exchange, outgoing, NoDesk(), admission, self._ended
         )
         self.search.start()
 
@@ -88,6 +89,10 @@
         """Let one send to a shard get its answer."""
         reply_of(self.calls[f"s-{shard}"][send], proof=b"proof-%d" % shard)
 
+    def _ended(self, outcome: Outcome) -> None:
+        self.outcomes.append(outcome)
+        self.dispatch.quarantines.ended(self.guard)
+
     def _sent(self, replica: Replica, call: Call) -> None:
         call.sent = True
         self.calls[replica.searcher.service].append(call)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -8,6 +8,7 @@
 from limpethollow_node.engine.connection.clients import LostConnection
 from limpethollow_node.engine.messages import Reply, Request
 from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
@@ -70,6 +71,7 @@
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
         self.metrics = Metrics()
+        self.quarantines = Quarantines(self.metrics, self.loop.time)
         self.played: list[tuple[Replica, Call]] = []
         self.on_send: Callable[[Replica, Call], None] = lambda replica, call: None
         self._timings: dict[str, RouteTimings] = {}
--- a/tests/system/platform/test_crashes.py
+++ b/tests/system/platform/test_crashes.py
@@ -1,13 +1,18 @@
 """Requests that end each searcher that runs them, and come again."""
 
 from tests.support.crashes import CrashingSearchers, send_crashing, wait_served
-from tests.support.platforms import forward_route, search_route
+from tests.support.platforms import PlatformInstance, forward_route, search_route
+from tests.support.processes import wait_for
 
 # Repeats of such a request that may still reach searchers after it has ended the third.
 MOST_RETRIES = 3
 SHARDS = ["s-1", "s-2", "s-3", "s-4"]
 
 
+def knows_quarantined(instance: PlatformInstance) -> bool:
+    return "limpethollow_quarantined_requests 1" in instance.metrics()
+
+
 class TestRepeats:
     def test_a_search_that_crashes_its_searchers_does_not_crash_them_each_time_it_comes(
         self, system
@@ -34,6 +39,26 @@
 
 
 class TestRestart:
+    def test_what_the_store_has_of_crashing_requests_holds_after_all_instances_have_ended(
+        self, system
+    ):
+        """Guards against crashing requests that run once more after each start of all instances."""
+        searchers = CrashingSearchers(system, SHARDS)
+        system.configure(1, search_route(SHARDS))
+        instances = [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
+        wait_served(instances, "/find/before")
+        send_crashing(searchers, instances, "/find/", times=1)
+        wait_for(lambda: system.store.names("quarantines"), "the store has it")
+        for instance in instances:
+            instance.kill()
+        for instance in instances:
+            instance.start()
+        for instance in instances:
+            instance.wait_ready()
+            wait_for(lambda i=instance: knows_quarantined(i), f"{instance.name} knows of it")
+        send_crashing(searchers, instances, "/find/", times=2)
+        assert len(searchers.reached_by("/find/crash")) == 1
+
     def test_a_crashing_request_is_still_known_after_all_instances_have_ended(self, system):
         """Guards against instances that forget crashing requests when all are killed at once."""
         searchers = CrashingSearchers(system, SHARDS)
@@ -49,3 +74,24 @@
             for instance in instances:
                 instance.wait_ready()
         assert len(searchers.reached_by("/find/crash")) <= 1 + MOST_RETRIES
+
+
+class TestRelease:
+    def test_an_operator_lets_a_quarantined_request_run_again(self, system):
+        """Guards against requests that stay refused after their searchers were mended."""
+        searchers = CrashingSearchers(system, SHARDS)
+        system.configure(1, search_route(SHARDS))
+        instance = system.instance("front-1")
+        wait_served([instance], "/find/before")
+        send_crashing(searchers, [instance], "/find/", times=1)
+        (name,) = wait_for(lambda: system.store.names("quarantines"), "the store has it")
+        refused = instance.ask("/find/crash")
+        assert refused.status == 503
+        assert float(refused.headers["Retry-After"]) > 3600
+        searchers.mend()
+        spec = system.store.objects["quarantines", name]["spec"]
+        system.store.put("quarantines", name, {**spec, "released": True})
+        instance.kill()
+        instance.start()
+        wait_for(lambda: not system.store.names("quarantines"), "the release is taken in")
+        assert instance.ask("/find/crash").status == 200
--- /dev/null
+++ b/tests/unit/engine/test_crashes.py
@@ -0,0 +1,220 @@
+"""Requests that end their searchers: the evidence, the trials, and what other requests keep."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limpethollow_node.engine.frames import CrashNews, decode_frame, encode_frame
+from limpethollow_node.engine.process.crashnews import CrashNewsExchange
+from limpethollow_node.engine.process.quarantines import Quarantines
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.crashes import (
+    QUARANTINE_SECONDS,
+    CrashEvidence,
+    CrashLedger,
+    CrashReport,
+    Standing,
+)
+from limpethollow_wire.exceptions import Quarantined
+from tests.support.searches import SearchPlay
+from tests.support.virtual import lose, reply_of, request
+
+SHARDS = 20
+FINGERPRINT = "f"
+
+ids = st.frozensets(st.sampled_from([f"i-{number}" for number in range(12)]))
+evidences = st.builds(
+    lambda searchers, trials, epoch: CrashEvidence(searchers | trials, trials, epoch),
+    ids,
+    ids,
+    st.integers(0, 2),
+)
+
+
+def evidence(lost: int, trials: int) -> CrashEvidence:
+    names = [f"i-{number}" for number in range(lost)]
+    return CrashEvidence(frozenset(names), frozenset(names[:trials]))
+
+
+def quarantine(quarantines: Quarantines, fingerprint: str) -> None:
+    quarantines.take([CrashReport(fingerprint, evidence(4, 2))], "test")
+
+
+class Play(SearchPlay):
+    """A search over twenty shards; `ended` has the searchers that it ended."""
+
+    def __init__(self, **fields) -> None:
+        self.ended: set[str] = set()
+        super().__init__(SHARDS, **fields)
+
+    def crash_all(self) -> None:
+        """Let each searcher end that runs the request, as long as it is sent to others."""
+        while self.open_calls:
+            for name, call in list(self.open_calls.items()):
+                del self.open_calls[name]
+                self.ended.add(name)
+                lose(call)
+
+    def answer_all(self) -> None:
+        """Let each searcher that runs the request answer."""
+        while self.open_calls:
+            for name, call in list(self.open_calls.items()):
+                del self.open_calls[name]
+                reply_of(call, proof=b"proof-" + name.encode())
+
+    def _sent(self, replica, call) -> None:
+        super()._sent(replica, call)
+        self.open_calls[replica.searcher.id] = call
+
+    @property
+    def open_calls(self) -> dict:
+        return self.__dict__.setdefault("_open_calls", {})
+
+
+class TestEvidence:
+    @pytest.mark.parametrize(
+        ("lost", "trials", "expected"),
+        [
+            (2, 2, Standing.TRUSTED),
+            (3, 0, Standing.SUSPECT),
+            (8, 1, Standing.SUSPECT),
+            (3, 2, Standing.QUARANTINED),
+        ],
+    )
+    def test_many_ends_make_a_suspect_and_trials_a_quarantine(self, lost, trials, expected):
+        assert evidence(lost, trials).standing is expected
+
+    @given(st.lists(evidences, min_size=1, max_size=5), st.randoms())
+    def test_instances_that_hear_the_same_in_any_order_come_to_the_same_standing(
+        self, told, random
+    ):
+        other = list(told) * 2
+        random.shuffle(other)
+        standings = set()
+        for order in (told, other):
+            ledger = CrashLedger()
+            for each in order:
+                ledger.add(CrashReport(FINGERPRINT, each), 1.0)
+            standings.add(ledger.evidence(FINGERPRINT).standing)
+        assert len(standings) == 1
+
+    def test_old_evidence_does_not_undo_a_release(self):
+        """Guards against a release that ends with the next link to an instance that missed it."""
+        ledger, old = CrashLedger(), CrashReport(FINGERPRINT, evidence(4, 2))
+        ledger.add(old, 1.0)
+        ledger.release(FINGERPRINT, 2.0)
+        ledger.add(old, 3.0)
+        assert ledger.evidence(FINGERPRINT).standing is Standing.TRUSTED
+
+    def test_a_quarantine_ends_by_itself_after_a_day(self):
+        ledger = CrashLedger()
+        ledger.add(CrashReport(FINGERPRINT, evidence(4, 2)), 1.0)
+        assert not ledger.expire(QUARANTINE_SECONDS)
+        assert ledger.expire(QUARANTINE_SECONDS + 2.0) == [FINGERPRINT]
+
+    def test_many_suspects_do_not_push_out_a_quarantine(self):
+        """Guards against callers that make room for a crashing request by sending many others."""
+        ledger = CrashLedger()
+        ledger.add(CrashReport(FINGERPRINT, evidence(4, 2)), 1.0)
+        for number in range(1000):
+            ledger.add(CrashReport(f"other-{number}", evidence(1, 0)), 2.0)
+        assert ledger.quarantined() == [FINGERPRINT]
+        assert len(ledger.reports()) <= 256
+
+
+class TestOneSearch:
+    def test_it_ends_two_more_searchers_and_not_the_second_one_of_each_shard(self):
+        """Guards against second sends that carry a crashing search to all other searchers."""
+        play = Play()
+        play.crash_all()
+        assert len(play.ended) <= SHARDS + 3
+        assert [reply.status for reply in play.exchange.replies] == [502]
+
+    def test_its_repeat_is_refused_at_once(self):
+        play = Play()
+        play.crash_all()
+        with pytest.raises(Quarantined):
+            play.dispatch.quarantines.guard(request().fingerprint, single_sends=False)
+
+    def test_a_suspect_runs_at_one_searcher_first(self):
+        """Guards against suspects whose repeats end a searcher of each shard before they stop."""
+        fingerprint = request().fingerprint
+        report = CrashReport(fingerprint, evidence(3, 0))
+        play = Play(prepare=lambda dispatch: dispatch.quarantines.take([report], "peer"))
+        assert len(play.open_calls) == 1
+        play.crash_all()
+        assert len(play.ended) == 2
+
+
+class TestOthers:
+    def test_a_search_whose_searchers_crashed_by_themselves_is_served_whole(self):
+        """Guards against searches that fail because other requests ended their searchers."""
+        play = Play()
+        first = list(play.open_calls.items())
+        play.open_calls.clear()
+        for _, call in first:
+            lose(call)
+        assert len(play.open_calls) <= 3
+        play.answer_all()
+        assert [reply.status for reply in play.exchange.replies] == [200]
+        assert not play.dispatch.quarantines.reports()
+
+    def test_one_answer_lets_a_suspect_run_as_usual(self):
+        report = CrashReport(request().fingerprint, evidence(3, 1))
+        play = Play(prepare=lambda dispatch: dispatch.quarantines.take([report], "peer"))
+        play.answer_all()
+        assert [reply.status for reply in play.exchange.replies] == [200]
+        assert not play.dispatch.quarantines.reports()
+
+    def test_lost_connections_among_answers_are_no_evidence(self):
+        """Guards against suspicion by connections that a searcher or the network resets."""
+        play = Play()
+        (name, call), *_ = play.open_calls.items()
+        del play.open_calls[name]
+        lose(call)
+        play.answer_all()
+        assert not play.dispatch.quarantines.reports()
+
+
+class FakeLink:
+    """Keeps what it is given to send."""
+
+    def __init__(self, name: str) -> None:
+        self.name = self.host = name
+        self.sent: list[CrashNews] = []
+
+    def send_encoded(self, data: bytes, frame: CrashNews) -> None:
+        self.sent.append(decode_frame(data))
+
+    def send(self, frame: CrashNews) -> None:
+        self.send_encoded(encode_frame(frame), frame)
+
+
+class TestNews:
+    def test_it_is_told_on_once_to_all_but_who_told_it(self):
+        """Guards against instances without a link to the one that found a crashing request."""
+        quarantines = Quarantines(Metrics(), lambda: 0.0)
+        links = {name: FakeLink(name) for name in ("a", "b", "c")}
+        exchange = CrashNewsExchange(quarantines, links)
+        news = CrashNews([CrashReport(FINGERPRINT, evidence(4, 2))])
+        exchange.take(links["a"], news)
+        exchange.take(links["b"], news)
+        assert [len(link.sent) for link in links.values()] == [0, 1, 1]
+        assert links["c"].sent == [news]
+
+    def test_an_instance_that_comes_later_is_told_all(self):
+        quarantines = Quarantines(Metrics(), lambda: 0.0)
+        quarantine(quarantines, FINGERPRINT)
+        link = FakeLink("late")
+        CrashNewsExchange(quarantines, {}).greet(link)
+        assert link.sent[0].reports[0].evidence.standing is Standing.QUARANTINED
+
+    def test_a_release_reaches_the_other_instances(self):
+        here, there = (Quarantines(Metrics(), lambda: 0.0) for _ in range(2))
+        for each in (here, there):
+            quarantine(each, FINGERPRINT)
+        link = FakeLink("there")
+        CrashNewsExchange(here, {"there": link})
+        here.release(FINGERPRINT)
+        there.take(link.sent[0].reports, "here")
+        assert there.guard(FINGERPRINT, single_sends=False).standing is Standing.TRUSTED
--- a/tests/unit/engine/test_lostsends.py
+++ b/tests/unit/engine/test_lostsends.py
@@ -11,7 +11,6 @@
     LostConnection,
 )
 from limpethollow_node.engine.messages import Request
-from limpethollow_node.engine.request.fingerprints import fingerprint_of
 from limpethollow_node.engine.request.judging import judge_failure
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_policy.request.verdicts import Verdict
@@ -67,7 +66,7 @@
     def test_a_repeat_has_the_same(self):
         first, repeat = request(target=b"/x?page=2"), request(target=b"/x?page=2")
         repeat.headers = [(b"host", b"H"), (HEADERS.request_id, b"r2"), (HEADERS.time_left, b"90")]
-        assert fingerprint_of(first) == fingerprint_of(repeat)
+        assert first.fingerprint == repeat.fingerprint
 
     @pytest.mark.parametrize(
         "other",
@@ -80,7 +79,7 @@
         ],
     )
     def test_another_request_has_another(self, other):
-        assert fingerprint_of(other) != fingerprint_of(request())
+        assert other.fingerprint != request().fingerprint
 
 
 class TestLog:
--- a/tests/unit/engine/test_peers.py
+++ b/tests/unit/engine/test_peers.py
@@ -5,6 +5,7 @@
 
 from limpethollow_node.engine.frames import Heartbeat
 from limpethollow_node.engine.process.peers import Peers
+from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import Known, Source
@@ -65,7 +66,14 @@
         self.roster = Roster(everyone[own], lambda: None)
         self.roster.ready = True
         role = WatchRole(everyone[own].name, Random(1))
-        self.peers = Peers(self.roster, FakeCatalog(), role, Random(1), Metrics())
+        self.peers = Peers(
+            self.roster,
+            FakeCatalog(),
+            role,
+            Random(1),
+            Metrics(),
+            Quarantines(Metrics(), lambda: 0.0),
+        )
         self.links: dict[str, FakeLink] = {}
         for instance in everyone:
             if instance.name != everyone[own].name:
