Own interface: a query that ends its searchers is tried at one of them, then refused

The same cause elsewhere: the owner of a group had lost calls done again at other replicas, and began anew with each search. What callers would see: 10 searches of one query over two shards with two replicas each ended 44 calls with their searchers. Change: a lost call (the connection ended before any byte of a reply) is a failure of its own kind; SuspectQueries adds them up by query with the evidence that the engine uses. A suspect makes one call at a time that carries no other query; a quarantined one is refused with the typed error. A new configuration of the service trusts it again. Ruled out: counting searchers instead of calls, as a searcher of the own interface keeps its id over its restarts. What remains: the evidence is the owner's; another owner of the group learns it anew.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
@@ -7,6 +7,7 @@
 from typing import Any, TypeVar
 
 from urllib3 import BaseHTTPResponse
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from limpethollow_node.connection.pools import ConnectionPools, Lease, NoConnection
@@ -234,8 +235,7 @@
     connection.timeout = max(deadline - time.monotonic(), _SMALLEST_TIMEOUT)
     sock = connection.sock
     try:
-        connection.request("POST", path, body=body, headers=_JSON, preload_content=False)
-        response = connection.getresponse()
+        response = _response(connection, path, body)
         return response, _read_body(response, sock, deadline)
     except TimeoutError:
         raise CallFailed(Failure.TIMEOUT) from None
@@ -243,6 +243,19 @@
         raise CallFailed(_failure_of(error)) from None
 
 
+def _response(connection: HTTPConnection, path: str, body: bytes) -> BaseHTTPResponse:
+    """Send a request and return the response, whose body is still to be read.
+
+    Raises:
+        CallFailed: The connection ended before any byte of it.
+    """
+    try:
+        connection.request("POST", path, body=body, headers=_JSON, preload_content=False)
+        return connection.getresponse()
+    except ConnectionError:
+        raise CallFailed(Failure.LOST) from None
+
+
 def _read_body(response: BaseHTTPResponse, sock: Any, deadline: float) -> bytes:
     """Read a body within the deadline and its bound, however small its pieces are."""
     chunks: list[bytes] = []
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -10,6 +10,7 @@
 from limpethollow_policy.process.searches import ActiveSearches
 from limpethollow_policy.process.senders import CallSender
 from limpethollow_policy.process.slots import SlotGranter
+from limpethollow_policy.process.suspects import SuspectQueries
 from limpethollow_policy.process.waits import WaitEstimate, queue_for
 from limpethollow_policy.request.events import (
     Action,
@@ -27,6 +28,7 @@
 from limpethollow_wire.exceptions import (
     DeadlinePassed,
     LimpethollowError,
+    Quarantined,
     VersionGone,
 )
 from limpethollow_wire.searches import SearcherReply, ServableVersions
@@ -57,8 +59,14 @@
         self._active = ActiveSearches()
         self._calls = CallTable()
         self._repeats = Repeats(spec.hedge)
+        self._suspects = SuspectQueries(self._calls)
         self._sender = CallSender(
-            self._replicas, self._active, self._calls, self._repeats, self._outbox
+            self._replicas,
+            self._active,
+            self._calls,
+            self._repeats,
+            self._suspects,
+            self._outbox,
         )
         self._slots = SlotGranter(
             self._replicas, self._waits, self._outbox, self._calls, self._sender.ask_inventory
@@ -87,6 +95,7 @@
         self._spec = spec
         self._replicas.reconfigure(spec, group)
         self._repeats.reconfigure(spec.hedge)
+        self._suspects.forget()
         self._move_queue()
         return self._pump(now)
 
@@ -97,6 +106,10 @@
         if search.deadline <= now:
             message = "The deadline has passed; the search was not run."
             self._refuse_unstarted(gather, "deadline_passed", DeadlinePassed(message))
+        elif quarantined_for := self._suspects.seconds_left(gather.key, now):
+            message = "Each searcher that ran this query ended."
+            error = Quarantined(message, retry_after=quarantined_for)
+            self._refuse_unstarted(gather, error.code, error)
         elif self._is_of_another_cut(search):
             self._restart_elsewhere(gather, now)
         elif search.versions_only or self._needs_no_call(gather, now):
@@ -145,7 +158,7 @@
             call.searcher.cut_short(now - call.started, now)
         if failure is Failure.TIMEOUT and not call.is_inventory:
             self._repeats.call_cut_short(now - call.started)
-        self._sender.take_failure(call, failure)
+        self._sender.take_failure(call, failure, now)
         return self._pump(now)
 
     def slot_wanted(self, request: SlotRequest, now: float) -> list[Action]:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
@@ -2,10 +2,12 @@
 
 from limpethollow_policy.connection.searchers import SearcherState
 from limpethollow_policy.process.calls import CallTable, OpenCall, Work
+from limpethollow_policy.process.crashes import Standing
 from limpethollow_policy.process.repeats import Repeats
 from limpethollow_policy.process.replicas import Choice, ReplicaSet
 from limpethollow_policy.process.results import ResultCache
 from limpethollow_policy.process.searches import ActiveSearches
+from limpethollow_policy.process.suspects import SuspectQueries
 from limpethollow_policy.request.events import CancelCall, Failure, StartCall
 from limpethollow_policy.request.gathers import Gather, Snapshot
 from limpethollow_policy.request.outboxes import Outbox
@@ -14,6 +16,7 @@
 _INVENTORY_TIMEOUT = 0.25
 _UNNAMED = "failed"
 _VERSION_GONE = "version_gone"
+_QUARANTINED = "quarantined"
 
 
 class CallSender:
@@ -28,10 +31,20 @@
         active: The started searches.
         calls: The open calls.
         repeats: Budgets of hedges and retries.
+        suspects: Queries that may end their searchers.
         outbox: Where actions go.
     """
 
-    __slots__ = ("_active", "_calls", "_changed", "_kept", "_outbox", "_repeats", "_replicas")
+    __slots__ = (
+        "_active",
+        "_calls",
+        "_changed",
+        "_kept",
+        "_outbox",
+        "_repeats",
+        "_replicas",
+        "_suspects",
+    )
 
     def __init__(
         self,
@@ -39,12 +52,14 @@
         active: ActiveSearches,
         calls: CallTable,
         repeats: Repeats,
+        suspects: SuspectQueries,
         outbox: Outbox,
     ) -> None:
         self._replicas = replicas
         self._active = active
         self._calls = calls
         self._repeats = repeats
+        self._suspects = suspects
         self._outbox = outbox
         self._kept = ResultCache()
         self._changed: set[str] = set()
@@ -82,8 +97,9 @@
         free_share = self._replicas.free_share(now) if idle else 0.0
         for gather in idle:
             for choice in self._replicas.choose(gather, gather.idle, now, patient=patient):
-                self._call(gather, choice, free_share, now)
-                made = True
+                if self._suspects.may_call(gather.key):
+                    self._call(gather, choice, free_share, now)
+                    made = True
         return made
 
     def hedge(self, now: float) -> None:
@@ -125,6 +141,7 @@
             if part.shard in call.work.get(part.id, ()):
                 snapshot = Snapshot(reply.epoch, part.version)
                 self._hand_out(call, part.id, part.shard, snapshot, part.rows)
+        self._suspects.survived(call.work)
         if call.cancelled:
             return
         self._work_ended(call)
@@ -133,8 +150,10 @@
             failed = {shard: codes.get((key, shard), _UNNAMED) for shard in shards}
             self._shards_failed(call, key, failed)
 
-    def take_failure(self, call: OpenCall, failure: Failure) -> None:
+    def take_failure(self, call: OpenCall, failure: Failure, now: float) -> None:
         """Have a failed call's work done again where the budget allows."""
+        if failure is Failure.LOST:
+            self._suspects.lost(call, now)
         if call.cancelled:
             return
         self._outbox.count("searcher_call_failures", failure)
@@ -173,6 +192,9 @@
         may_retry = gather.failed(shard, call.searcher.spec.id)
         if shard not in gather.idle:
             return
+        if self._suspects.standing(gather.key) is Standing.QUARANTINED:
+            gather.give_up(shard, _QUARANTINED)
+            return
         if reason == _VERSION_GONE and not self._claims(call, shard):
             return
         if not may_retry:
@@ -203,9 +225,13 @@
     def _batch(self, first: Gather, choice: Choice) -> dict[str, frozenset[int]]:
         """Return one search's work joined with what others need of the same searcher."""
         work = {first.key: choice.shards}
+        if not self._suspects.is_trusted(first.key):
+            return work
         for other in self._active:
             if other is first or not other.idle or other.snapshot != first.snapshot:
                 continue
+            if not self._suspects.is_trusted(other.key):
+                continue
             if other.key not in work and len(work) >= self._replicas.queries_per_call:
                 continue
             shards = self._replicas.serves(choice.searcher, other, other.idle)
@@ -243,7 +269,7 @@
             waiting = [g for g in self._active.asking(key) if g.snapshot == call.snapshot]
             open_shards = frozenset().union(*(g.open_shards for g in waiting))
             wanted = frozenset(s for s in shards & open_shards if (key, s) not in call.hedged)
-            if not (wanted and self._repeats.may_hedge):
+            if not (wanted and self._repeats.may_hedge and self._suspects.is_trusted(key)):
                 continue
             choices = self._replicas.choose(waiting[0], wanted, now, exclude=call.searcher)
             for choice in choices:
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/events.py
@@ -15,7 +15,9 @@
         REFUSED: No connection could be made, so no byte was sent.
         SHED: The searcher said that it did not run the call.
         TIMEOUT: No reply came in time; the call may have run.
-        BROKEN: The connection was cut or the reply was short; the call may have run.
+        LOST: The connection ended before any byte of a reply; the call may have run, and the
+            searcher may have ended under it.
+        BROKEN: The reply was short or can't be used; the call may have run.
         MISMATCHED: The reply echoed another call's id.
         CANCELLED: The call was cancelled by its own group.
     """
@@ -23,6 +25,7 @@
     REFUSED = "refused"
     SHED = "shed"
     TIMEOUT = "timeout"
+    LOST = "lost"
     BROKEN = "broken"
     MISMATCHED = "mismatched"
     CANCELLED = "cancelled"
--- a/tests/system/lifecycle/test_connections.py
+++ b/tests/system/lifecycle/test_connections.py
@@ -167,6 +167,14 @@
             assert search(client) == Failure.BROKEN
             assert search(client) == "answered"
 
+    def test_connection_that_ends_without_a_reply_is_a_lost_call(self, cluster, instance):
+        """Guards against ends of searchers that look like replies that break off."""
+        stand_in = searcher(cluster)
+        with instance.client(stand_in.address) as client:
+            stand_in.control(drop_replies=1)
+            assert search(client) == Failure.LOST
+            assert search(client) == "answered"
+
     def test_reply_that_comes_a_byte_at_a_time_ends_with_the_booking(self, instance):
         """A searcher sends its reply so slowly that no read ever times out."""
         with socket.create_server(("127.0.0.1", 0)) as server:
