A repeat of a request under which any searcher ended runs on trial from its first send on

Two ends were no suspicion yet: where most searchers of a first run were down already, its repeat went to all shards at once. test_a_repeat_runs_at_one_searcher_first holds for one earlier end as for three (failed before for one: 20 searchers asked).

--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -52,8 +52,16 @@
 
     @property
     def standing(self) -> Standing:
-        """Return how far the request is trusted now."""
-        return Standing.TRUSTED if self._answered else self._all_evidence.standing
+        """Return how far the request is trusted now.
+
+        A repeat of one under which any searcher ended is a suspect from its first send on.
+        """
+        if self._answered:
+            return Standing.TRUSTED
+        standing = self._all_evidence.standing
+        if standing is Standing.TRUSTED and self._earlier:
+            return Standing.SUSPECT
+        return standing
 
     @property
     def wants_fresh(self) -> bool:
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -136,14 +136,14 @@
         with pytest.raises(Quarantined):
             play.dispatch.quarantines.guard(request().fingerprint, single_sends=False)
 
-    def test_a_suspect_runs_at_one_searcher_first(self):
-        """Guards against suspects whose repeats end a searcher of each shard before they stop."""
-        fingerprint = request().fingerprint
-        report = CrashReport(fingerprint, evidence(3, 0))
+    @pytest.mark.parametrize("lost", [1, 3])
+    def test_a_repeat_runs_at_one_searcher_first(self, lost):
+        """Guards against repeats that end a searcher of each shard before they stop."""
+        report = CrashReport(request().fingerprint, evidence(lost, 0))
         play = Play(prepare=lambda dispatch: dispatch.quarantines.take([report], "peer"))
         assert len(play.open_calls) == 1
         play.crash_all()
-        assert len(play.ended) == 2
+        assert len(play.ended) == max(2, 3 - lost)
 
 
 class TestOthers:
