An answer ends the suspicion of a request at all instances

Found while reading: evidence went to all instances, and an answer was taken in by one. An answer now releases it like an operator does: a later epoch, which older evidence can't undo, told to all.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -60,7 +60,7 @@
     def ended(self, guard: CrashGuard) -> None:
         """Take in what a request has shown, at its end or as soon as it is quarantined."""
         if guard.has_answer:
-            self._ledger.answered(guard.fingerprint)
+            self.release(guard.fingerprint, "answered")
         elif guard.evidence:
             self._take_own(CrashReport(guard.fingerprint, guard.evidence))
 
@@ -83,18 +83,26 @@
         if fresh:
             self.on_reports(fresh)
 
-    def release(self, fingerprint: str) -> None:
-        """Let a request run again where it is quarantined, here and at all other instances."""
+    def release(self, fingerprint: str, reason: str) -> None:
+        """Let a request run as usual again, here and at all other instances."""
+        was = self._standing(fingerprint)
         report = self._ledger.release(fingerprint, self._clock())
-        if report is not None:
-            events.REQUEST_RELEASED.log(fingerprint=fingerprint, reason="operator")
-            self.on_reports([report])
+        if report is None:
+            return
+        if was is not Standing.TRUSTED:
+            events.REQUEST_RELEASED.log(fingerprint=fingerprint, was=was.value, reason=reason)
+        self.on_reports([report])
+
+    def is_released(self, report: CrashReport) -> bool:
+        """Return whether a request was released after a report was made."""
+        return self._ledger.evidence(report.fingerprint).epoch > report.evidence.epoch
 
     def expire(self) -> list[str]:
         """Forget what is too old; return the fingerprints that are quarantined no more."""
         released = self._ledger.expire(self._clock())
         for fingerprint in released:
-            events.REQUEST_RELEASED.log(fingerprint=fingerprint, reason="expired")
+            was = Standing.QUARANTINED.value
+            events.REQUEST_RELEASED.log(fingerprint=fingerprint, was=was, reason="expired")
         return released
 
     def _take_own(self, report: CrashReport) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -137,7 +137,8 @@
         report = CrashReport(fingerprint, evidence)
         self._quarantines.learn(report, KIND)
         if entry.released:
-            self._quarantines.release(fingerprint)
+            self._quarantines.release(fingerprint, "operator")
+        if self._quarantines.is_released(report):
             await self._delete(fingerprint)
 
     async def _delete(self, fingerprint: str) -> None:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -38,7 +38,8 @@
         searchers: Their ids.
         on_trial: Those of them that ran it on trial: on a connection that was known to work, and
             one at a time.
-        epoch: How often an operator has released the request; older evidence counts no more.
+        epoch: How often the request was released: by an answer, or by an operator. Evidence of an
+            earlier epoch counts no more.
     """
 
     searchers: frozenset[str] = frozenset()
@@ -63,7 +64,7 @@
         return self.merged(CrashEvidence(more, more if on_trial else frozenset(), self.epoch))
 
     def released(self) -> "CrashEvidence":
-        """Return what is left of it once an operator has released the request."""
+        """Return what is left of it once the request is released."""
         return CrashEvidence(epoch=self.epoch + 1)
 
     def merged(self, other: "CrashEvidence") -> "CrashEvidence":
@@ -145,26 +146,18 @@
         return True
 
     def release(self, fingerprint: str, now: float) -> CrashReport | None:
-        """Let a quarantined request run again; return what others must know of that.
+        """Let a request run as usual again, as a searcher answered it or an operator wants it.
 
         Returns:
-            None where it isn't quarantined.
+            What others must know of that; None where there is no evidence against it.
         """
         evidence = self.evidence(fingerprint)
-        if evidence.standing is not Standing.QUARANTINED:
+        if not evidence:
             return None
         report = CrashReport(fingerprint, evidence.released())
         self.add(report, now)
         return report
 
-    def answered(self, fingerprint: str) -> bool:
-        """Take in that a searcher answered a request; return whether a suspicion ends by that."""
-        record = self._records.get(fingerprint)
-        if record is None or _is_quarantined(record):
-            return False
-        del self._records[fingerprint]
-        return True
-
     def expire(self, now: float) -> list[str]:
         """Forget what is too old; return the fingerprints of the requests that may run again."""
         old = [name for name, record in self._records.items() if _is_over(record, now)]
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/schedulers.py
@@ -143,7 +143,7 @@
             self._repeats.call_cut_short(latency)
         elif not call.is_inventory:
             self._repeats.call_answered(latency)
-        self._sender.take_reply(call, reply)
+        self._sender.take_reply(call, reply, now)
         return self._pump(now)
 
     def call_failed(
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/senders.py
@@ -131,7 +131,7 @@
                 self._outbox.add(CancelCall(call.id))
                 self._outbox.count("searcher_calls_cancelled")
 
-    def take_reply(self, call: OpenCall, reply: SearcherReply) -> None:
+    def take_reply(self, call: OpenCall, reply: SearcherReply, now: float) -> None:
         """Hand out a reply's parts; a shard asked for and not answered has failed, named or not.
 
         A part is taken for the query and shard that this call asked for and no other, so a reply
@@ -141,7 +141,7 @@
             if part.shard in call.work.get(part.id, ()):
                 snapshot = Snapshot(reply.epoch, part.version)
                 self._hand_out(call, part.id, part.shard, snapshot, part.rows)
-        self._suspects.survived(call.work)
+        self._suspects.survived(call.work, now)
         if call.cancelled:
             return
         self._work_ended(call)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/suspects.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/suspects.py
@@ -51,10 +51,10 @@
             on_trial = end if self._was_trial(call, key) else frozenset()
             self._ledger.add(CrashReport(key, CrashEvidence(end, on_trial)), now)
 
-    def survived(self, keys: Iterable[str]) -> None:
+    def survived(self, keys: Iterable[str], now: float) -> None:
         """Take in that a searcher replied to a call for some queries."""
         for key in keys:
-            self._ledger.answered(key)
+            self._ledger.release(key, now)
 
     def forget(self) -> None:
         """Trust all queries again."""
