A trial at a searcher that may be gone already proves nothing

A searcher whose last call ended with its connection is doubtful until it answers again; its ends count as lost, not as trials. The own interface does the same by its failed calls.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -81,7 +81,9 @@
         self.replica = replica
         self.started = now
         self.call: OpenCall | None = None
-        self.on_trial = owner.outgoing.guard.begin(replica.searcher.id)
+        self.on_trial = owner.outgoing.guard.begin(
+            replica.searcher.id, doubtful=replica.is_doubtful
+        )
         replica.in_flight[self._number] = now
         replica.sent(now)
 
@@ -185,6 +187,8 @@
             self.replica.observe(seconds / timings.usual, now)
             self.replica.window.answered(seconds, now)
             timings.add(seconds)
+        elif verdict is Verdict.LOST:
+            self.replica.lost(now)
         elif verdict is not Verdict.NOT_SENT:
             self.replica.failed(now)
         if status == _MISDIRECTED:
--- a/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/connection/searchers.py
@@ -83,6 +83,11 @@
         """Whether one more call may be sent."""
         return self.in_flight < self.slots
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether its last call failed, so that it may be gone."""
+        return self._failures > 0
+
     @property
     def down_until(self) -> float:
         """Monotonic second before which the searcher is not tried."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/calls.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/calls.py
@@ -23,6 +23,7 @@
         hedged: Shards by query key that another call repeats.
         cancelled: Whether its cancellation was asked for.
         repeat_is_paid: Whether its failure has taken a retry out of the budget.
+        to_doubtful: Whether its searcher's last call before it had failed.
     """
 
     id: str
@@ -34,6 +35,7 @@
     hedged: set[tuple[str, int]] = field(default_factory=set)
     cancelled: bool = False
     repeat_is_paid: bool = False
+    to_doubtful: bool = False
 
     @property
     def is_inventory(self) -> bool:
@@ -65,6 +67,7 @@
         """Add a call; an inventory call has no work and takes no slot."""
         self._next += 1
         call = OpenCall(str(self._next), searcher, now, snapshot, work)
+        call.to_doubtful = searcher.is_doubtful
         self._calls[call.id] = call
         if not call.is_inventory:
             searcher.call_started(call.id, now)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -73,6 +73,7 @@
         cold_start: Paces the calls while it is cold.
         load: What it last said of its own load; None where it never did.
         load_at: When it said so.
+        is_doubtful: Whether a connection to it ended under its last call, so that it may be gone.
     """
 
     searcher: Searcher
@@ -88,6 +89,7 @@
     cold_start: ColdStart = field(default_factory=lambda: ColdStart(ColdStartLimits()))
     load: LoadReport | None = None
     load_at: float = float("-inf")
+    is_doubtful: bool = False
 
     @property
     def is_in_service(self) -> bool:
@@ -134,6 +136,7 @@
     def observe(self, ratio: float, now: float) -> None:
         """Take in a call's time as a multiple of the usual time."""
         self._fade(now)
+        self.is_doubtful = False
         self.cold_start.answered(now)
         ratio = min(max(ratio, _FASTEST), _SLOWEST)
         self.slowness += _NEWEST * (ratio - self.slowness)
@@ -151,6 +154,11 @@
         self._fade(now)
         self.failures += _NEWEST * (1.0 - self.failures)
 
+    def lost(self, now: float) -> None:
+        """Take in a call whose connection ended before any byte of a reply."""
+        self.is_doubtful = True
+        self.failed(now)
+
     def unreachable(self, phase: float, now: float) -> None:
         """Take in a connection that could not be opened; the searcher is left alone for a while.
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/suspects.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/suspects.py
@@ -62,4 +62,4 @@
 
     def _was_trial(self, call: OpenCall, key: str) -> bool:
         is_alone = len(call.work) == 1 and not any(key in other.work for other in self._calls)
-        return is_alone and self.standing(key) is Standing.SUSPECT
+        return is_alone and not call.to_doubtful and self.standing(key) is Standing.SUSPECT
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -16,7 +16,7 @@
     Usage:
         if not guard.may_send():
             guard.wait(resume)              # called when it is this send's turn, or none may go out
-        on_trial = guard.begin(searcher)
+        on_trial = guard.begin(searcher, doubtful=False)
         ...
         guard.lost(searcher)                # or answered(), or ended(searcher)
 
@@ -29,6 +29,7 @@
     __slots__ = (
         "_answered",
         "_earlier",
+        "_is_sound",
         "_on_trial",
         "_single_sends",
         "_waiting",
@@ -39,6 +40,7 @@
     def __init__(self, fingerprint: str, earlier: CrashEvidence, *, single_sends: bool) -> None:
         self._answered = False
         self._earlier = earlier
+        self._is_sound = False
         self._on_trial: str | None = None
         self._single_sends = single_sends
         self._waiting: deque[Callable[[], None]] = deque()
@@ -86,16 +88,22 @@
         """Call back once a send may go out, or none may any more."""
         self._waiting.append(resume)
 
-    def begin(self, searcher: str) -> bool:
-        """Note a send to a searcher; return whether it is a trial."""
+    def begin(self, searcher: str, *, doubtful: bool) -> bool:
+        """Note a send to a searcher; return whether it is a trial.
+
+        Args:
+            searcher: The searcher's id.
+            doubtful: Whether the searcher may be gone already. Its end proves nothing then.
+        """
         if self._on_trial is not None or not self.wants_fresh:
             return False
         self._on_trial = searcher
+        self._is_sound = not doubtful
         return True
 
     def lost(self, searcher: str) -> None:
         """Take in that a connection ended under the request before any byte of a reply."""
-        on_trial = searcher == self._on_trial
+        on_trial = searcher == self._on_trial and self._is_sound
         self.evidence = self.evidence.with_lost(searcher, on_trial=on_trial)
         self.ended(searcher)
 
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -17,7 +17,7 @@
 )
 from limpethollow_wire.exceptions import Quarantined
 from tests.support.searches import SearchPlay
-from tests.support.virtual import lose, reply_of, request
+from tests.support.virtual import VirtualDispatch, lose, reply_of, request
 
 SHARDS = 20
 FINGERPRINT = "f"
@@ -40,6 +40,13 @@
     quarantines.take([CrashReport(fingerprint, evidence(4, 2))], "test")
 
 
+def lose_every_searcher(dispatch: VirtualDispatch) -> None:
+    """Let the connections to all searchers end under other requests."""
+    for number in range(SHARDS):
+        for replica in dispatch.fleet.of(f"s-{number}"):
+            replica.lost(dispatch.loop.time())
+
+
 class Play(SearchPlay):
     """A search over twenty shards; `ended` has the searchers that it ended."""
 
@@ -159,6 +166,12 @@
         assert [reply.status for reply in play.exchange.replies] == [200]
         assert not play.dispatch.quarantines.reports()
 
+    def test_a_trial_at_a_searcher_that_was_lost_before_proves_nothing(self):
+        """Guards against quarantines by searchers that had ended under another request."""
+        play = Play(prepare=lose_every_searcher)
+        play.crash_all()
+        assert play.guard.standing is Standing.SUSPECT
+
     def test_one_answer_lets_a_suspect_run_as_usual(self):
         report = CrashReport(request().fingerprint, evidence(3, 1))
         play = Play(prepare=lambda dispatch: dispatch.quarantines.take([report], "peer"))
