A quarantined request gets one more trial after a minute; what was released leaves the store

Change: a release by an answer deletes the object, a second later, so that the delete can't overtake the write of another instance. A quarantined request runs once more after a minute, at one searcher; an answer releases it everywhere, an end is told to all and was the last. A crashing request so reaches searchers in its first run, in one or two repeats, and in this one.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -22,9 +22,18 @@
         on_reports: Called with evidence that is new here, for the other instances.
         on_quarantined: Called with the evidence on each request that this instance's own evidence
             has put into quarantine.
+        on_released: Called with the fingerprint of each request that this instance has released
+            from quarantine.
     """
 
-    __slots__ = ("_clock", "_ledger", "_metrics", "on_quarantined", "on_reports")
+    __slots__ = (
+        "_clock",
+        "_ledger",
+        "_metrics",
+        "on_quarantined",
+        "on_released",
+        "on_reports",
+    )
 
     def __init__(self, metrics: Metrics, clock: Clock) -> None:
         self._clock = clock
@@ -32,6 +41,7 @@
         self._metrics = metrics
         self.on_reports: Callable[[list[CrashReport]], None] = lambda reports: None
         self.on_quarantined: Callable[[CrashReport], None] = lambda report: None
+        self.on_released: Callable[[str], None] = lambda fingerprint: None
 
     @property
     def count(self) -> int:
@@ -49,13 +59,16 @@
             Quarantined: It doesn't run any more.
         """
         evidence = self._ledger.evidence(fingerprint)
-        if evidence.standing is Standing.QUARANTINED:
-            self._metrics.count("quarantined_requests_refused")
-            raise Quarantined(
-                "Each searcher that ran this request ended.",
-                retry_after=self._ledger.seconds_left(fingerprint, self._clock()),
-            )
-        return CrashGuard(fingerprint, evidence, single_sends=single_sends)
+        if evidence.standing is not Standing.QUARANTINED:
+            return CrashGuard(fingerprint, evidence, single_sends=single_sends)
+        now = self._clock()
+        if self._ledger.grant_retrial(fingerprint, now):
+            return CrashGuard(fingerprint, evidence, single_sends=single_sends, retrial=True)
+        self._metrics.count("quarantined_requests_refused")
+        raise Quarantined(
+            "Each searcher that ran this request ended.",
+            retry_after=self._ledger.seconds_left(fingerprint, now),
+        )
 
     def ended(self, guard: CrashGuard) -> None:
         """Take in what a request has shown, at its end or as soon as it is quarantined."""
@@ -91,8 +104,14 @@
             return
         if was is not Standing.TRUSTED:
             events.REQUEST_RELEASED.log(fingerprint=fingerprint, was=was.value, reason=reason)
+        if was is Standing.QUARANTINED:
+            self.on_released(fingerprint)
         self.on_reports([report])
 
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request doesn't run."""
+        return self._standing(fingerprint) is Standing.QUARANTINED
+
     def is_released(self, report: CrashReport) -> bool:
         """Return whether a request was released after a report was made."""
         return self._ledger.evidence(report.fingerprint).epoch > report.evidence.epoch
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -19,6 +19,9 @@
 # How often a relay looks whether an operator has released a request.
 _LOOK_SECONDS = 60.0
 _TICK_SECONDS = 0.25
+# A release may come milliseconds after the quarantine, from another instance. Its delete must not
+# reach the store before the write.
+_DELETE_DELAY_SECONDS = 1.0
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
@@ -56,6 +59,7 @@
         "_pause",
         "_quarantines",
         "_store",
+        "_to_delete",
         "_to_write",
     )
 
@@ -72,11 +76,13 @@
         self._quarantines = quarantines
         self._pause = pause
         self._follows = follows
-        now = asyncio.get_running_loop().time()
+        now = _now()
         self._next_look = now + _LOOK_SECONDS if first_start else now
         self._to_write: dict[str, CrashReport] = {}
+        self._to_delete: dict[str, float] = {}
         self._has_news = asyncio.Event()
         quarantines.on_quarantined = self._quarantined
+        quarantines.on_released = self._delete_later
 
     def store_is_back(self) -> None:
         """Try now what failed while the store was away."""
@@ -98,6 +104,9 @@
         self._to_write[report.fingerprint] = report
         self._has_news.set()
 
+    def _delete_later(self, fingerprint: str) -> None:
+        self._to_delete[fingerprint] = _now() + _DELETE_DELAY_SECONDS
+
     async def _wait_for_news(self) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._has_news.wait(), _TICK_SECONDS)
@@ -105,14 +114,16 @@
 
     async def _step(self) -> None:
         for fingerprint, report in list(self._to_write.items()):
-            await self._write(report)
+            if self._quarantines.is_quarantined(fingerprint):
+                await self._write(report)
             del self._to_write[fingerprint]
-        expired = self._quarantines.expire()
-        if not self._follows():
-            return
-        for fingerprint in expired:
-            await self._delete(fingerprint)
-        if asyncio.get_running_loop().time() >= self._next_look:
+        for fingerprint in self._quarantines.expire():
+            self._delete_later(fingerprint)
+        for fingerprint, due in list(self._to_delete.items()):
+            if _now() >= due:
+                await self._delete(fingerprint)
+                del self._to_delete[fingerprint]
+        if self._follows() and _now() >= self._next_look:
             await self._look()
 
     async def _write(self, report: CrashReport) -> None:
@@ -125,21 +136,21 @@
 
     async def _look(self) -> None:
         listing = await self._store.list(KIND, allow_stale=True)
-        self._next_look = asyncio.get_running_loop().time() + _LOOK_SECONDS
+        self._next_look = _now() + _LOOK_SECONDS
         for stored in listing.objects:
             try:
-                await self._take(stored.name, _decode(stored))
+                self._take(stored.name, _decode(stored))
             except BadRequest as error:
                 events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
 
-    async def _take(self, fingerprint: str, entry: _Entry) -> None:
+    def _take(self, fingerprint: str, entry: _Entry) -> None:
         evidence = CrashEvidence(frozenset(entry.searchers), frozenset(entry.on_trial), entry.epoch)
         report = CrashReport(fingerprint, evidence)
         self._quarantines.learn(report, KIND)
         if entry.released:
             self._quarantines.release(fingerprint, "operator")
         if self._quarantines.is_released(report):
-            await self._delete(fingerprint)
+            self._delete_later(fingerprint)
 
     async def _delete(self, fingerprint: str) -> None:
         try:
@@ -148,6 +159,10 @@
             return
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _decode(stored: StoredObject) -> _Entry:
     """Decode a quarantined request.
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -14,6 +14,9 @@
 _MOST_REQUESTS = 256
 _SUSPECT_SECONDS = 600.0
 QUARANTINE_SECONDS = 86_400.0
+# After this long a quarantined request gets one more trial: its searchers may have ended by
+# chance, and nothing else would show that.
+RETRIAL_SECONDS = 60.0
 
 
 class Standing(Enum):
@@ -95,10 +98,17 @@
 
 @dataclass(slots=True)
 class _Record:
-    """What is known of one request, and when the last of it came in."""
+    """What is known of one request.
+
+    Attributes:
+        evidence: The evidence.
+        changed_at: When the last of it came in.
+        was_retried: Whether this instance has given it one more trial since.
+    """
 
     evidence: CrashEvidence
     changed_at: float
+    was_retried: bool = False
 
 
 class CrashLedger:
@@ -118,6 +128,18 @@
         record = self._records.get(fingerprint)
         return record.evidence if record is not None else _NO_EVIDENCE
 
+    def grant_retrial(self, fingerprint: str, now: float) -> bool:
+        """Return whether a quarantined request may run once more, on trial.
+
+        One such trial that fails is evidence for all instances, and the last.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or record.was_retried:
+            return False
+        is_first = len(record.evidence.on_trial) == _TRIALS_TO_QUARANTINE
+        record.was_retried = is_first and now - record.changed_at >= RETRIAL_SECONDS
+        return record.was_retried
+
     def reports(self) -> list[CrashReport]:
         """Return all evidence, for an instance that may lack it."""
         return [CrashReport(name, record.evidence) for name, record in self._records.items()]
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -24,6 +24,7 @@
         fingerprint: The request's fingerprint.
         earlier: The evidence from earlier repeats of it, here or at other instances.
         single_sends: Whether each send of the request is on a connection that is known to work.
+        retrial: Whether it runs in spite of the earlier evidence, until one more searcher ends.
     """
 
     __slots__ = (
@@ -31,17 +32,26 @@
         "_earlier",
         "_is_sound",
         "_on_trial",
+        "_retrial",
         "_single_sends",
         "_waiting",
         "evidence",
         "fingerprint",
     )
 
-    def __init__(self, fingerprint: str, earlier: CrashEvidence, *, single_sends: bool) -> None:
+    def __init__(
+        self,
+        fingerprint: str,
+        earlier: CrashEvidence,
+        *,
+        single_sends: bool,
+        retrial: bool = False,
+    ) -> None:
         self._answered = False
         self._earlier = earlier
         self._is_sound = False
         self._on_trial: str | None = None
+        self._retrial = retrial
         self._single_sends = single_sends
         self._waiting: deque[Callable[[], None]] = deque()
         self.evidence = CrashEvidence(epoch=earlier.epoch)
@@ -60,6 +70,8 @@
         """
         if self._answered:
             return Standing.TRUSTED
+        if self._retrial and not self.evidence:
+            return Standing.SUSPECT
         standing = self._all_evidence.standing
         if standing is Standing.TRUSTED and self._earlier:
             return Standing.SUSPECT
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -10,6 +10,7 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.crashes import (
     QUARANTINE_SECONDS,
+    RETRIAL_SECONDS,
     CrashEvidence,
     CrashLedger,
     CrashReport,
@@ -47,6 +48,11 @@
             replica.lost(dispatch.loop.time())
 
 
+def quarantine_long_ago(dispatch: VirtualDispatch, report: CrashReport) -> None:
+    dispatch.quarantines.take([report], "test")
+    dispatch.loop.run(dispatch.loop.time() + RETRIAL_SECONDS + 1.0)
+
+
 class Play(SearchPlay):
     """A search over twenty shards; `ended` has the searchers that it ended."""
 
@@ -119,6 +125,16 @@
         assert not ledger.expire(QUARANTINE_SECONDS)
         assert ledger.expire(QUARANTINE_SECONDS + 2.0) == [FINGERPRINT]
 
+    def test_a_quarantined_request_gets_one_more_trial_and_only_one(self):
+        """Guards against requests that stay refused because their searchers ended by chance."""
+        ledger = CrashLedger()
+        ledger.add(CrashReport(FINGERPRINT, evidence(4, 2)), 1.0)
+        assert not ledger.grant_retrial(FINGERPRINT, RETRIAL_SECONDS)
+        assert ledger.grant_retrial(FINGERPRINT, RETRIAL_SECONDS + 2.0)
+        assert not ledger.grant_retrial(FINGERPRINT, RETRIAL_SECONDS + 3.0)
+        ledger.add(CrashReport(FINGERPRINT, evidence(4, 3)), RETRIAL_SECONDS + 4.0)
+        assert not ledger.grant_retrial(FINGERPRINT, 9 * RETRIAL_SECONDS)
+
     def test_many_suspects_do_not_push_out_a_quarantine(self):
         """Guards against callers that make room for a crashing request by sending many others."""
         ledger = CrashLedger()
@@ -195,6 +211,20 @@
         there.take([told], "third")
         assert there.guard(FINGERPRINT, single_sends=False).standing is Standing.TRUSTED
 
+    def test_a_retrial_that_is_answered_releases_the_request(self):
+        report = CrashReport(request().fingerprint, evidence(4, 2))
+        play = Play(prepare=lambda dispatch: quarantine_long_ago(dispatch, report))
+        assert len(play.open_calls) == 1
+        play.answer_all()
+        assert [reply.status for reply in play.exchange.replies] == [200]
+        assert not play.dispatch.quarantines.count
+
+    def test_a_retrial_that_ends_its_searcher_goes_to_no_other(self):
+        report = CrashReport(request().fingerprint, evidence(4, 2))
+        play = Play(prepare=lambda dispatch: quarantine_long_ago(dispatch, report))
+        play.crash_all()
+        assert len(play.ended) == 1
+
     def test_lost_connections_among_answers_are_no_evidence(self):
         """Guards against suspicion by connections that a searcher or the network resets."""
         play = Play()
