--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 from random import Random
 from tempfile import mkdtemp
 
-from soak.callers import Caller, Outcome
+from soak.callers import Caller, CrashingCaller, Outcome
 from soak.faults import Planned, act, plan
 from soak.promises import RECOVER_SECONDS, Seen, broken
 from soak.world import World
@@ -22,12 +22,16 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run all seeds; return 1 where one broke a promise."""
     options = _parser().parse_args(arguments)
-    failed = [seed for seed in options.seeds if run(seed, options.seconds, options.instances)]
+    failed = [
+        seed
+        for seed in options.seeds
+        if run(seed, options.seconds, options.instances, crashing=options.crashing)
+    ]
     print(f"{len(options.seeds)} seeds, {len(failed)} broke a promise: {failed}", flush=True)
     return 1 if failed else 0
 
 
-def run(seed: int, seconds: float, instances: int) -> list[str]:
+def run(seed: int, seconds: float, instances: int, *, crashing: bool = False) -> list[str]:
     """Run one seed, print what came of it, and return the broken promises.
 
     The logs of a run that broke one are kept.
@@ -36,6 +40,7 @@
         seed: Draws the faults and the load.
         seconds: How long faults are injected.
         instances: How many instances.
+        crashing: Whether a request comes again and again that ends each searcher which runs it.
     """
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     rng = Random(seed)
@@ -43,6 +48,8 @@
     outcomes: list[Outcome] = []
     with World(folder, instances) as world:
         callers = [Caller(f"c{n}", world, Random(seed + n), outcomes) for n in range(_CALLERS)]
+        if crashing:
+            callers.append(CrashingCaller("crash", world, Random(seed), outcomes))
         for caller in callers:
             caller.start()
         _inject(faults, world, rng)
@@ -90,6 +97,7 @@
     parser.add_argument("seeds", nargs="+", type=int, metavar="SEED")
     parser.add_argument("--seconds", type=float, default=10.0, help="time of faults a seed")
     parser.add_argument("--instances", type=int, default=3)
+    parser.add_argument("--crashing", action="store_true", help="send a crashing request, too")
     return parser
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,13 +7,15 @@
 from enum import Enum
 from random import Random
 
-from soak.world import World, request_header
+from soak.world import CRASHING, World, request_header
 from tests.support.platforms import HOST
 
 # Seconds that callers wait; the routes allow as much.
 DEADLINE_SECONDS = 1.5
 _PAUSE_SECONDS = (0.01, 0.06)
 _RESOLVE_SECONDS = 1.0
+# Seconds between two tries of a request that ends its searchers.
+_CRASHING_PAUSE_SECONDS = 0.7
 
 
 class Kind(Enum):
@@ -22,6 +24,7 @@
     SEARCH = "/find/x"
     BOOKING = "/get/x"
     LOOK_UP = ""
+    CRASHING = f"/find/{CRASHING}"
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,8 +105,11 @@
                 continue
         return []
 
+    def _kind(self) -> Kind:
+        return self._rng.choice((Kind.SEARCH, Kind.SEARCH, Kind.BOOKING, Kind.LOOK_UP))
+
     def _ask(self, request: str, index: int) -> Outcome:
-        kind = self._rng.choice((Kind.SEARCH, Kind.SEARCH, Kind.BOOKING, Kind.LOOK_UP))
+        kind = self._kind()
         path = kind.value or f"{self._rng.choice(self._world.routes)[0]}x"
         kept = index in self._connections
         connection = self._connections.pop(index, None) or self._connect(index)
@@ -129,3 +135,20 @@
     def _connect(self, index: int) -> http.client.HTTPConnection:
         port = self._world.instances[index].process.front
         return http.client.HTTPConnection("127.0.0.1", port, timeout=2 * DEADLINE_SECONDS)
+
+
+class CrashingCaller(Caller):
+    """Sends the same request again and again, which ends each searcher that runs it."""
+
+    def run(self) -> None:
+        """Send it until told to stop, and see to it that searchers come back."""
+        number = 0
+        while not self.stopping.wait(_CRASHING_PAUSE_SECONDS):
+            index = self._choose()
+            if index is not None:
+                number += 1
+                self._outcomes.append(self._ask(f"{self._name}-{number}", index))
+            self._world.restart_ended()
+
+    def _kind(self) -> Kind:
+        return Kind.CRASHING
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -16,6 +16,8 @@
 _APPLY_SECONDS = 3.0
 # The defaults of the instances' settings.
 _BUDGET_RATIO, _BUDGET_SLACK, _BUDGET_WINDOW = 0.2, 50, 10.0
+# A request under which this many searchers have ended may reach searchers in so many repeats.
+_LOST_TO_CRASHING, _CRASHING_REPEATS = 3, 3
 # Share of requests that are served at the end, when all faults are over for this long.
 _RECOVERED_SHARE, RECOVER_SECONDS = 0.9, 3.0
 
@@ -136,6 +138,18 @@
                 break
 
 
+@promise("a request that ends its searchers is stopped")
+def _stopped(seen: Seen) -> Iterator[str]:
+    sent = {o.request: o for o in seen.outcomes if o.kind is Kind.CRASHING}
+    ends = sorted((run for run in seen.runs if run.request in sent), key=lambda run: run.at)
+    if len(ends) < _LOST_TO_CRASHING:
+        return
+    due = ends[_LOST_TO_CRASHING - 1].at + _STABLE_SECONDS
+    repeats = {run.request for run in ends if run.at > due and _is_calm(seen, sent[run.request])}
+    if len(repeats) > _CRASHING_REPEATS:
+        yield f"it reached searchers in {len(repeats)} repeats; {len(ends)} ended in all"
+
+
 @promise("a searcher that drains gets nothing after a while")
 def _drained(seen: Seen) -> Iterator[str]:
     for name, since in seen.world.drained.items():
@@ -164,7 +178,11 @@
 
 @promise("requests are served again when all faults are over")
 def _recovered(seen: Seen) -> Iterator[str]:
-    calm = [o for o in seen.outcomes if o.begun > seen.faults_over + RECOVER_SECONDS]
+    calm = [
+        outcome
+        for outcome in seen.outcomes
+        if outcome.begun > seen.faults_over + RECOVER_SECONDS and outcome.kind is not Kind.CRASHING
+    ]
     served = sum(outcome.status == 200 for outcome in calm)
     if not calm or served < _RECOVERED_SHARE * len(calm):
         yield f"{served} of {len(calm)} requests were served"
@@ -180,6 +198,15 @@
     return instance.rough.touches(outcome.begun - _SLACK_SECONDS, outcome.ended)
 
 
+def _is_calm(seen: Seen, outcome: Outcome) -> bool:
+    """Return whether nothing disturbed an instance for long enough before it was asked."""
+    instance, begun = seen.world.instances[outcome.instance], outcome.begun
+    return not any(
+        spans.touches(begun - _STABLE_SECONDS, begun)
+        for spans in (instance.rough, instance.stopped, seen.world.store_rough)
+    )
+
+
 def _senders_rough(seen: Seen, run: Run) -> bool:
     """Return whether an instance that may have sent a run was disturbed shortly before.
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,6 +14,7 @@
     REQUEST_ID,
     Answer,
     BackendStandIn,
+    Crash,
     Cut,
     Hang,
     Reset,
@@ -29,6 +30,10 @@
 TOP = 4
 # Seconds of work of a call: usual, and while a searcher is slow.
 USUAL_WORK, SLOW_WORK = 0.008, 0.12
+# What the path of a request ends with that ends each searcher which runs it.
+CRASHING = "crash"
+# Seconds until a searcher that has ended runs again, under another id.
+_RESTART_SECONDS = 0.4
 # A second reply that nobody asked for.
 FOREIGN_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 
@@ -78,18 +83,32 @@
         self.mood = Mood.WELL
         self.proxy: ProxyStandIn | None = None
         self._runs = runs
+        self._starts = 1
+        self._first_name = name
         self.backend = BackendStandIn(service, name, zone=zone, answer=self._answer)
 
     def entry(self, **fields: object) -> dict[str, object]:
         """Return what it writes to the store about itself; callers reach it through its proxy."""
         return {**self.backend.entry(), "addr": self.proxy.entry_address, **fields}
 
+    def start_again(self) -> None:
+        """Run again after an end, under another id and behind the same proxy."""
+        self._starts += 1
+        ended = self.backend
+        name = f"{self._first_name}r{self._starts}"
+        self.backend = BackendStandIn(ended.service, name, zone=ended.zone, answer=self._answer)
+        self.backend.__enter__()
+        host, _, port = self.backend.address.rpartition(":")
+        self.proxy.target = (host, int(port))
+
     def _answer(self, backend: BackendStandIn, seen: Seen) -> Answer:
         mood = self.mood
         if mood is Mood.REFUSES:
             return backend.refusal(seen)
         self._runs.append(Run(seen.id, backend.service, backend.name, time.monotonic()))
         time.sleep(SLOW_WORK if mood is Mood.SLOW else USUAL_WORK)
+        if seen.target.endswith(CRASHING):
+            return Crash()
         if mood is Mood.HANGS:
             return Hang()
         if mood is Mood.CUTS:
@@ -220,6 +239,20 @@
         self.store.put("config", "main", configuration(self._version, *routes))
         self.routes.append((prefix, time.monotonic()))
 
+    def restart_ended(self) -> None:
+        """Start the searchers again that have ended, a moment later."""
+        ended = [searcher for searcher in self.searchers if searcher.backend.ended]
+        if not ended:
+            return
+        time.sleep(_RESTART_SECONDS)
+        for searcher in ended:
+            self.store.take_away("servers", searcher.backend.name)
+            is_leaving = searcher.backend.name in self.drained
+            searcher.start_again()
+            self._stack.callback(searcher.backend.__exit__)
+            if not is_leaving:
+                self.store.put("servers", searcher.backend.name, searcher.entry())
+
     def drain(self, searcher: SoakSearcher) -> None:
         """Let a searcher say that it leaves."""
         self.store.put("servers", searcher.backend.name, searcher.entry(state="draining"))
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -40,6 +40,10 @@
     return replace(whole, **fields)
 
 
+def crashing(request: str, begun: float) -> Outcome:
+    return booking(request, begun, kind=Kind.CRASHING, status=503, headers={}, body=b"")
+
+
 def ran(request: str, service: str = DESK, at: float = 100.01, searcher: str = "") -> Run:
     return Run(request, service, searcher or f"{service}-s0", at)
 
@@ -87,6 +91,12 @@
     def test_by_a_request_that_ran_and_got_no_answer(self):
         assert len(seen([booking(status=None)], [ran("b1")])) == 1
 
+    def test_by_a_crashing_request_that_goes_on_reaching_searchers(self):
+        sent = [crashing(f"k{n}", 100.0 + n) for n in range(12)]
+        ends = [ran(f"k{n}", SHARDS[0], 100.01 + n) for n in range(12)]
+        assert len(seen(sent, ends)) == 1
+        assert seen(sent, ends[:8]) == []
+
     def test_by_too_many_repeats(self):
         runs = [ran(f"s{n}", SHARDS[0], 100.0 + n / 100) for n in range(60) for _ in range(2)]
         assert len(seen([search(f"s{n}") for n in range(5)], runs)) == 1
