--- a/packages/limpethollow/src/limpethollow/explanations.py
+++ b/packages/limpethollow/src/limpethollow/explanations.py
@@ -25,6 +25,8 @@
     305: "Look at the network of this instance's machine.",
     401: "Look at the searcher named and at the network to it.",
     402: "Look at the searcher named; 'verdict' says whether it may have run the request.",
+    410: "Other lines with this fingerprint: see docs/operators/crashing-requests.md.",
+    522: "Mend the searchers, then release it: see docs/operators/crashing-requests.md.",
 }
 _REASONS = {
     "whole": "All shards answered.",
@@ -37,6 +39,7 @@
     "deadline": "The time that the caller or the route allows was over.",
     "searcher_failed": "The searcher itself answered with a failure; it was passed on.",
     "no_searcher": "No usable searcher of the service was known here.",
+    "quarantined": "Searchers had ended under earlier tries of this request; it was not run.",
     "no_route": "The version in force has no route for the host and path.",
     "caller_gone": "The caller closed its connection before the answer.",
     "isolated": "The instance reached neither peers nor searchers.",
