A retrial is over with its first end, at all instances

Found while reading: a retrial whose searcher was doubtful added no trial to the evidence, so the other instances, to which the request came next, would each have begun one of their own: eight repeats that reach searchers where three may.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -20,8 +20,8 @@
 
     Attributes:
         on_reports: Called with evidence that is new here, for the other instances.
-        on_quarantined: Called with the evidence on each request that this instance's own evidence
-            has put into quarantine.
+        on_quarantined: Called with the evidence on a quarantined request whenever this instance
+            has added to it.
         on_released: Called with the fingerprint of each request that this instance has released
             from quarantine.
     """
@@ -125,12 +125,11 @@
         return released
 
     def _take_own(self, report: CrashReport) -> None:
-        was_quarantined = self._standing(report.fingerprint) is Standing.QUARANTINED
         if not self._add(report, "own"):
             return
         merged = CrashReport(report.fingerprint, self._ledger.evidence(report.fingerprint))
         self.on_reports([merged])
-        if merged.evidence.standing is Standing.QUARANTINED and not was_quarantined:
+        if merged.evidence.standing is Standing.QUARANTINED:
             self.on_quarantined(merged)
 
     def _add(self, report: CrashReport, source: str) -> bool:
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -115,7 +115,8 @@
 
     def lost(self, searcher: str) -> None:
         """Take in that a connection ended under the request before any byte of a reply."""
-        on_trial = searcher == self._on_trial and self._is_sound
+        # A retrial is over with its first end, or each instance would begin one of its own.
+        on_trial = searcher == self._on_trial and (self._is_sound or self._retrial)
         self.evidence = self.evidence.with_lost(searcher, on_trial=on_trial)
         self.ended(searcher)
 
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -222,8 +222,11 @@
     def test_a_retrial_that_ends_its_searcher_goes_to_no_other(self):
         report = CrashReport(request().fingerprint, evidence(4, 2))
         play = Play(prepare=lambda dispatch: quarantine_long_ago(dispatch, report))
+        lose_every_searcher(play.dispatch)
         play.crash_all()
         assert len(play.ended) == 1
+        (told,) = play.dispatch.quarantines.reports()
+        assert len(told.evidence.on_trial) == 3
 
     def test_lost_connections_among_answers_are_no_evidence(self):
         """Guards against suspicion by connections that a searcher or the network resets."""
