--- a/tests/system/lifecycle/test_peer_links.py
+++ b/tests/system/lifecycle/test_peer_links.py
@@ -182,6 +182,7 @@
         assert booking.result() == 7
 
     def test_late_reply_is_never_taken_for_another_request(self, links, peer):
+        assert ask(links) == 1
         with pytest.raises(PeerLost):
             ask(links, "group.wait", 1, timeout=0.2)
         peer.go_on.set()
