The guard of a request keeps its evidence merged

Two places asked the guard for its standing to compare it with one value: is_quarantined. No behaviour changed.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -12,7 +12,6 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.tries import Tries
 from limpethollow_node.process import events
-from limpethollow_policy.process.crashes import Standing
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.verdicts import Verdict
@@ -160,13 +159,12 @@
         settled = self._pending == 0 or self._waits_for_floor
         if settled and len(self._parts) >= self._least_parts:
             self._answer("late" if self._waits_for_floor else "whole")
-        elif len(self._parts) + self._pending < self._least_parts or self._is_quarantined:
+        elif (
+            len(self._parts) + self._pending < self._least_parts
+            or self._outgoing.guard.is_quarantined
+        ):
             self._give_up()
 
-    @property
-    def _is_quarantined(self) -> bool:
-        return self._outgoing.guard.standing is Standing.QUARANTINED
-
     def _hedge(self) -> None:
         self._carrier.suspect_silent()
         late = [tries for tries in self._tries if not tries.done]
@@ -209,7 +207,7 @@
         self._admission.over(len(self._parts))
         if any(tries.may_have_run for tries in self._tries):
             # A quarantined one will be refused when it comes back.
-            retry_after = None if self._is_quarantined else _RETRY_AFTER
+            retry_after = None if self._outgoing.guard.is_quarantined else _RETRY_AFTER
             error: LimpethollowError = NoUsableReply(
                 "Too many shards gave no usable reply.", retry_after=retry_after
             )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -8,7 +8,6 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.sends import Send
 from limpethollow_node.process import events
-from limpethollow_policy.process.crashes import Standing
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.request.verdicts import Verdict
 
@@ -133,12 +132,12 @@
         """Ask a second searcher because the first is late; return whether both are asked now."""
         if self.done or not self.outgoing.route.idempotent or not self._under_way:
             return False
+        if not self.outgoing.guard.may_send():
+            return False
         other = self._choose_other()
         if other is None:
             return False
         first = self._under_way[0]
-        if not self.outgoing.guard.may_send():
-            return False
         if not first.has_left:
             # It still waits for a connection. Nothing has arrived, so moving it elsewhere is no
             # repeated send.
@@ -236,7 +235,7 @@
             return
         self.lost.append(searcher)
         guard.lost(searcher)
-        if guard.standing is Standing.QUARANTINED:
+        if guard.is_quarantined:
             # Now, not at the request's end: other sends of it may last until its deadline.
             self.dispatch.quarantines.ended(guard)
 
@@ -267,7 +266,7 @@
         if not self.outgoing.route.idempotent and self._runs:
             # Another send might run it twice, so the outcome stays as it is.
             return _MAY_HAVE_RUN
-        if guard.standing is Standing.QUARANTINED:
+        if guard.is_quarantined:
             return _QUARANTINED
         if other is None:
             return "no_searcher"
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -114,8 +114,8 @@
 class CrashLedger:
     """The evidence on all requests, from this instance and from others.
 
-    Evidence is only ever added up, so instances that were told in another order, or twice, come to
-    the same conclusion.
+    Evidence of one epoch is only ever added up, and a later epoch replaces an earlier one. So
+    instances that were told in another order, or twice, come to the same conclusion.
     """
 
     __slots__ = ("_records",)
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -25,9 +25,14 @@
         earlier: The evidence from earlier repeats of it, here or at other instances.
         single_sends: Whether each send of the request is on a connection that is known to work.
         retrial: Whether it runs in spite of the earlier evidence, until one more searcher ends.
+
+    Attributes:
+        evidence: What this run of the request adds to the earlier evidence.
+        fingerprint: The request's fingerprint.
     """
 
     __slots__ = (
+        "_all_evidence",
         "_answered",
         "_earlier",
         "_is_sound",
@@ -47,6 +52,8 @@
         single_sends: bool,
         retrial: bool = False,
     ) -> None:
+        # Kept rather than merged when asked for: each send of a search asks for it twice.
+        self._all_evidence = earlier
         self._answered = False
         self._earlier = earlier
         self._is_sound = False
@@ -77,6 +84,11 @@
             return Standing.SUSPECT
         return standing
 
+    @property
+    def is_quarantined(self) -> bool:
+        """Return whether the request may not be sent any more."""
+        return self.standing is Standing.QUARANTINED
+
     @property
     def wants_fresh(self) -> bool:
         """Return whether sends must go on connections that are known to work.
@@ -85,10 +97,6 @@
         """
         return self._single_sends or (not self._answered and bool(self._all_evidence))
 
-    @property
-    def _all_evidence(self) -> CrashEvidence:
-        return self._earlier.merged(self.evidence)
-
     def may_send(self) -> bool:
         """Return whether another send may go out now."""
         standing = self.standing
@@ -118,6 +126,7 @@
         # A retrial is over with its first end, or each instance would begin one of its own.
         on_trial = searcher == self._on_trial and (self._is_sound or self._retrial)
         self.evidence = self.evidence.with_lost(searcher, on_trial=on_trial)
+        self._all_evidence = self._earlier.merged(self.evidence)
         self.ended(searcher)
 
     def ended(self, searcher: str) -> None:
@@ -138,5 +147,5 @@
 
     def _resume(self) -> None:
         """Call back as many sends as may go out; all of them where none may any more."""
-        while self._waiting and (self.may_send() or self.standing is Standing.QUARANTINED):
+        while self._waiting and (self.may_send() or self.is_quarantined):
             self._waiting.popleft()()
