Quarantined requests are decoded where the store's other objects are

platform/quarantines.py had a decoder of its own beside codec.py, the fourth copy of one shape: convert, and say what can't be read. All four go through one function now, with their messages as they were; what a stored quarantine holds has a type. The keeper's step is split by what it does.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -1,9 +1,10 @@
 """Objects of the platform's store, decoded into the product's types."""
 
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
+from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.loadreports import LoadReport
@@ -17,11 +18,25 @@
 )
 from limpethollow_wire.exceptions import BadRequest
 
+T = TypeVar("T")
+
 _READY = "ready"
 _DRAINING = "draining"
 _SAFE = "safe"
 
 
+class StoredQuarantine(msgspec.Struct, frozen=True):
+    """A quarantined request as the store has it.
+
+    Attributes:
+        report: The evidence on it.
+        released: Whether an operator wants it to run again.
+    """
+
+    report: CrashReport
+    released: bool
+
+
 class _Meta(msgspec.Struct, frozen=True):
     name: str
     revision: int = 0
@@ -99,16 +114,20 @@
     limits: _Limits = _Limits()
 
 
+class _Quarantine(msgspec.Struct, frozen=True, rename="camel"):
+    searchers: list[str]
+    on_trial: list[str]
+    epoch: int = 0
+    released: bool = False
+
+
 def decode_searcher(stored: StoredObject) -> Searcher:
     """Decode a searcher's entry.
 
     Raises:
         BadRequest: Another writer left something that names no searcher to use.
     """
-    try:
-        entry = msgspec.convert(stored.spec, _Entry)
-    except msgspec.MsgspecError as error:
-        raise BadRequest(f"The searcher's entry {stored.name!r} can't be used: {error}.") from None
+    entry = _convert(stored, _Entry, f"The searcher's entry {stored.name!r} can't be used")
     if entry.state not in (_READY, _DRAINING):
         raise BadRequest(f"The searcher's entry {stored.name!r} has state {entry.state!r}.")
     host, _, port = entry.addr.rpartition(":")
@@ -132,10 +151,7 @@
     Raises:
         BadRequest: It can't be read.
     """
-    try:
-        found = msgspec.convert(stored.spec, _Configuration)
-    except msgspec.MsgspecError as error:
-        raise BadRequest(f"The configuration can't be read: {error}.") from None
+    found = _convert(stored, _Configuration, "The configuration can't be read")
     return RoutingVersion(
         number=found.version,
         routes=tuple(_decode_route(route) for route in found.routes),
@@ -170,10 +186,7 @@
     Raises:
         BadRequest: It can't be read.
     """
-    try:
-        instance = msgspec.convert(stored.spec, Instance)
-    except msgspec.ValidationError as error:
-        raise BadRequest(f"The instance {stored.name!r} can't be read: {error}.") from None
+    instance = _convert(stored, Instance, f"The instance {stored.name!r} can't be read")
     if instance.name != stored.name:
         raise BadRequest(f"The instance {stored.name!r} calls itself {instance.name!r}.")
     return instance
@@ -184,6 +197,31 @@
     return Evacuation(stored.name)
 
 
+def decode_quarantine(stored: StoredObject) -> StoredQuarantine:
+    """Decode a quarantined request.
+
+    Raises:
+        BadRequest: It can't be read.
+    """
+    found = _convert(stored, _Quarantine, f"The request {stored.name!r} can't be read")
+    evidence = CrashEvidence(frozenset(found.searchers), frozenset(found.on_trial), found.epoch)
+    return StoredQuarantine(CrashReport(stored.name, evidence), found.released)
+
+
+def encode_quarantine(report: CrashReport) -> Any:
+    """Return what the object of a quarantined request holds."""
+    evidence = report.evidence
+    searchers, on_trial = sorted(evidence.searchers), sorted(evidence.on_trial)
+    return msgspec.to_builtins(_Quarantine(searchers, on_trial, evidence.epoch))
+
+
+def _convert(stored: StoredObject, kind: type[T], mistake: str) -> T:
+    try:
+        return msgspec.convert(stored.spec, kind)
+    except msgspec.MsgspecError as error:
+        raise BadRequest(f"{mistake}: {error}.") from None
+
+
 def _decode_limits(service: _Service) -> ServiceLimits:
     return ServiceLimits(
         connections=service.max_conns,
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -3,16 +3,17 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from typing import Any
-
-import msgspec
 
 from limpethollow_node.engine.process.quarantines import Quarantines
-from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.platform.codec import (
+    StoredQuarantine,
+    decode_quarantine,
+    encode_quarantine,
+)
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
-from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
+from limpethollow_policy.process.crashes import CrashReport
 from limpethollow_wire.exceptions import BadRequest, Conflict, LimpethollowError, NotFound
 
 KIND = "quarantines"
@@ -24,15 +25,6 @@
 _DELETE_DELAY_SECONDS = 1.0
 
 
-class _Entry(msgspec.Struct, frozen=True, rename="camel"):
-    """A quarantined request; an operator sets `released` to let it run again."""
-
-    searchers: list[str]
-    on_trial: list[str]
-    epoch: int = 0
-    released: bool = False
-
-
 class QuarantineKeeper:
     """Writes what this instance puts into quarantine, and reads what others did.
 
@@ -113,21 +105,27 @@
         self._has_news.clear()
 
     async def _step(self) -> None:
+        await self._write_new()
+        for fingerprint in self._quarantines.expire():
+            self._delete_later(fingerprint)
+        await self._delete_due()
+        if self._follows() and _now() >= self._next_look:
+            await self._look()
+
+    async def _write_new(self) -> None:
         for fingerprint, report in list(self._to_write.items()):
             if self._quarantines.is_quarantined(fingerprint):
                 await self._write(report)
             del self._to_write[fingerprint]
-        for fingerprint in self._quarantines.expire():
-            self._delete_later(fingerprint)
+
+    async def _delete_due(self) -> None:
         for fingerprint, due in list(self._to_delete.items()):
             if _now() >= due:
                 await self._delete(fingerprint)
                 del self._to_delete[fingerprint]
-        if self._follows() and _now() >= self._next_look:
-            await self._look()
 
     async def _write(self, report: CrashReport) -> None:
-        spec = _spec_of(report.evidence)
+        spec = encode_quarantine(report)
         try:
             await self._store.create(KIND, report.fingerprint, spec)
         except Conflict:
@@ -139,18 +137,17 @@
         self._next_look = _now() + _LOOK_SECONDS
         for stored in listing.objects:
             try:
-                self._take(stored.name, _decode(stored))
+                self._take(decode_quarantine(stored))
             except BadRequest as error:
                 events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
 
-    def _take(self, fingerprint: str, entry: _Entry) -> None:
-        evidence = CrashEvidence(frozenset(entry.searchers), frozenset(entry.on_trial), entry.epoch)
-        report = CrashReport(fingerprint, evidence)
+    def _take(self, stored: StoredQuarantine) -> None:
+        report = stored.report
         self._quarantines.learn(report, KIND)
-        if entry.released:
-            self._quarantines.release(fingerprint, "operator")
+        if stored.released:
+            self._quarantines.release(report.fingerprint, "operator")
         if self._quarantines.is_released(report):
-            self._delete_later(fingerprint)
+            self._delete_later(report.fingerprint)
 
     async def _delete(self, fingerprint: str) -> None:
         try:
@@ -161,21 +158,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _decode(stored: StoredObject) -> _Entry:
-    """Decode a quarantined request.
-
-    Raises:
-        BadRequest: It can't be read.
-    """
-    try:
-        entry = msgspec.convert(stored.spec, _Entry)
-    except msgspec.ValidationError as error:
-        raise BadRequest(f"The request {stored.name!r} can't be read: {error}.") from None
-    return entry
-
-
-def _spec_of(evidence: CrashEvidence) -> Any:
-    on_trial = sorted(evidence.on_trial)
-    return msgspec.to_builtins(_Entry(sorted(evidence.searchers), on_trial, evidence.epoch))
