Evidence that comes while a quarantine is written is written too

Found by reading the change: the keeper dropped what it had to write after a write, also where newer evidence had come in meanwhile. The store then lacked the last trial, and after a start of all the request would have got another one. test_evidence_that_comes_during_a_write_is_written_too failed before: three trials written of four.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -116,7 +116,8 @@
         for fingerprint, report in list(self._to_write.items()):
             if self._quarantines.is_quarantined(fingerprint):
                 await self._write(report)
-            del self._to_write[fingerprint]
+            if self._to_write[fingerprint] is report:
+                del self._to_write[fingerprint]
 
     async def _delete_due(self) -> None:
         for fingerprint, due in list(self._to_delete.items()):
