Tests of crashing requests share their set-up

Four tests started the same searchers and two instances, two killed and started all: start_search, restart_all. Assertions and bounds are as they were.

--- a/tests/system/platform/test_crashes.py
+++ b/tests/system/platform/test_crashes.py
@@ -1,7 +1,7 @@
 """Requests that end each searcher that runs them, and come again."""
 
 from tests.support.crashes import CrashingSearchers, send_crashing, wait_served
-from tests.support.platforms import PlatformInstance, forward_route, search_route
+from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route, search_route
 from tests.support.processes import wait_for
 
 # Repeats of such a request that may still reach searchers after it has ended the third.
@@ -13,15 +13,35 @@
     return "limpethollow_quarantined_requests 1" in instance.metrics()
 
 
+def start_two(system: PlatformSystem) -> list[PlatformInstance]:
+    return [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
+
+
+def start_search(system: PlatformSystem) -> tuple[CrashingSearchers, list[PlatformInstance]]:
+    """Start searchers of all shards and two instances, and wait until these serve searches."""
+    searchers = CrashingSearchers(system, SHARDS)
+    system.configure(1, search_route(SHARDS))
+    instances = start_two(system)
+    wait_served(instances, "/find/before")
+    return searchers, instances
+
+
+def restart_all(instances: list[PlatformInstance]) -> None:
+    """Kill all instances at once, and start them again."""
+    for instance in instances:
+        instance.kill()
+    for instance in instances:
+        instance.start()
+    for instance in instances:
+        instance.wait_ready()
+
+
 class TestRepeats:
     def test_a_search_that_crashes_its_searchers_does_not_crash_them_each_time_it_comes(
         self, system
     ):
         """Guards against crashing requests that are sent on like any other at each repeat."""
-        searchers = CrashingSearchers(system, SHARDS)
-        system.configure(1, search_route(SHARDS))
-        instances = [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
-        wait_served(instances, "/find/before")
+        searchers, instances = start_search(system)
         send_crashing(searchers, instances, "/find/", times=8)
         assert len(searchers.reached_by("/find/crash")) <= 1 + MOST_RETRIES
 
@@ -31,7 +51,7 @@
         """Guards against crashing requests that every instance tries out by itself."""
         searchers = CrashingSearchers(system, ["desk"])
         system.configure(1, forward_route("desk"))
-        instances = [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
+        instances = start_two(system)
         wait_served(instances, "/get/before")
         send_crashing(searchers, instances, "/get/", times=8)
         # It ends two searchers at a time, so one repeat may come before it has ended the third.
@@ -43,36 +63,22 @@
         self, system
     ):
         """Guards against crashing requests that run once more after each start of all instances."""
-        searchers = CrashingSearchers(system, SHARDS)
-        system.configure(1, search_route(SHARDS))
-        instances = [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
-        wait_served(instances, "/find/before")
+        searchers, instances = start_search(system)
         send_crashing(searchers, instances, "/find/", times=1)
         wait_for(lambda: system.store.names("quarantines"), "the store has it")
+        restart_all(instances)
         for instance in instances:
-            instance.kill()
-        for instance in instances:
-            instance.start()
-        for instance in instances:
-            instance.wait_ready()
             wait_for(lambda i=instance: knows_quarantined(i), f"{instance.name} knows of it")
         send_crashing(searchers, instances, "/find/", times=2)
         assert len(searchers.reached_by("/find/crash")) == 1
 
     def test_a_crashing_request_is_still_known_after_all_instances_have_ended(self, system):
         """Guards against instances that forget crashing requests when all are killed at once."""
-        searchers = CrashingSearchers(system, SHARDS)
-        system.configure(1, search_route(SHARDS))
-        instances = [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
+        searchers, instances = start_search(system)
         for _ in range(3):
             wait_served(instances, "/find/before")
             send_crashing(searchers, instances, "/find/", times=2)
-            for instance in instances:
-                instance.kill()
-            for instance in instances:
-                instance.start()
-            for instance in instances:
-                instance.wait_ready()
+            restart_all(instances)
         assert len(searchers.reached_by("/find/crash")) <= 1 + MOST_RETRIES
 
 
