--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,11 @@
-"""A booking that was refused is sent again on a connection that still carries a second refusal."""
+"""A booking runs twice: a late second refusal is taken for the answer to the booking's next send.
+
+Two machines send bookings to a service of which one searcher is left. It sheds part of its requests
+and follows some of its answers with a second one, which comes late. After a refusal the booking
+goes to the same searcher again, on the same connection; there the second refusal is due, and it has
+the booking's id. The machine believes that this send has not run either, and makes another one.
+"""
 
-import itertools
 import random
 import sys
 import threading
@@ -10,32 +15,91 @@
 from pathlib import Path
 
 from review.support.cases import Record, configuration, has_trouble, play, route
-from review.support.consumers import send
+from review.support.consumers import Attempt, send
 from review.support.machines import Machine
 from review.support.searchers import Received, Searcher
 from review.support.store import MetadataStore
 
 ZONES = ("zone-a", "zone-b")
 DESK = "desk"
-CONSUMERS = 40
-PLAY_SECONDS = 20.0
-# Share of its answers after which a faulty searcher sends a second one.
-DOUBLE_SHARE = 0.04
+REQUESTS_A_SECOND = 40
+CALM_SECONDS, PLAY_SECONDS = 2.0, 80.0
+# Doses of the site's troubles: the share of requests that a grey searcher sheds, and the share of
+# its answers after which a searcher that garbles sends a second one.
+SHED_SHARE, DOUBLE_SHARE = 0.45, 0.04
+SLOTS, WORK_SECONDS = 3, 0.02
+CONSUMER_SECONDS = 4.0
+_PROMISES = (408, 421, 429, 503)
+
+
+class Bookings:
+    """Consumers that book at a steady rate at machines at random.
+
+    Args:
+        machines: The machines.
+    """
+
+    def __init__(self, machines: list[Machine]) -> None:
+        self._machines = machines
+        self._rng = random.Random(1)
+        self._threads: list[threading.Thread] = []
+        self.attempts: list[Attempt] = []
+
+    def send_for(self, seconds: float) -> None:
+        """Send bookings for some seconds."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            address = self._rng.choice(self._machines).front
+            booking = threading.Thread(target=self._book, args=[address, len(self._threads) + 1])
+            booking.start()
+            self._threads.append(booking)
+            time.sleep(1 / REQUESTS_A_SECOND)
+
+    def wait(self) -> None:
+        """Wait until all have their answers."""
+        for thread in self._threads:
+            thread.join()
+
+    def _book(self, address: str, number: int) -> None:
+        body = f"bay={number}".encode()
+        self.attempts.append(
+            send(
+                address,
+                "/book/bay",
+                f"b{number}",
+                method="POST",
+                body=body,
+                seconds=CONSUMER_SECONDS,
+            )
+        )
 
 
 def case(record: Record, folder: Path) -> bool:
+    """Play the case; return whether the rule held."""
     rng = random.Random(2)
+    trouble = threading.Event()
+
+    def sheds(request: Received) -> bool:
+        return trouble.is_set() and rng.random() < SHED_SHARE
 
     def doubles(request: Received) -> bool:
-        return has_trouble() and rng.random() < DOUBLE_SHARE
+        return trouble.is_set() and rng.random() < DOUBLE_SHARE
 
     with ExitStack() as stack:
         store = stack.enter_context(MetadataStore())
         desk = [
             stack.enter_context(
-                Searcher(DESK, f"desk-{n}", ZONES[n], slots=2, queue=6, work=0.005, doubles=doubles)
+                Searcher(
+                    DESK,
+                    f"desk-{n}",
+                    zone,
+                    slots=SLOTS,
+                    work=lambda: WORK_SECONDS,
+                    sheds=sheds,
+                    doubles=doubles,
+                )
             )
-            for n in range(2)
+            for n, zone in enumerate(ZONES)
         ]
         for searcher in desk:
             store.put("servers", searcher.id, searcher.entry())
@@ -47,42 +111,39 @@
         ]
         for machine in machines:
             machine.wait_ready()
-        numbers = itertools.count(1)
-        attempts = []
-        until = time.monotonic() + PLAY_SECONDS
-
-        def consume(seed: int) -> None:
-            own = random.Random(seed)
-            while time.monotonic() < until:
-                attempt = send(
-                    own.choice(machines).front,
-                    "/book/x",
-                    f"b{next(numbers)}",
-                    method="POST",
-                    body=b"bay=12",
-                    seconds=2.0,
-                )
-                attempts.append(attempt)
-
-        threads = [threading.Thread(target=consume, args=[n]) for n in range(CONSUMERS)]
-        for thread in threads:
-            thread.start()
-        time.sleep(2.0)
-        desk[1].end()
-        record.note("desk-1 is lost")
-        time.sleep(3.0)
-        store.remove("servers", "desk-1")
-        for thread in threads:
-            thread.join()
+        record.note("all machines are ready")
+        bookings = Bookings(machines)
+        bookings.send_for(CALM_SECONDS)
+        if has_trouble():
+            record.note("desk-1 is lost for good; desk-0 sheds and sends second answers")
+            desk[1].end()
+            store.remove("servers", desk[1].id)
+            trouble.set()
+        bookings.send_for(PLAY_SECONDS)
+        bookings.wait()
         time.sleep(1.0)
-        runs = Counter(a.request for s in desk for a in s.arrivals if a.ran)
-        sheds = sum(not a.ran for s in desk for a in s.arrivals)
-        statuses = Counter(a.status for a in attempts)
-        refused = [a for a in attempts if a.status in (429, 503) and runs[a.request]]
-        twice = [r for r, count in runs.items() if count > 1]
-        record.note(f"{statuses}, sheds {sheds}, doubled {[s.doubled for s in desk]}")
-        record.note(f"twice {len(twice)} {twice[:5]}, refused and run {len(refused)}")
-        return not twice and not refused
+        return judge(record, bookings.attempts, desk)
+
+
+def judge(record: Record, attempts: list[Attempt], desk: list[Searcher]) -> bool:
+    """Write the record; return whether no booking ran twice, or ran and was refused."""
+    arrivals = [arrival for searcher in desk for arrival in searcher.arrivals]
+    for each in arrivals:
+        record.note(
+            f"{each.request} {'runs' if each.ran else 'is shed'} at {each.searcher}", each.at
+        )
+    for each in attempts:
+        said = each.error if each.status is None else each.status
+        record.note(f"{each.request} got {said} {each.stamp or ''}", each.ended)
+    runs = Counter(arrival.request for arrival in arrivals if arrival.ran)
+    twice = [request for request, count in runs.items() if count > 1]
+    refused = [a.request for a in attempts if a.status in _PROMISES and runs[a.request]]
+    statuses = Counter(str(attempt.status) for attempt in attempts)
+    record.note(f"{len(attempts)} bookings got {dict(statuses)}")
+    record.note(f"second answers: {sum(searcher.doubled for searcher in desk)}")
+    record.note(f"TWICE: {len(twice)} bookings ran more than once: {twice}")
+    record.note(f"REFUSED: {len(refused)} bookings ran and were refused: {refused}")
+    return not twice
 
 
 if __name__ == "__main__":
--- a/review/support/searchers.py
+++ b/review/support/searchers.py
@@ -60,7 +60,7 @@
     """One searcher.
 
     Usage:
-        with Searcher("desk", "i-1", "zone-a", work=0.16) as searcher:
+        with Searcher("desk", "i-1", "zone-a", work=lambda: 0.16) as searcher:
             store.put("servers", searcher.id, searcher.entry())
 
     Args:
@@ -69,7 +69,8 @@
         zone: Where it says that it runs.
         slots: Requests that it runs at once.
         queue: Requests that may wait for a slot.
-        work: Seconds that a request takes.
+        work: Returns the seconds that a request takes.
+        sheds: Says whether a request is refused although there is room.
         hangs: Says whether a request is never answered.
         doubles: Says whether an answer is followed by a second one, which comes late: where the
             next answer on the connection is expected, or after `double_after` seconds.
@@ -84,7 +85,8 @@
         *,
         slots: int = 3,
         queue: int = 12,
-        work: float = 0.05,
+        work: Callable[[], float] = lambda: 0.05,
+        sheds: Choice = lambda request: False,
         hangs: Choice = lambda request: False,
         doubles: Choice = lambda request: False,
         double_after: float = 0.03,
@@ -94,6 +96,7 @@
         self._slots = slots
         self._queue = queue
         self._work = work
+        self._sheds = sheds
         self._hangs = hangs
         self._doubles = doubles
         self._double_after = double_after
@@ -171,14 +174,14 @@
             return _render(200, {INSTANCE_ID: self.id})
         if request.headers.get(_EXPECTED, self.id) != self.id:
             return self._reject(request, 421)
-        if not self._take_slot(request):
+        if self._sheds(request) or not self._take_slot(request):
             return self._reject(request, 503)
         try:
             self.arrivals.append(Arrival(request.id, self.id, request.at, ran=True))
             if self._hangs(request):
                 _wait_until_closed(connection)
                 return None
-            time.sleep(self._work)
+            time.sleep(self._work())
         finally:
             self._give_slot()
         stamp = f"{self.id}.{request.id}.200"
@@ -187,9 +190,7 @@
 
     def _reject(self, request: Received, status: int) -> bytes:
         self.arrivals.append(Arrival(request.id, self.id, request.at, ran=False))
-        return _render(
-            status, {REQUEST_ID: request.id, NOT_EXECUTED: "1", INSTANCE_ID: self.id}
-        )
+        return _render(status, {REQUEST_ID: request.id, NOT_EXECUTED: "1", INSTANCE_ID: self.id})
 
     def _take_slot(self, request: Received) -> bool:
         with self._free:
--- a/review/support/store.py
+++ b/review/support/store.py
@@ -200,9 +200,7 @@
             events = [{"object": c.stored, "deleted": c.deleted} for c in news()]
             return 200, {"events": events, "currentRev": self.revision}
 
-    def _write(
-        self, method: str, kind: str, name: str, body: Any, query: dict[str, str]
-    ) -> Answer:
+    def _write(self, method: str, kind: str, name: str, body: Any, query: dict[str, str]) -> Answer:
         meta = (body or {}).get("meta", {})
         name = name.removesuffix("/status") or meta["name"]
         with self._changed:
