--- a/review/1/case.py
+++ b/review/1/case.py
@@ -89,7 +89,7 @@
     with ExitStack() as stack:
         store = stack.enter_context(MetadataStore())
         desk = [
-            stack.enter_context(Searcher(DESK, f"desk-{n}", ZONES[n % 3], work=0.1))
+            stack.enter_context(Searcher(DESK, f"desk-{n}", ZONES[n % 3], work=lambda: 0.1))
             for n in range(5)
         ]
         league = [stack.enter_context(Searcher(LEAGUE, f"league-{n}", ZONES[n])) for n in range(3)]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,10 +23,12 @@
 
 ZONES = ("zone-a", "zone-b")
 DESK = "desk"
-CONSUMERS, REQUESTS_A_SECOND = 32, 56
+# Each sends its next request when it has its answer: about as many a second as the site's traffic.
+CONSUMERS = 9
+PAUSE_SECONDS = 0.1
 # Some consumers keep the directory's answer three times as long as it says.
 PATIENT_SHARE, PATIENCE = 0.33, 3
-CALM_SECONDS, ROUND_SECONDS, ROUNDS = 6.0, 14.0, 5
+CALM_SECONDS, ROUND_SECONDS, ROUNDS = 6.0, 14.0, 4
 RESTART_SECONDS = 0.5
 GRACE_SECONDS = BOUNDS["graceS"]
 # Requests that were sent this long after the SIGTERM, or sooner, may have an excuse.
@@ -69,17 +71,20 @@
     def run(self) -> None:
         """Send requests until it shall stop."""
         number = 0
-        while not self._over.wait(self._rng.expovariate(REQUESTS_A_SECOND / CONSUMERS)):
+        while not self._over.is_set():
             number += 1
             self._look_up()
-            if not self._addresses:
-                continue
-            address = self._rng.choice(self._addresses)
-            request = f"{self._name}-{number}"
-            attempt = send(address, "/desk/x", request, seconds=CONSUMER_SECONDS)
-            self._attempts.append(attempt)
-            if attempt.status is None and len(self._addresses) > 1:
-                self._addresses.remove(address)
+            if not self._addresses or not self._ask(f"{self._name}-{number}"):
+                self._over.wait(PAUSE_SECONDS)
+
+    def _ask(self, request: str) -> bool:
+        """Send a request to an address at random; return whether it was served."""
+        address = self._rng.choice(self._addresses)
+        attempt = send(address, "/desk/x", request, seconds=CONSUMER_SECONDS)
+        self._attempts.append(attempt)
+        if attempt.status is None and len(self._addresses) > 1:
+            self._addresses.remove(address)
+        return attempt.status == 200
 
     def _look_up(self) -> None:
         if time.monotonic() < self._kept_until:
