--- a/review/2/case.py
+++ b/review/2/case.py
@@ -50,7 +50,8 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             address = self._rng.choice(self._machines).front
-            booking = threading.Thread(target=self._book, args=[address, len(self._threads) + 1])
+            number = len(self._threads) + 1
+            booking = threading.Thread(target=self._book, args=[address, number], daemon=True)
             booking.start()
             self._threads.append(booking)
             time.sleep(1 / REQUESTS_A_SECOND)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -125,7 +125,7 @@
         attempts: list[Attempt] = []
         over = threading.Event()
         threads = [
-            threading.Thread(target=Consumer(f"c{n}", machines, attempts, over).run)
+            threading.Thread(target=Consumer(f"c{n}", machines, attempts, over).run, daemon=True)
             for n in range(CONSUMERS)
         ]
         for thread in threads:
--- a/review/support/cases.py
+++ b/review/support/cases.py
@@ -1,6 +1,7 @@
 """Frame of a case: its record, its verdict and its exit status."""
 
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -53,6 +54,8 @@
         folder: The case's folder.
         case: Plays it, given the record and a temporary folder; returns whether the rule held.
     """
+    # Whoever stops the script also wants its processes to end, which leaving the case does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder / "record.txt")
     record.note(f"disruption: {'yes' if has_trouble() else 'no'}")
     try:
