--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,10 @@
 """A booking runs twice: a late second refusal is taken for the answer to the booking's next send.
 
-Two machines send bookings to a service of which one searcher is left. It sheds part of its requests
-and follows some of its answers with a second one, which comes late. After a refusal the booking
-goes to the same searcher again, on the same connection; there the second refusal is due, and it has
-the booking's id. The machine believes that this send has not run either, and makes another one.
+Two machines send bookings to two services, of each of which one searcher is left. These shed part
+of their requests and follow some of their answers with a second one, which comes late. After a
+refusal the booking goes to the same searcher again, on the same connection; there the second
+refusal is due, and it has the booking's id. The machine believes that this send has not run
+either, and makes another one.
 """
 
 import random
@@ -21,9 +22,9 @@
 from review.support.store import MetadataStore
 
 ZONES = ("zone-a", "zone-b")
-DESK = "desk"
+SERVICES = ("desk", "league")
 REQUESTS_A_SECOND = 40
-CALM_SECONDS, PLAY_SECONDS = 2.0, 80.0
+CALM_SECONDS, PLAY_SECONDS = 2.0, 90.0
 # Doses of the site's troubles: the share of requests that a grey searcher sheds, and the share of
 # its answers after which a searcher that garbles sends a second one.
 SHED_SHARE, DOUBLE_SHARE = 0.45, 0.04
@@ -62,11 +63,12 @@
             thread.join()
 
     def _book(self, address: str, number: int) -> None:
+        path = f"/{SERVICES[number % len(SERVICES)]}/bay"
         body = f"bay={number}".encode()
         self.attempts.append(
             send(
                 address,
-                "/book/bay",
+                path,
                 f"b{number}",
                 method="POST",
                 body=body,
@@ -88,11 +90,11 @@
 
     with ExitStack() as stack:
         store = stack.enter_context(MetadataStore())
-        desk = [
+        searchers = [
             stack.enter_context(
                 Searcher(
-                    DESK,
-                    f"desk-{n}",
+                    service,
+                    f"{service}-{n}",
                     zone,
                     slots=SLOTS,
                     work=lambda: WORK_SECONDS,
@@ -100,12 +102,13 @@
                     doubles=doubles,
                 )
             )
+            for service in SERVICES
             for n, zone in enumerate(ZONES)
         ]
-        for searcher in desk:
+        for searcher in searchers:
             store.put("servers", searcher.id, searcher.entry())
-        routes = [route("book", "/book/", DESK, type="unsafe")]
-        store.put("config", "main", configuration(7, routes, {DESK: 26}))
+        routes = [route(service, f"/{service}/", service, type="unsafe") for service in SERVICES]
+        store.put("config", "main", configuration(7, routes, dict.fromkeys(SERVICES, 26)))
         machines = [
             stack.enter_context(Machine(f"front-{zone}", zone, store.address, folder))
             for zone in ZONES
@@ -116,19 +119,20 @@
         bookings = Bookings(machines)
         bookings.send_for(CALM_SECONDS)
         if has_trouble():
-            record.note("desk-1 is lost for good; desk-0 sheds and sends second answers")
-            desk[1].end()
-            store.remove("servers", desk[1].id)
+            for lost in searchers[1 :: len(ZONES)]:
+                record.note(f"{lost.id} is lost for good; the other one sheds and doubles answers")
+                lost.end()
+                store.remove("servers", lost.id)
             trouble.set()
         bookings.send_for(PLAY_SECONDS)
         bookings.wait()
         time.sleep(1.0)
-        return judge(record, bookings.attempts, desk)
+        return judge(record, bookings.attempts, searchers)
 
 
-def judge(record: Record, attempts: list[Attempt], desk: list[Searcher]) -> bool:
+def judge(record: Record, attempts: list[Attempt], searchers: list[Searcher]) -> bool:
     """Write the record; return whether no booking ran twice, or ran and was refused."""
-    arrivals = [arrival for searcher in desk for arrival in searcher.arrivals]
+    arrivals = [arrival for searcher in searchers for arrival in searcher.arrivals]
     for each in arrivals:
         record.note(
             f"{each.request} {'runs' if each.ran else 'is shed'} at {each.searcher}", each.at
@@ -141,7 +145,7 @@
     refused = [a.request for a in attempts if a.status in _PROMISES and runs[a.request]]
     statuses = Counter(str(attempt.status) for attempt in attempts)
     record.note(f"{len(attempts)} bookings got {dict(statuses)}")
-    record.note(f"second answers: {sum(searcher.doubled for searcher in desk)}")
+    record.note(f"second answers: {sum(searcher.doubled for searcher in searchers)}")
     record.note(f"TWICE: {len(twice)} bookings ran more than once: {twice}")
     record.note(f"REFUSED: {len(refused)} bookings ran and were refused: {refused}")
     return not twice
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,9 @@
 """A machine that is stopped takes requests to its last moment and leaves some without an answer.
 
-Two machines are stopped and started, both at once, a few times over. Consumers go on sending to the
-addresses that the directory gives them. A machine that gets SIGTERM takes requests until it ends
-itself shortly before `graceS`; those whose searchers are still at work then lose their connection
-without an answer, however late they were sent.
+Three machines are stopped and started in turn, a second apart, a few times over. Consumers go on
+sending to the addresses that the directory gives them. A machine that gets SIGTERM takes requests
+until it ends itself shortly before `graceS`; those whose searchers are still at work then lose
+their connection without an answer, however late they were sent.
 """
 
 import random
@@ -21,14 +21,16 @@
 from review.support.searchers import Searcher
 from review.support.store import MetadataStore
 
-ZONES = ("zone-a", "zone-b")
+ZONES = ("zone-a", "zone-b", "zone-c")
 DESK = "desk"
 # Each sends its next request when it has its answer: about as many a second as the site's traffic.
 CONSUMERS = 9
 PAUSE_SECONDS = 0.1
 # Some consumers keep the directory's answer three times as long as it says.
 PATIENT_SHARE, PATIENCE = 0.33, 3
-CALM_SECONDS, ROUND_SECONDS, ROUNDS = 6.0, 14.0, 4
+CALM_SECONDS, REST_SECONDS, ROUNDS = 6.0, 13.0, 4
+# The dose of the site's `roll_term`: one machine at a time, the next one after this pause.
+GAP_SECONDS = 1.0
 RESTART_SECONDS = 0.5
 GRACE_SECONDS = BOUNDS["graceS"]
 # Requests that were sent this long after the SIGTERM, or sooner, may have an excuse.
@@ -109,7 +111,7 @@
     with ExitStack() as stack:
         store = stack.enter_context(MetadataStore())
         desk = [
-            stack.enter_context(Searcher(DESK, f"desk-{n}", ZONES[n % 2], slots=4, work=work))
+            stack.enter_context(Searcher(DESK, f"desk-{n}", ZONES[n % 3], slots=4, work=work))
             for n in range(4)
         ]
         for searcher in desk:
@@ -134,20 +136,21 @@
         stops: list[Stop] = []
         for _ in range(ROUNDS):
             if has_trouble():
-                stops += stop_all(machines)
-            time.sleep(ROUND_SECONDS)
+                stop_in_turn(machines, stops)
+            time.sleep(REST_SECONDS)
         over.set()
         for thread in threads:
             thread.join()
         return judge(record, attempts, stops, desk)
 
 
-def stop_all(machines: list[Machine]) -> list[Stop]:
-    """Stop all machines at once; each starts again once it has ended."""
-    stops = [Stop(machine.front, time.monotonic()) for machine in machines]
-    for machine, stop in zip(machines, stops, strict=True):
+def stop_in_turn(machines: list[Machine], stops: list[Stop]) -> None:
+    """Stop the machines, a pause apart; each starts again once it has ended."""
+    for machine in machines:
+        stop = Stop(machine.front, time.monotonic())
+        stops.append(stop)
         threading.Thread(target=stop_and_start, args=[machine, stop], daemon=True).start()
-    return stops
+        time.sleep(GAP_SECONDS)
 
 
 def stop_and_start(machine: Machine, stop: Stop) -> None:
