Logs tell a stale belief from a queued call where a leaving searcher gets requests

Added, without a change of logic: event 218 where a list of the store is dropped as older than what is known, event 217 and a gauge for the era in the store's answers, event 411 and a counter for calls that go out to a searcher known to drain or to have no entry, with how long that was known and how long the call had waited; event 401 says what the searcher's entry said.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -204,8 +204,9 @@
         if replica.searcher.draining:
             self._remove(searcher_id, "entry_gone")
             return
-        replica.unlisted = True
-        self._removals.add(searcher_id, self._dispatch.loop.time())
+        now = self._dispatch.loop.time()
+        replica.entry_gone(now)
+        self._removals.add(searcher_id, now)
         self._listed.append(_ListedSearcher(searcher_id, replica.searcher.service, "unlisted"))
 
     def _remove(self, searcher_id: str, why: str) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -172,6 +172,7 @@
             events.SEARCHER_UNREACHABLE.log(
                 searcher=replica.searcher.id,
                 address=replica.searcher.address,
+                state=replica.state,
                 error=repr(error),
                 blocked_s=round(replica.blocked_until - self.loop.time(), 3),
             )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -9,6 +9,7 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
+from limpethollow_node.engine.request.leaving import tell_if_leaving
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.request.parts import PartSet
@@ -110,11 +111,17 @@
         self._fail(shard, judge_failure(error, sent=sent), 0, repr(error))
         self._check()
 
-    def render(self, searcher: str) -> bytes:
-        """Return the request to one searcher."""
+    def render(self, replica: Replica, chosen_at: float) -> bytes:
+        """Return the request to one searcher.
+
+        Args:
+            replica: The searcher.
+            chosen_at: Monotonic second at which the call was taken in.
+        """
+        tell_if_leaving(self._dispatch, replica, self._batch.request_id, chosen_at)
         left = self._deadline - self._dispatch.loop.time()
         names = self._dispatch.names
-        return render_call(self._batch.head, self._batch.body, names, searcher, left)
+        return render_call(self._batch.head, self._batch.body, names, replica.searcher.id, left)
 
     def _fail(self, shard: str, verdict: Verdict, status: int, reason: str) -> None:
         failure = BatchFailure(self._batch.number, shard, verdict.value, status, reason)
@@ -163,7 +170,7 @@
         self.started = now
         replica.in_flight[self._number] = now
         self.call = Call(
-            lambda: worked.render(replica.searcher.id),
+            lambda: worked.render(replica, now),
             self._replied,
             self._broke,
             fresh=False,
--- /dev/null
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/leaving.py
@@ -0,0 +1,29 @@
+"""Tells of calls that go to searchers which are known to be leaving."""
+
+from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.process import events
+from limpethollow_policy.process.fleets import Replica
+
+
+def tell_if_leaving(
+    dispatch: Dispatch, replica: Replica, request_id: bytes | None, chosen_at: float
+) -> None:
+    """Log and count a call whose searcher drains, or has no entry, as its bytes go out.
+
+    Args:
+        dispatch: What the process shares.
+        replica: The searcher.
+        request_id: The caller's id for the request; None where it sent none.
+        chosen_at: Monotonic second at which the searcher was chosen.
+    """
+    if replica.leaving_since is None:
+        return
+    now = dispatch.loop.time()
+    dispatch.metrics.count("sends_to_leaving_searchers", replica.state)
+    events.SENT_TO_LEAVING.log(
+        request=(request_id or b"").decode("latin-1"),
+        searcher=replica.searcher.id,
+        state=replica.state,
+        known_ms=round((now - replica.leaving_since) * 1000),
+        queued_ms=round((now - chosen_at) * 1000),
+    )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -7,6 +7,7 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
+from limpethollow_node.engine.request.leaving import tell_if_leaving
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
@@ -162,6 +163,7 @@
     def _render(self) -> bytes:
         outgoing = self._owner.outgoing
         names = self._owner.dispatch.names
+        tell_if_leaving(self._owner.dispatch, self.replica, outgoing.request_id, self.started)
         left = outgoing.deadline - self._now()
         return render_call(outgoing.head, outgoing.body, names, self.replica.searcher.id, left)
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -196,6 +196,7 @@
         loop = asyncio.get_running_loop()
         self.metrics.gauge("own_delay_seconds", lambda: self._dispatch.own_delay.allowance)
         self.metrics.gauge("admitted_rate", lambda: self._engine.admitted_rate)
+        self.metrics.gauge("store_era", lambda: self._store.era)
         self.metrics.gauge("ready", lambda: self._life.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
         self.metrics.gauge("quarantined_requests", lambda: self._dispatch.quarantines.count)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -109,6 +109,7 @@
     """Keeps a belief as the store has it, and tells the peers what changed.
 
     Args:
+        kind: The kind.
         belief: The belief.
         decode: Decodes an object; raises `BadRequest` where it can't be used.
         news: The kind of frame that tells peers.
@@ -117,11 +118,13 @@
 
     def __init__(
         self,
+        kind: str,
         belief: Belief[T],
         decode: Callable[[StoredObject], T],
         news: type[SearcherNews] | type[InstanceNews] | type[EvacuationNews],
         tell: Tell,
     ) -> None:
+        self._kind = kind
         self._belief = belief
         self._decode = decode
         self._news = news
@@ -135,7 +138,9 @@
     def listed(self, objects: list[StoredObject], revision: int) -> None:
         """Take all objects; peers that lack some see that by heartbeats, and ask."""
         items = {name: item for name, item in map(self._read, objects) if item is not None}
-        self._belief.replace(items, revision)
+        if not self._belief.replace(items, revision):
+            known = self._belief.revision
+            events.LIST_DROPPED.log(kind=self._kind, revision=revision, known=known)
 
     def changed(self, changes: list[Change], revision: int) -> None:
         """Take changes."""
@@ -174,10 +179,14 @@
         tell: Sends a frame to the peers.
         evacuations: Whether operators may evacuate failure domains.
     """
+    kinds = {
+        "evacuations": (catalog.evacuations, decode_evacuation, EvacuationNews),
+        "servers": (catalog.searchers, decode_searcher, SearcherNews),
+        "instances": (catalog.instances, decode_instance, InstanceNews),
+    }
+    if not evacuations:
+        del kinds["evacuations"]
     sinks: dict[str, Sink] = {"config": ConfigurationSink(catalog, tell)}
-    if evacuations:
-        evacuated = BeliefSink(catalog.evacuations, decode_evacuation, EvacuationNews, tell)
-        sinks["evacuations"] = evacuated
-    sinks["servers"] = BeliefSink(catalog.searchers, decode_searcher, SearcherNews, tell)
-    sinks["instances"] = BeliefSink(catalog.instances, decode_instance, InstanceNews, tell)
+    for kind, (belief, decode, news) in kinds.items():
+        sinks[kind] = BeliefSink(kind, belief, decode, news, tell)
     return sinks
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -20,6 +20,8 @@
 # Watches and other calls that this process may have under way at once.
 _CONNECTIONS = 6
 _JSON = (b"Content-Type", b"application/json")
+# Counts how often the store came back from an older copy of what it held.
+_ERA = b"store-era"
 
 
 class HistoryGone(LimpethollowError):
@@ -75,13 +77,17 @@
     Args:
         address: The store's address.
         metrics: The process's counters.
+
+    Attributes:
+        era: The highest era that an answer told; 0 where none did.
     """
 
-    __slots__ = ("_asker", "_metrics")
+    __slots__ = ("_asker", "_metrics", "era")
 
     def __init__(self, address: str, metrics: Metrics) -> None:
         self._asker = Asker(address, _CONNECTIONS)
         self._metrics = metrics
+        self.era = 0
 
     async def list(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Read all objects of a kind.
@@ -191,9 +197,17 @@
         except OSError as error:
             self._metrics.count("platform_failures", call)
             raise Unavailable(f"The store gave no answer to a {call} ({error!r}).") from None
+        self._note_era(reply)
         _check_status(call, reply)
         return reply
 
+    def _note_era(self, reply: Reply) -> None:
+        value = reply.header(_ERA) or b""
+        era = int(value) if value.isdigit() else self.era
+        if era > self.era > 0:
+            events.STORE_RESTORED.log(era=era, was=self.era)
+        self.era = max(self.era, era)
+
 
 def _check_status(call: str, reply: Reply) -> None:
     if 200 <= reply.status < 300:
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -77,6 +77,8 @@
 VERSION_IN_FORCE = _event(214, logging.INFO, "a configuration version came into force")
 SETTINGS_RELOADED = _event(215, logging.INFO, "settings file read again")
 SETTINGS_REFUSED = _event(216, logging.ERROR, "settings file can't be used; the old one stays")
+STORE_RESTORED = _event(217, logging.WARNING, "the store came back from an older copy")
+LIST_DROPPED = _event(218, logging.WARNING, "a list of the store was dropped as older")
 
 # 300: instances
 PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
@@ -102,6 +104,7 @@
 DOMAIN_RESTORED = _event(408, logging.INFO, "an evacuated failure domain is used again")
 LOAD_UNREADABLE = _event(409, logging.DEBUG, "what a searcher says of its load can't be read")
 SEARCHERS_LOST = _event(410, logging.WARNING, "connections to searchers ended under a request")
+SENT_TO_LEAVING = _event(411, logging.INFO, "a call went to a searcher that is leaving")
 
 # 500: requests
 REQUEST_REFUSED = _event(500, logging.DEBUG, "request refused")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -74,6 +74,8 @@
         load: What it last said of its own load; None where it never did.
         load_at: When it said so.
         is_doubtful: Whether a connection to it ended under its last call, so that it may be gone.
+        leaving_since: When it was first known to drain or to have no entry; None where neither
+            holds.
     """
 
     searcher: Searcher
@@ -90,6 +92,14 @@
     load: LoadReport | None = None
     load_at: float = float("-inf")
     is_doubtful: bool = False
+    leaving_since: float | None = None
+
+    @property
+    def state(self) -> str:
+        """Return what its entry says, as a word for log lines."""
+        if self.searcher.draining:
+            return "draining"
+        return "unlisted" if self.unlisted else "ready"
 
     @property
     def is_in_service(self) -> bool:
@@ -110,6 +120,17 @@
         window = self.window.wait(len(self.in_flight), now)
         return max(blocked, window, self.cold_start.wait(now), 0.0)
 
+    def listed(self, searcher: Searcher, now: float) -> None:
+        """Take in its newest description."""
+        self.searcher = searcher
+        self.unlisted = False
+        self._note_leaving(now)
+
+    def entry_gone(self, now: float) -> None:
+        """Take in that it has no entry any more."""
+        self.unlisted = True
+        self._note_leaving(now)
+
     def sent(self, now: float) -> None:
         """Note that a call is sent to it."""
         self.window.sent(now)
@@ -191,6 +212,12 @@
                 cost *= _STUCK_FACTOR
         return cost
 
+    def _note_leaving(self, now: float) -> None:
+        if not (self.searcher.draining or self.unlisted):
+            self.leaving_since = None
+        elif self.leaving_since is None:
+            self.leaving_since = now
+
     def _fade(self, now: float) -> None:
         passed = now - self.evidence_at
         if passed <= 0:
@@ -317,12 +344,12 @@
         """
         known = self._by_id.get(searcher.id)
         if known is not None and _same_process(known.searcher, searcher):
-            known.searcher = searcher
-            known.unlisted = False
+            known.listed(searcher, now)
             self._note_cold(known, now)
             return None
         replaced = self.remove(searcher.id)
         replica = Replica(searcher, evidence_at=now)
+        replica.listed(searcher, now)
         replica.evacuated = searcher.failure_domain in self._evacuated
         replica.cold_start = ColdStart(self._cold_limits(searcher.service))
         self._note_cold(replica, now)
--- a/tests/unit/engine/test_sends.py
+++ b/tests/unit/engine/test_sends.py
@@ -52,3 +52,18 @@
         known = dispatch.fleet.get("i-1").searcher
         dispatch.fleet.put(replace(known, address="10.0.0.2:80"), dispatch.loop.time())
         assert self.takes_calls(dispatch, 0.0)
+
+
+class TestLeavingSearcher:
+    def test_a_call_that_waited_until_its_searcher_drained_is_told(self):
+        """Guards against logs that can't tell a queued call from a drain that is not known."""
+        dispatch = VirtualDispatch()
+        searcher = dispatch.add("s", "i-1")
+        exchange = VirtualExchange(request(), dispatch.loop.time())
+        tries = Tries(dispatch, Outgoing.of(exchange, route(), dispatch), "s", lambda ended: None)
+        tries.start()
+        dispatch.played[0][1].render()
+        assert dispatch.metrics.value("sends_to_leaving_searchers", "draining") == 0
+        dispatch.fleet.put(replace(searcher, draining=True), dispatch.loop.time())
+        dispatch.played[0][1].render()
+        assert dispatch.metrics.value("sends_to_leaving_searchers", "draining") == 1
