--- a/tests/standins/https.py
+++ b/tests/standins/https.py
@@ -48,6 +48,10 @@
     def connection_closed(self) -> None:
         """Note that a connection ended."""
 
+    def headers_of_all(self) -> dict[str, str]:
+        """Return what stands in the head of each reply."""
+        return {}
+
     def find(self, method: str, path: str) -> tuple[Handler | None, str]:
         """Return the handler with the longest registered prefix, and the rest of the path."""
         parts = path.strip("/").split("/")
@@ -125,6 +129,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
+        for name, value in self.server.headers_of_all().items():
+            self.send_header(name, value)
         if isinstance(body, dict) and "retry_after" in body:
             self.send_header("Retry-After", str(body["retry_after"]))
         self.end_headers()
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -2,12 +2,15 @@
 
 Tests set the fields below to act out its faults: `silent` takes calls and never answers them, also
 watches that were waiting; `refuses` answers 503; `loses_replies` carries writes out and closes the
-connection; `forget_history` makes older watches fail with 410.
+connection; `forget_history` makes older watches fail with 410; `restore` goes back to what `copy`
+kept, with its revisions, which are given out again; `era_told` replaces the era in replies.
 """
 
+import copy
 import threading
 import time
 from collections import Counter
+from dataclasses import dataclass
 from typing import Any
 
 from tests.standins.https import DropConnection, Reply, StandInServer
@@ -16,6 +19,16 @@
 FIRST_REVISION = 100
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """All that the store held at one revision."""
+
+    revision: int
+    oldest: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class ObjectStoreStandIn(StandInServer):
     """Keeps everything in memory and serves on a thread of the test."""
 
@@ -28,6 +41,8 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
+        self.era = 1
+        self.era_told: str | None = None
         self.silent = False
         self.refuses = False
         self.loses_replies = False
@@ -89,6 +104,26 @@
             self.history.clear()
             self.changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that it holds now."""
+        with self.changed:
+            objects = copy.deepcopy(self.objects)
+            return StoreCopy(self.revision, self.oldest, objects, list(self.history))
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Go on from a copy, in a new era; watches that wait are cut."""
+        with self.changed:
+            self.objects = copy.deepcopy(kept.objects)
+            self.history = list(kept.history)
+            self.revision, self.oldest = kept.revision, kept.oldest
+            self.era += 1
+            self.changed.notify_all()
+
+    def headers_of_all(self) -> dict[str, str]:
+        """Return the header with the era."""
+        era = str(self.era) if self.era_told is None else self.era_told
+        return {"Store-Era": era} if era else {}
+
     def go_silent(self) -> None:
         """Answer nothing more; calls that wait now are never answered, also not later."""
         with self.changed:
@@ -135,15 +170,20 @@
             ]
 
         with self.changed:
-            if after + 1 < self.oldest:
+            era = self.era
+
+            def is_gone() -> bool:
+                return after + 1 < self.oldest or after > self.revision
+
+            if is_gone():
                 return 410, None
             self.watching[kind] += 1
             self.changed.wait_for(
-                lambda: news() or self.silent or after + 1 < self.oldest, timeout=wait
+                lambda: news() or self.silent or is_gone() or self.era != era, timeout=wait
             )
             self.watching[kind] -= 1
             silent, found = self.silent, news()
-            if after + 1 < self.oldest:
+            if is_gone() or self.era != era:
                 raise DropConnection
             answer = {"events": found, "currentRev": self.revision}
         if silent:
--- /dev/null
+++ b/tests/system/platform/test_returns.py
@@ -0,0 +1,96 @@
+"""The store comes back from a copy that is some seconds old; revisions are given out again."""
+
+import time
+
+import pytest
+
+from tests.standins.backends import BackendStandIn
+from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route
+from tests.support.processes import wait_for
+
+# Changes of other searchers that the copy doesn't have.
+LOST = 8
+# A draining searcher must get nothing later than this; the setting `drainMs`.
+DRAIN_SECONDS = 3.0
+WATCHED_SECONDS = 1.0
+# The other searcher is slower than the draining one, which is chosen wherever it may be.
+SLOW_SECONDS = 0.1
+
+
+def change_others(system: PlatformSystem, count: int) -> None:
+    """Let searchers of another service write, so that the store's revision rises."""
+    for number in range(count):
+        other = BackendStandIn("other", f"o-{number}")
+        other._port = 9
+        system.store.put("servers", other.name, other.entry())
+
+
+def lose_changes(system: PlatformSystem) -> None:
+    """Make changes that instances take in, and go back to a copy without them."""
+    kept = system.store.copy()
+    change_others(system, LOST)
+    for instance in system.instances:
+        wait_for(
+            lambda instance=instance: f"searchers_known {LOST + 2}" in instance.metrics(),
+            "the changes are known",
+        )
+    system.store.restore(kept)
+
+
+def drain(system: PlatformSystem, *instances: PlatformInstance) -> None:
+    """Let a searcher drain, and check that it gets nothing once its time is over."""
+    draining = system.backends[0]
+    system.store.put("servers", draining.name, draining.entry(state="draining"))
+    check_drained(draining, *instances)
+
+
+def check_drained(draining: BackendStandIn, *instances: PlatformInstance) -> None:
+    """Check that a searcher that drains from now on gets nothing once its time is over."""
+    drained_at = time.monotonic()
+    while time.monotonic() < drained_at + DRAIN_SECONDS + WATCHED_SECONDS:
+        for instance in instances:
+            assert instance.ask("/get/x").status == 200
+    late = [seen.at - drained_at for seen in draining.seen if seen.at > drained_at + DRAIN_SECONDS]
+    assert late == []
+
+
+@pytest.fixture
+def desk(system):
+    """A service with two searchers."""
+    system.backend("desk", "i-1")
+    system.backend("desk", "i-2", work=SLOW_SECONDS)
+    system.configure(1, forward_route("desk"))
+    return system
+
+
+class TestDrainAfterAReturn:
+    """Guards against beliefs that ignore all news while the store's revisions are lower."""
+
+    def test_a_searcher_that_drains_gets_nothing_more(self, desk):
+        instance = desk.instance()
+        lose_changes(desk)
+        drain(desk, instance)
+
+    def test_it_is_known_where_the_revision_has_passed_the_old_one(self, desk):
+        """Guards against a watch that goes on from a revision of the time before the return."""
+        instance = desk.instance()
+        lose_changes(desk)
+        draining = desk.backends[0]
+        desk.store.put("servers", draining.name, draining.entry(state="draining"))
+        change_others(desk, 2 * LOST)
+        check_drained(draining, instance)
+
+    def test_instances_that_hear_of_it_from_a_relay_know_too(self, desk):
+        instances = [desk.instance(f"front-{number}") for number in range(3)]
+        lose_changes(desk)
+        drain(desk, *instances)
+
+    def test_an_instance_that_starts_after_the_return_does_not_learn_old_news(self, desk):
+        """Guards against a start that takes the belief of the time before from its peers."""
+        first, restarted = desk.instance("front-1"), desk.instance("front-2")
+        lose_changes(desk)
+        restarted.kill()
+        restarted.start()
+        restarted.wait_ready()
+        wait_for(lambda: "instances_heard 1" in restarted.metrics(), "the instances are linked")
+        drain(desk, first, restarted)
