What is believed of the store is ordered by era and revision

Cause: beliefs were ordered by the store's revision alone. Where the store comes back from an older copy its revisions go back and are given out again; every list and change of a lower revision was dropped as old, a watch from a revision of before went on in the new numbering, and peers and restarted instances were told the old belief as the newer one. Class: order by a counter that its owner may set back, with nothing that says which life of it a value is from.

Why it works: a revision is era and number, one type, compared in that order. The era comes from each answer of the store, errors too; one without it counts as of the newest known, a lower one is no answer, both are logged. A kind that is known in an older era is listed again and its watch is cut at once; a watch answered in another era makes way for a list. Steps never lead from one era to the next. News among instances bear the era; a release without eras comes after nothing that has one, and counts as no relay where the store has eras.

An own entry that is missing in the new era is written again within a second at random; quarantines are written again by those that follow the store.

It mends the first order only: a list that raced with a peer's news would bring back a searcher that has left, and the watch in the new numbering misses changes.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -94,12 +94,14 @@
         revision: Revision up to which they are told.
         put: Searchers that came or changed.
         gone: Ids of searchers that went.
+        era: The store's era of both revisions; 0 from a release that didn't say.
     """
 
     base: int | None
     revision: int
     put: list[Searcher]
     gone: list[str]
+    era: int = 0
 
 
 class InstanceNews(Frame, frozen=True, tag="instances"):
@@ -109,6 +111,7 @@
     revision: int
     put: list[Instance]
     gone: list[str]
+    era: int = 0
 
 
 class EvacuationNews(Frame, frozen=True, tag="evacuations"):
@@ -118,6 +121,7 @@
     revision: int
     put: list[Evacuation]
     gone: list[str]
+    era: int = 0
 
 
 class CrashNews(Frame, frozen=True, tag="crashes"):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -12,10 +12,12 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.beliefs import Belief
 from limpethollow_policy.process.catchups import Known
+from limpethollow_policy.process.departures import Departures
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
-from limpethollow_policy.process.removals import RemovalDelay
+from limpethollow_policy.process.removals import RETURN_SECONDS, RemovalDelay
+from limpethollow_policy.process.revisions import Revision
 from limpethollow_policy.version.routes import RoutingVersion
 
 T = TypeVar("T")
@@ -41,7 +43,9 @@
     """Takes news from the store or from peers, and puts it to use.
 
     A searcher whose entry is gone is kept as a last choice for a moment: entries lapse while the
-    store is away, and come back with the searcher's next heartbeat.
+    store is away, and come back with the searcher's next heartbeat. Where the store came back from
+    an older copy, what it contradicts stays as it was until its writers have had time to write it
+    again.
 
     Args:
         dispatch: Gets the searchers.
@@ -52,9 +56,13 @@
     """
 
     __slots__ = (
+        "_departures",
         "_dispatch",
         "_engine",
+        "_held",
         "_listed",
+        "_lost_evacuations",
+        "_lost_instances",
         "_on_version",
         "_removals",
         "_roster",
@@ -76,14 +84,20 @@
         self._engine = engine
         self._roster = roster
         self._removals = RemovalDelay(removal_delay)
+        self._departures = Departures()
+        # Searchers listed as ready in an older copy of the store though they had left since.
+        self._held = RemovalDelay(RETURN_SECONDS)
+        # Evacuations and instances that an older copy of the store doesn't have.
+        self._lost_evacuations = RemovalDelay(RETURN_SECONDS)
+        self._lost_instances = RemovalDelay(RETURN_SECONDS)
         self._on_version = on_version
         self._searchers_confirmed_at = float("-inf")
         self._listed: list[_ListedSearcher] = []
         self.searchers: Belief[Searcher] = Belief(
             self._searcher_put, self._searcher_gone, self._log_listed
         )
-        self.instances: Belief[Instance] = Belief(roster.put, roster.remove)
-        self.evacuations: Belief[Evacuation] = Belief(self._evacuate, self._restore)
+        self.instances: Belief[Instance] = Belief(self._instance_put, self._instance_gone)
+        self.evacuations: Belief[Evacuation] = Belief(self._evacuate, self._evacuation_gone)
 
     @property
     def version_number(self) -> int:
@@ -127,7 +141,7 @@
     @property
     def known(self) -> Known:
         """Return how much this instance can tell others."""
-        return Known(
+        return Known.of(
             self.version_number,
             self.searchers.changed_at,
             self.instances.changed_at,
@@ -137,22 +151,22 @@
     @property
     def known_up_to(self) -> Known:
         """Return up to where nothing is missing here."""
-        return Known(
+        return Known.of(
             self.version_number,
             self.searchers.revision,
             self.instances.revision,
             self.evacuations.revision,
         )
 
-    def searchers_since(self, revision: int) -> SearcherNews:
+    def searchers_since(self, revision: Revision) -> SearcherNews:
         """Return the searchers that changed after a revision, or all where that isn't known."""
         return _news(SearcherNews, self.searchers, revision)
 
-    def instances_since(self, revision: int) -> InstanceNews:
+    def instances_since(self, revision: Revision) -> InstanceNews:
         """Return the instances that changed after a revision, or all where that isn't known."""
         return _news(InstanceNews, self.instances, revision)
 
-    def evacuations_since(self, revision: int) -> EvacuationNews:
+    def evacuations_since(self, revision: Revision) -> EvacuationNews:
         """Return the evacuations that changed after a revision, or all, as `searchers_since`."""
         return _news(EvacuationNews, self.evacuations, revision)
 
@@ -177,20 +191,68 @@
         """Remove the searchers whose time is over; called a few times a second."""
         for searcher_id in self._removals.due(now):
             self._remove(searcher_id, "delay_over")
+        for searcher_id in self._held.due(now):
+            self._put(self.searchers.items[searcher_id])
+        for domain in self._lost_evacuations.due(now):
+            self._restore(domain)
+        for name in self._lost_instances.due(now):
+            self._roster.remove(name)
+        self._departures.expire(now)
         self._log_listed()
 
     def _evacuate(self, evacuation: Evacuation) -> None:
         domain = evacuation.failure_domain
+        self._lost_evacuations.cancel(domain)
         if domain not in self._dispatch.fleet.evacuated:
             self._dispatch.evacuate(domain)
-            events.DOMAIN_EVACUATED.log(domain=domain, revision=self.evacuations.revision)
+            revision = self.evacuations.revision.number
+            events.DOMAIN_EVACUATED.log(domain=domain, revision=revision)
+
+    def _evacuation_gone(self, failure_domain: str) -> None:
+        if self.evacuations.begins_era:
+            self._lost_evacuations.add(failure_domain, self._dispatch.loop.time())
+        else:
+            self._restore(failure_domain)
+
+    def _instance_put(self, instance: Instance) -> None:
+        self._lost_instances.cancel(instance.name)
+        self._roster.put(instance)
+
+    def _instance_gone(self, name: str) -> None:
+        if self.instances.begins_era:
+            self._lost_instances.add(name, self._dispatch.loop.time())
+        else:
+            self._roster.remove(name)
 
     def _restore(self, failure_domain: str) -> None:
+        self._lost_evacuations.cancel(failure_domain)
         self._dispatch.restore(failure_domain)
-        events.DOMAIN_RESTORED.log(domain=failure_domain, revision=self.evacuations.revision)
+        revision = self.evacuations.revision.number
+        events.DOMAIN_RESTORED.log(domain=failure_domain, revision=revision)
 
     def _searcher_put(self, searcher: Searcher) -> None:
+        now = self._dispatch.loop.time()
+        if searcher.draining:
+            self._departures.add(searcher, now)
+        elif self.searchers.begins_era and self._departures.has(searcher):
+            self._hold(searcher, now)
+            return
+        self._put(searcher)
+
+    def _hold(self, searcher: Searcher, now: float) -> None:
+        """Keep a searcher out of use, or as a last choice where only its entry had gone."""
+        self._held.add(searcher.id, now)
+        if self._departures.has_drained(searcher):
+            return
+        self._removals.cancel(searcher.id)
+        self._dispatch.put_searcher(searcher)
+        self._dispatch.fleet.get(searcher.id).entry_gone(now)
+
+    def _put(self, searcher: Searcher) -> None:
+        self._held.cancel(searcher.id)
         self._removals.cancel(searcher.id)
+        if not searcher.draining:
+            self._departures.discard(searcher)
         known = self._dispatch.fleet.get(searcher.id)
         self._dispatch.put_searcher(searcher)
         if known is None or known.searcher.draining != searcher.draining:
@@ -198,13 +260,15 @@
             self._listed.append(_ListedSearcher(searcher.id, searcher.service, state))
 
     def _searcher_gone(self, searcher_id: str) -> None:
+        self._held.cancel(searcher_id)
         replica = self._dispatch.fleet.get(searcher_id)
         if replica is None:
             return
+        now = self._dispatch.loop.time()
+        self._departures.add(replica.searcher, now)
         if replica.searcher.draining:
             self._remove(searcher_id, "entry_gone")
             return
-        now = self._dispatch.loop.time()
         replica.entry_gone(now)
         self._removals.add(searcher_id, now)
         self._listed.append(_ListedSearcher(searcher_id, replica.searcher.service, "unlisted"))
@@ -224,7 +288,7 @@
         two seconds of changes.
         """
         listed, self._listed = self._listed, []
-        revision = self.searchers.revision
+        revision = self.searchers.revision.number
         if len(listed) <= _MOST_LINES:
             for each in listed:
                 events.SEARCHER_LISTED.log(
@@ -244,13 +308,15 @@
 def _take(
     belief: Belief[T], news: SearcherNews | InstanceNews | EvacuationNews, put: dict[str, T]
 ) -> bool:
+    revision = Revision(news.era, news.revision)
     if news.base is None:
-        return belief.replace(put, news.revision)
-    return belief.change(news.base, news.revision, put, news.gone)
+        return belief.replace(put, revision)
+    return belief.change(Revision(news.era, news.base), revision, put, news.gone)
 
 
-def _news(kind: type[N], belief: Belief, revision: int) -> N:
+def _news(kind: type[N], belief: Belief, revision: Revision) -> N:
     step = belief.since(revision)
+    era, number = belief.revision
     if step is None:
-        return kind(None, belief.revision, list(belief.items.values()), [])
-    return kind(step.base, step.revision, list(step.put.values()), step.gone)
+        return kind(None, number, list(belief.items.values()), [], era)
+    return kind(step.base.number, number, list(step.put.values()), step.gone, era)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -57,7 +57,7 @@
 class OwnEntry(Protocol):
     """This instance's entry in the store, and those of others."""
 
-    def look(self, listed: bool, now: float) -> bool:
+    def look(self, listed: bool, era: int, now: float) -> bool:
         """Return whether to join, for the first time or again."""
 
     async def join(self) -> None:
@@ -184,5 +184,5 @@
         """
         entry = self._catalog.instances.items.get(self._roster.own.name)
         listed = entry is not None and entry.is_same_place(self._roster.own)
-        if self._entry.look(listed, now):
+        if self._entry.look(listed, self._catalog.instances.revision.era, now):
             self._joining = asyncio.create_task(self._entry.join())
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
@@ -98,11 +98,11 @@
     def _answer(self, link: PeerLink, ask: Ask) -> None:
         catalog, known = self._catalog, ask.known
         # Before the searchers: one that has just started must not send calls meanwhile.
-        if catalog.evacuations.changed_at > known.evacuations:
-            link.send(catalog.evacuations_since(known.evacuations))
+        if catalog.evacuations.changed_at > known.revision(known.evacuations):
+            link.send(catalog.evacuations_since(known.revision(known.evacuations)))
         if catalog.version is not None and catalog.version_number > known.version:
             link.send(VersionNews(catalog.version))
-        if catalog.searchers.changed_at > known.searchers:
-            link.send(catalog.searchers_since(known.searchers))
-        if catalog.instances.changed_at > known.instances:
-            link.send(catalog.instances_since(known.instances))
+        if catalog.searchers.changed_at > known.revision(known.searchers):
+            link.send(catalog.searchers_since(known.revision(known.searchers)))
+        if catalog.instances.changed_at > known.revision(known.instances):
+            link.send(catalog.instances_since(known.revision(known.instances)))
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -28,6 +28,7 @@
 from limpethollow_node.engine.process.silence import SilenceJudge
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.topology import HEARTBEAT_SECONDS, WatchRole, links_of
 from limpethollow_wire.exceptions import LimpethollowError
 
@@ -288,11 +289,11 @@
         link.lag(beat.sent_at)
         if link.name is None:
             return
-        if beat.follows:
+        if beat.follows and self._tells_eras(beat.known):
             self._role.relay_heard(link.name, link.heard_at, beat.interval)
             if beat.known.version == self._catalog.version_number:
                 self._catalog.confirm_version()
-            if beat.known.searchers <= self._catalog.searchers.revision:
+            if beat.known.revision(beat.known.searchers) <= self._catalog.searchers.revision:
                 self._catalog.confirm_searchers()
         else:
             self._role.relay_stopped(link.name, link.heard_at)
@@ -300,6 +301,13 @@
         if beat.ready:
             self._roster.set_silent(link.name, False, link.heard_at)
 
+    def _tells_eras(self, known: Known) -> bool:
+        """Return whether a peer's news can be told from those of before the store came back.
+
+        A release without eras can't say it, so it counts as no relay where the store has eras.
+        """
+        return known.era > 0 or self._catalog.known.era == 0
+
     @_handles(CrashNews)
     def _on_crashes(self, link: PeerLink, news: CrashNews) -> None:
         self._crash_news.take(link, news)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -81,6 +81,12 @@
         """Return all evidence, for an instance that may lack it."""
         return self._ledger.reports()
 
+    def quarantined_reports(self) -> list[CrashReport]:
+        """Return the evidence on the requests that may not run."""
+        return [
+            CrashReport(name, self._ledger.evidence(name)) for name in self._ledger.quarantined()
+        ]
+
     def take(self, reports: Sequence[CrashReport], source: str) -> list[CrashReport]:
         """Take in evidence from elsewhere; return what was new.
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -10,6 +10,7 @@
 from limpethollow_node.platform.store import HistoryGone, Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.changepaces import ChangePace
+from limpethollow_policy.process.revisions import NOTHING_KNOWN, Revision
 from limpethollow_wire.exceptions import LimpethollowError
 
 # How long a watch waits for a change before it is asked for again. What may go wrong meanwhile is
@@ -49,6 +50,7 @@
         "_begun",
         "_begun_while_away",
         "_call",
+        "_call_lists",
         "_failed",
         "_kind",
         "_must_list",
@@ -80,6 +82,7 @@
         self._store_is_away = store_is_away
         self._pause = RetryPause(rng, store_is_away)
         self._call: asyncio.Future | None = None
+        self._call_lists = False
         self._begun = 0.0
         self._begun_while_away = False
         self._must_list = False
@@ -95,7 +98,7 @@
         """
         if not self._active.is_set():
             return False
-        waits = self._call is not None and not self._lists
+        waits = self._call is not None and not self._call_lists
         return not self._failed or (waits and self._passed() > _TAKEN_SECONDS)
 
     @property
@@ -115,7 +118,7 @@
         """Ask anew: the store may have forgotten the watch, or the list, that is under way."""
         if (
             self._call is None
-            or not self._lists
+            or not self._call_lists
             or self._begun_while_away
             or self._passed() > _LIST_SECONDS
         ):
@@ -147,7 +150,8 @@
 
     @property
     def _lists(self) -> bool:
-        return self._must_list or self._sink.revision is None
+        revision = self._sink.revision
+        return self._must_list or revision is None or revision.era < self._store.era
 
     async def _step(self) -> None:
         if self._lists:
@@ -156,23 +160,35 @@
             await self._watch(self._sink.revision)
 
     async def _list(self) -> None:
+        self._call_lists = True
         listing = await self._ask(self._store.list(self._kind))
         if listing is None:
             return
         self._found()
-        self._sink.listed(listing.objects, listing.revision)
+        self._sink.listed(listing.objects, self._in_era(listing.revision))
         self._must_list = False
         self._on_listed()
 
-    async def _watch(self, revision: int) -> None:
-        changes = await self._ask(self._store.watch(self._kind, revision, WATCH_SECONDS))
+    async def _watch(self, revision: Revision) -> None:
+        self._call_lists = False
+        changes = await self._ask(self._store.watch(self._kind, revision.number, WATCH_SECONDS))
         if changes is None:
             return
+        reached = self._in_era(changes.revision)
+        if reached.era != revision.era:
+            raise HistoryGone("The store came back from an older copy.")
         self._found()
-        self._sink.changed(changes.events, changes.revision)
+        self._sink.changed(changes.events, reached)
         if changes.events and self._pace is not None:
             await asyncio.sleep(self._pace.changed(asyncio.get_running_loop().time()))
 
+    def _in_era(self, revision: Revision) -> Revision:
+        """Return a revision in the newest era known where the store's answer didn't tell one."""
+        if revision.era:
+            return revision
+        known = self._sink.revision or NOTHING_KNOWN
+        return Revision(max(self._store.era, known.era), revision.number)
+
     async def _ask(self, call: Coroutine[Any, Any, T]) -> T | None:
         """Return the store's answer; None where the call was given up by `restart`."""
         self._begun = asyncio.get_running_loop().time()
@@ -193,9 +209,14 @@
         self._pause.succeeded()
         if self._failed:
             self._failed = False
-            events.FEED_BACK.log(kind=self._kind, revision=self._sink.revision)
+            events.FEED_BACK.log(kind=self._kind, **self._position())
 
     def _lost(self, error: LimpethollowError) -> None:
         if not self._failed:
-            events.FEED_LOST.log(kind=self._kind, revision=self._sink.revision, error=str(error))
+            events.FEED_LOST.log(kind=self._kind, **self._position(), error=str(error))
         self._failed = True
+
+    def _position(self) -> dict[str, int]:
+        """Return up to where the kind is known, as fields of a log line."""
+        era, number = self._sink.revision or NOTHING_KNOWN
+        return {"era": era, "revision": number}
--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -1,5 +1,6 @@
 """This instance's own object in the store, and the removal of those that are gone for good."""
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -14,6 +15,8 @@
 KIND = "instances"
 # The own object may be missing from the list this long after it was written: news takes a moment.
 MISSING_SECONDS = 3.0
+# Instances whose objects the store has lost write them again within this time, not all at once.
+_SPREAD_SECONDS = 1.0
 
 
 class Membership:
@@ -44,20 +47,29 @@
         self._own = own
         self._expects_object = not first_start
         self._pause = RetryPause(rng, store_is_away)
+        self._rng = rng
         self._joining = False
         self._joined = False
+        self._era = 0
+        self._delay = 0.0
         self._missing_since: float | None = None
 
-    def look(self, listed: bool, now: float) -> bool:
+    def look(self, listed: bool, era: int, now: float) -> bool:
         """Return whether to join: the own object is missing though this instance runs.
 
-        It was never written, or another instance removed it after a long silence, which may cross a
-        return. Nobody would then link to this one or name it to callers until its next start.
+        It was never written, the store came back from a copy without it, or another instance
+        removed it after a long silence, which may cross a return. Nobody would then link to this
+        one or name it to callers until its next start.
 
         Args:
             listed: Whether the own object is in the newest list.
+            era: The store's era of that list.
             now: Monotonic second.
         """
+        if era > self._era > 0:
+            self._joined = listed
+            self._delay = _SPREAD_SECONDS * self._rng.random()
+        self._era = max(self._era, era)
         if listed or self._joining:
             self._joined = self._joined or listed
             self._missing_since = None
@@ -78,6 +90,8 @@
     async def join(self) -> None:
         """Write the own object, however long that takes."""
         self._joining = self._joined = True
+        delay, self._delay = self._delay, 0.0
+        await asyncio.sleep(delay)
         while True:
             try:
                 await self._put()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -114,7 +114,7 @@
         self._life = Lifecycle(
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
         )
-        self._store = Store(settings.platform.addr, self.metrics)
+        self._store = Store(settings.platform.addr, self.metrics, self._store_restored)
         self._check = StoreCheck(
             self._store,
             KIND,
@@ -256,6 +256,11 @@
         self._membership.store_is_back()
         self._quarantine_keeper.store_is_back()
 
+    def _store_restored(self) -> None:
+        for feed in self._feeds:
+            feed.restart()
+        self._quarantine_keeper.store_restored()
+
     async def _tick(self) -> None:
         """Do what has no event of its own to wait for."""
         loop = asyncio.get_running_loop()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -80,6 +80,14 @@
         """Try now what failed while the store was away."""
         self._pause.end()
 
+    def store_restored(self) -> None:
+        """Write again what the store may have lost, and read what it holds."""
+        if not self._follows():
+            return
+        for report in self._quarantines.quarantined_reports():
+            self._quarantined(report)
+        self._next_look = _now()
+
     async def run(self) -> None:
         """Keep the store and the evidence in step until cancelled."""
         while True:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -21,6 +21,7 @@
 from limpethollow_node.platform.store import Change
 from limpethollow_node.process import events
 from limpethollow_policy.process.beliefs import Belief
+from limpethollow_policy.process.revisions import Revision
 from limpethollow_policy.version.routes import RoutingVersion
 from limpethollow_wire.exceptions import BadRequest
 
@@ -35,7 +36,7 @@
     """Takes what a feed reads; a subclass for each kind."""
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> Revision | None:
         """Return the revision from which the kind can be watched; None where it must be listed."""
         raise NotImplementedError
 
@@ -44,11 +45,11 @@
         """Return whether anything is known of the kind, from whomever."""
         return self.revision is not None
 
-    def listed(self, objects: list[StoredObject], revision: int) -> None:
+    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
         """Take all objects of the kind."""
         raise NotImplementedError
 
-    def changed(self, changes: list[Change], revision: int) -> None:
+    def changed(self, changes: list[Change], revision: Revision) -> None:
         """Take the changes up to a revision."""
         raise NotImplementedError
 
@@ -64,10 +65,10 @@
     def __init__(self, catalog: Catalog, tell: Tell) -> None:
         self._catalog = catalog
         self._tell = tell
-        self._revision: int | None = None
+        self._revision: Revision | None = None
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> Revision | None:
         """Return the revision from which the configuration can be watched."""
         return self._revision
 
@@ -76,7 +77,7 @@
         """Return whether the store was read, or a peer has told a version."""
         return self._revision is not None or self._catalog.version is not None
 
-    def listed(self, objects: list[StoredObject], revision: int) -> None:
+    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
         """Take the configuration among all objects of its kind."""
         # Peers aren't told: they have listed it themselves, or see by heartbeats that they lack it.
         for stored in objects:
@@ -84,7 +85,7 @@
         self._revision = revision
         self._catalog.confirm_version()
 
-    def changed(self, changes: list[Change], revision: int) -> None:
+    def changed(self, changes: list[Change], revision: Revision) -> None:
         """Put a configuration in force; a deletion leaves the last one as it is."""
         for change in changes:
             version = None if change.deleted else self._take(change.object)
@@ -131,18 +132,18 @@
         self._tell = tell
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> Revision | None:
         """Return the revision up to which the belief is known, from whomever."""
-        return self._belief.revision or None
+        return self._belief.revision if self._belief.is_known else None
 
-    def listed(self, objects: list[StoredObject], revision: int) -> None:
+    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
         """Take all objects; peers that lack some see that by heartbeats, and ask."""
         items = {name: item for name, item in map(self._read, objects) if item is not None}
         if not self._belief.replace(items, revision):
             known = self._belief.revision
             events.LIST_DROPPED.log(kind=self._kind, revision=revision, known=known)
 
-    def changed(self, changes: list[Change], revision: int) -> None:
+    def changed(self, changes: list[Change], revision: Revision) -> None:
         """Take changes."""
         put: dict[str, T] = {}
         gone: set[str] = set()
@@ -161,7 +162,9 @@
             return
         self._belief.change(self._belief.revision, revision, put, sorted(gone))
         if changes:
-            self._tell(self._news(base, revision, list(put.values()), sorted(gone)))
+            era, number = revision
+            news = self._news(base.number, number, list(put.values()), sorted(gone), era)
+            self._tell(news)
 
     def _read(self, stored: StoredObject) -> tuple[str, T | None]:
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -9,6 +10,7 @@
 from limpethollow_node.platform.codec import StoredObject
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.revisions import Revision
 from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
 
 T = TypeVar("T")
@@ -32,10 +34,10 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All objects of a kind at one revision."""
+    """All objects of a kind at one revision; its era is 0 where the store didn't say."""
 
     objects: list[StoredObject]
-    revision: int
+    revision: Revision
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -46,10 +48,10 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """The changes after one revision, up to another."""
+    """The changes after one revision, up to another, whose era is as in `Listing`."""
 
     events: list[Change]
-    revision: int
+    revision: Revision
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -68,6 +70,13 @@
     revision: int = msgspec.field(name="currentRev")
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """A reply, and the era that it tells; 0 where it tells none."""
+
+    reply: Reply
+    era: int
+
+
 class Store:
     """Reads, watches and writes objects.
 
@@ -77,16 +86,20 @@
     Args:
         address: The store's address.
         metrics: The process's counters.
+        on_restored: Called when an answer shows that the store came back from an older copy.
 
     Attributes:
         era: The highest era that an answer told; 0 where none did.
     """
 
-    __slots__ = ("_asker", "_metrics", "era")
+    __slots__ = ("_asker", "_metrics", "_on_restored", "era")
 
-    def __init__(self, address: str, metrics: Metrics) -> None:
+    def __init__(
+        self, address: str, metrics: Metrics, on_restored: Callable[[], None] = lambda: None
+    ) -> None:
         self._asker = Asker(address, _CONNECTIONS)
         self._metrics = metrics
+        self._on_restored = on_restored
         self.era = 0
 
     async def list(self, kind: str, *, allow_stale: bool = False) -> Listing:
@@ -100,12 +113,14 @@
         the first page's revision then tells it again.
         """
         stale = "allowStale=1" if allow_stale else ""
-        page = await self._get("list", f"/objects/{kind}?{stale}".rstrip("?"), _Page)
-        objects, revision = _readable(page.items), page.revision
+        page, era = await self._get("list", f"/objects/{kind}?{stale}".rstrip("?"), _Page)
+        objects, revision = _readable(page.items), Revision(era, page.revision)
         while page.more and objects:
             after = f"after={objects[-1].name}"
             target = f"/objects/{kind}?{'&'.join(filter(None, (after, stale)))}"
-            page = await self._get("list", target, _Page)
+            page, era = await self._get("list", target, _Page)
+            if era != revision.era:
+                raise Unavailable("The store came back from an older copy between two pages.")
             objects += _readable(page.items)
         return Listing(objects, revision)
 
@@ -121,13 +136,13 @@
             HistoryGone: The store has forgotten that revision.
         """
         target = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
-        found = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
+        found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
         changes = [
             Change(stored, event.deleted)
             for event in found.events
             for stored in _readable([event.object])
         ]
-        return Changes(changes, found.revision)
+        return Changes(changes, Revision(era, found.revision))
 
     async def check(self, kind: str, name: str, patience: float) -> None:
         """Ask for an object in the cheapest way, only to learn whether the store answers.
@@ -175,16 +190,21 @@
         """Close the connections."""
         self._asker.close()
 
-    async def _get(self, call: str, target: str, kind: type[T], timeout: float = _TIMEOUT) -> T:
-        return _decode(await self._ask(call, b"GET", target, timeout), kind)
+    async def _get(
+        self, call: str, target: str, kind: type[T], timeout: float = _TIMEOUT
+    ) -> tuple[T, int]:
+        """Return what the store answered, and the era that it told."""
+        answer = await self._ask(call, b"GET", target, timeout)
+        return _decode(answer.reply, kind), answer.era
 
     async def _write(self, call: str, method: bytes, target: str, body: Any) -> StoredObject:
         data = msgspec.json.encode(body)
-        return _decode(await self._ask(call, method, target, _TIMEOUT, data), StoredObject)
+        answer = await self._ask(call, method, target, _TIMEOUT, data)
+        return _decode(answer.reply, StoredObject)
 
     async def _ask(
         self, call: str, method: bytes, target: str, timeout: float, body: bytes = b""
-    ) -> Reply:
+    ) -> _Answer:
         self._metrics.count("platform_calls", call)
         try:
             reply = await self._asker.ask(
@@ -197,16 +217,30 @@
         except OSError as error:
             self._metrics.count("platform_failures", call)
             raise Unavailable(f"The store gave no answer to a {call} ({error!r}).") from None
-        self._note_era(reply)
+        era = self._note_era(call, reply)
         _check_status(call, reply)
-        return reply
-
-    def _note_era(self, reply: Reply) -> None:
-        value = reply.header(_ERA) or b""
-        era = int(value) if value.isdigit() else self.era
-        if era > self.era > 0:
-            events.STORE_RESTORED.log(era=era, was=self.era)
-        self.era = max(self.era, era)
+        return _Answer(reply, era)
+
+    def _note_era(self, call: str, reply: Reply) -> int:
+        """Return the era of an answer, 0 where it tells none that can be read.
+
+        Raises:
+            Unavailable: The answer is from before the store came back.
+        """
+        value = reply.header(_ERA)
+        if value is None or not value.isdigit():
+            if value is not None or self.era:
+                events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
+            return 0
+        era = int(value)
+        if era < self.era:
+            events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
+            raise Unavailable(f"The answer to a {call} is of the store's era {era}, an older one.")
+        was, self.era = self.era, era
+        if era > was > 0:
+            events.STORE_RESTORED.log(era=era, was=was)
+            self._on_restored()
+        return era
 
 
 def _check_status(call: str, reply: Reply) -> None:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/beliefs.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/beliefs.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from limpethollow_policy.process.revisions import NOTHING_KNOWN, Revision
+
 T = TypeVar("T")
 
 # Steps that are kept for others who missed them. One is made each 0.25 s at most, so these reach
@@ -23,8 +25,8 @@
         gone: Names of the objects that went.
     """
 
-    base: int
-    revision: int
+    base: Revision
+    revision: Revision
     put: Mapping[str, T]
     gone: list[str]
 
@@ -34,14 +36,31 @@
 
     The store counts all its changes with one revision, so two sources can be compared: whatever is
     newer wins, and nothing older is taken in after it, no matter how late it comes or from whom.
+    Changes lead from one revision to another of the same era; a new era begins with all objects.
 
     Args:
         put: Called with each object that came or changed.
         gone: Called with the name of each object that went.
         applied: Called after the objects of one piece of news.
+
+    Attributes:
+        items: The objects.
+        revision: Revision up to which they are known.
+        changed_at: Revision of their last change.
+        begins_era: Whether the news being taken in are the first of a new era; objects that went,
+            came back or changed may be ones whose last writes the store has lost.
     """
 
-    __slots__ = ("_applied", "_gone", "_put", "_steps", "changed_at", "items", "revision")
+    __slots__ = (
+        "_applied",
+        "_gone",
+        "_put",
+        "_steps",
+        "begins_era",
+        "changed_at",
+        "items",
+        "revision",
+    )
 
     def __init__(
         self,
@@ -54,10 +73,16 @@
         self._applied = applied
         self._steps: deque[Step[T]] = deque(maxlen=_KEPT_STEPS)
         self.items: dict[str, T] = {}
-        self.revision = 0
-        self.changed_at = 0
+        self.revision = NOTHING_KNOWN
+        self.changed_at = NOTHING_KNOWN
+        self.begins_era = False
 
-    def replace(self, items: Mapping[str, T], revision: int) -> bool:
+    @property
+    def is_known(self) -> bool:
+        """Return whether any news were taken in."""
+        return self.revision != NOTHING_KNOWN
+
+    def replace(self, items: Mapping[str, T], revision: Revision) -> bool:
         """Take in all objects at a revision; return whether they are not older than the belief."""
         if revision < self.revision:
             return False
@@ -66,7 +91,9 @@
         self._apply({name: items[name] for name in changed}, gone, revision)
         return True
 
-    def change(self, base: int, revision: int, put: Mapping[str, T], gone: Iterable[str]) -> bool:
+    def change(
+        self, base: Revision, revision: Revision, put: Mapping[str, T], gone: Iterable[str]
+    ) -> bool:
         """Take in the changes between two revisions.
 
         Args:
@@ -80,12 +107,12 @@
         """
         if revision <= self.revision:
             return True
-        if base > self.revision:
+        if base > self.revision or not base.era == revision.era == self.revision.era:
             return False
         self._apply(put, [name for name in gone if name in self.items], revision)
         return True
 
-    def since(self, revision: int) -> Step[T] | None:
+    def since(self, revision: Revision) -> Step[T] | None:
         """Return all changes after a revision as one step; None where they are not kept."""
         steps = [step for step in self._steps if step.revision > revision]
         if not steps or steps[0].base > revision:
@@ -98,12 +125,20 @@
             gone = (gone | set(step.gone)) - step.put.keys()
         return Step(revision, self.revision, put, sorted(gone))
 
-    def _apply(self, put: Mapping[str, T], gone: list[str], revision: int) -> None:
-        # The first list counts as a change even if it is empty: others that have none ask for it.
-        if put or gone or not self.revision:
+    def _apply(self, put: Mapping[str, T], gone: list[str], revision: Revision) -> None:
+        if revision.era != self.revision.era or not self.is_known:
+            # The first list counts as a change even if it is empty: others that have none ask.
+            self._steps.clear()
+            self.changed_at = revision
+            self.begins_era = self.is_known
+        elif put or gone:
             self.changed_at = revision
             self._steps.append(Step(self.revision, revision, put, gone))
         self.revision = revision
+        self._tell(put, gone)
+        self.begins_era = False
+
+    def _tell(self, put: Mapping[str, T], gone: list[str]) -> None:
         for name in gone:
             del self.items[name]
         self.items.update(put)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
@@ -3,6 +3,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from limpethollow_policy.process.revisions import Revision
+
 # News come within milliseconds from the relay in the own failure domain, or from the store at a
 # start. Only what is still missing after this long is asked for: an answer may be 100 kB long, and
 # sending it unasked on each new link made up most of the bytes between failure domains when 63
@@ -18,15 +20,27 @@
 
     Attributes:
         version: Number of its configuration version; -1 where it knows none.
-        searchers: Revision of the last change of searchers that it knows.
-        instances: Revision of the last change of instances that it knows.
-        evacuations: Revision of the last change of evacuated failure domains that it knows.
+        searchers: Number of the last revision of searchers that it knows.
+        instances: The same of instances.
+        evacuations: The same of evacuated failure domains.
+        era: Era of these revisions; what it knows of older ones counts as 0. Releases before eras
+            leave it out, and what they know comes after nothing that has an era.
     """
 
     version: int = -1
     searchers: int = 0
     instances: int = 0
     evacuations: int = 0
+    era: int = 0
+
+    @classmethod
+    def of(
+        cls, version: int, searchers: Revision, instances: Revision, evacuations: Revision
+    ) -> "Known":
+        """Return what is known, given the revision of each kind."""
+        era = max(searchers.era, instances.era, evacuations.era)
+        numbers = (r.number if r.era == era else 0 for r in (searchers, instances, evacuations))
+        return cls(version, *numbers, era)
 
     @property
     def can_serve(self) -> bool:
@@ -35,12 +49,18 @@
 
     def is_ahead_of(self, other: "Known") -> bool:
         """Return whether it holds something that is newer than all that the other knows."""
-        return (
-            self.version > other.version
-            or self.searchers > other.searchers
-            or self.instances > other.instances
-            or self.evacuations > other.evacuations
+        kinds = (
+            (self.searchers, other.searchers),
+            (self.instances, other.instances),
+            (self.evacuations, other.evacuations),
         )
+        return self.version > other.version or any(
+            own and Revision(self.era, own) > Revision(other.era, theirs) for own, theirs in kinds
+        )
+
+    def revision(self, number: int) -> Revision:
+        """Return a revision of this era."""
+        return Revision(self.era, number)
 
 
 @dataclass(slots=True)
--- a/tests/system/platform/test_returns.py
+++ b/tests/system/platform/test_returns.py
@@ -13,6 +13,8 @@
 # A draining searcher must get nothing later than this; the setting `drainMs`.
 DRAIN_SECONDS = 3.0
 WATCHED_SECONDS = 1.0
+# Searchers that lost their entries write them again this much later.
+REWRITTEN_SECONDS = 1.5
 # The other searcher is slower than the draining one, which is chosen wherever it may be.
 SLOW_SECONDS = 0.1
 
@@ -94,3 +96,45 @@
         restarted.wait_ready()
         wait_for(lambda: "instances_heard 1" in restarted.metrics(), "the instances are linked")
         drain(desk, first, restarted)
+
+
+class TestCalmTraffic:
+    def test_no_request_fails_while_lost_entries_are_written_again(self, system):
+        """Guards against a return that takes all searchers out of use until they have written."""
+        system.configure(1, forward_route("desk"))
+        kept = system.store.copy()
+        searchers = [system.backend("desk", name) for name in ("i-1", "i-2")]
+        instances = [system.instance(f"front-{number}") for number in range(2)]
+        for instance in instances:
+            wait_for(
+                lambda instance=instance: "instances_heard 1" in instance.metrics(),
+                "the instances are linked",
+            )
+        system.store.restore(kept)
+        assert set(ask_for(REWRITTEN_SECONDS, *instances)) == {200}
+        for searcher in searchers:
+            system.store.put("servers", searcher.name, searcher.entry())
+        assert set(ask_for(DRAIN_SECONDS, *instances)) == {200}
+        assert system.store.names("instances") == {"front-0", "front-1"}
+
+    def test_a_lost_own_entry_is_written_again_once(self, system):
+        """Guards against an instance that nobody who starts after a return hears of."""
+        system.configure(1, forward_route("desk"))
+        system.backend("desk", "i-1")
+        kept = system.store.copy()
+        system.instance("front-1")
+        wait_for(lambda: "front-1" in system.store.names("instances"), "it is listed")
+        writes = system.store.calls["create"] + system.store.calls["replace"]
+        system.store.restore(kept)
+        wait_for(lambda: "front-1" in system.store.names("instances"), "it is listed again", 4.0)
+        time.sleep(WATCHED_SECONDS)
+        assert system.store.calls["create"] + system.store.calls["replace"] - writes <= 2
+
+
+def ask_for(seconds: float, *instances: PlatformInstance) -> list[int]:
+    """Send requests for some seconds, and return the statuses of the answers."""
+    until = time.monotonic() + seconds
+    statuses = []
+    while time.monotonic() < until:
+        statuses += [instance.ask("/get/x").status for instance in instances]
+    return statuses
--- a/tests/unit/engine/test_catalog.py
+++ b/tests/unit/engine/test_catalog.py
@@ -1,9 +1,13 @@
 """What is told of searchers' entries that come and go."""
 
-from limpethollow_node.engine.frames import SearcherNews
+from dataclasses import replace
+
+from limpethollow_node.engine.frames import InstanceNews, SearcherNews
 from limpethollow_node.engine.process import catalog
 from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.removals import RETURN_SECONDS
 from tests.support.virtual import VirtualDispatch
 
 
@@ -76,3 +80,98 @@
             (444, ["gone"], 8),
         ]
         assert many[0]["searchers"]["ready"] == [f"i-{n}" for n in range(444)]
+
+
+def listed(era: int, revision: int, *found: Searcher) -> SearcherNews:
+    return SearcherNews(None, revision, list(found), [], era)
+
+
+class TestReturn:
+    """What the store's older copy says of searchers, until they have written again."""
+
+    def made(self) -> tuple[Catalog, FleetDispatch]:
+        dispatch = FleetDispatch()
+        return Catalog(dispatch, None, FakeRoster(), 2.2, lambda version: None), dispatch
+
+    def takes_calls(self, dispatch: FleetDispatch, searcher_id: str) -> bool:
+        replica = dispatch.fleet.get(searcher_id)
+        return replica is not None and replica.takes_calls(dispatch.loop.time())
+
+    def test_one_that_drained_is_not_used_as_the_copy_says(self):
+        """Guards against requests to a searcher whose drain the store has lost."""
+        made, dispatch = self.made()
+        ready, other = searchers(2)
+        drained = replace(ready, draining=True)
+        made.take_searchers(listed(1, 20, ready, other))
+        made.take_searchers(SearcherNews(20, 21, [drained], [], 1))
+        made.take_searchers(listed(2, 20, ready, other))
+        assert not self.takes_calls(dispatch, "i-0")
+        assert self.takes_calls(dispatch, "i-1")
+        made.take_searchers(SearcherNews(20, 21, [drained], [], 2))
+        made.tick(dispatch.loop.time() + RETURN_SECONDS)
+        assert not self.takes_calls(dispatch, "i-0")
+
+    def test_one_that_does_not_say_so_again_is_used_after_a_while(self):
+        made, dispatch = self.made()
+        (ready,) = searchers(1)
+        made.take_searchers(listed(1, 20, replace(ready, draining=True)))
+        made.take_searchers(listed(2, 18, ready))
+        made.tick(dispatch.loop.time() + RETURN_SECONDS)
+        assert self.takes_calls(dispatch, "i-0")
+
+    def test_one_that_started_anew_is_used_at_once(self):
+        made, dispatch = self.made()
+        (ready,) = searchers(1)
+        made.take_searchers(listed(1, 20, replace(ready, draining=True)))
+        made.take_searchers(listed(2, 18, replace(ready, incarnation=7)))
+        assert self.takes_calls(dispatch, "i-0")
+
+    def test_one_whose_entry_had_gone_is_a_last_choice(self):
+        made, dispatch = self.made()
+        found = searchers(2)
+        made.take_searchers(listed(1, 20, *found))
+        made.take_searchers(SearcherNews(20, 21, [], ["i-0"], 1))
+        made.tick(dispatch.loop.time() + 10.0)
+        assert dispatch.fleet.get("i-0") is None
+        made.take_searchers(listed(2, 20, *found))
+        assert dispatch.fleet.get("i-0").unlisted
+        assert not dispatch.fleet.get("i-1").unlisted
+        made.tick(dispatch.loop.time() + RETURN_SECONDS)
+        assert not dispatch.fleet.get("i-0").unlisted
+
+    def test_one_that_the_copy_lacks_stays_a_last_choice(self):
+        """Guards against a shard that is lost because its searchers' entries are."""
+        made, dispatch = self.made()
+        made.take_searchers(listed(1, 20, *searchers(1)))
+        made.take_searchers(listed(2, 18))
+        assert self.takes_calls(dispatch, "i-0")
+        made.tick(dispatch.loop.time() + RETURN_SECONDS)
+        assert dispatch.fleet.get("i-0") is None
+
+
+class TestReturnOfOtherKinds:
+    def test_instances_that_the_copy_lacks_stay_known_for_a_while(self):
+        """Guards against callers that are told of one instance alone after a return."""
+        roster = KeepingRoster()
+        dispatch = FleetDispatch()
+        made = Catalog(dispatch, None, roster, 2.2, lambda version: None)
+        one, two = (Instance(name, "1:1", "1:2", "a") for name in ("one", "two"))
+        made.take_instances(InstanceNews(None, 20, [one, two], [], 1))
+        made.take_instances(InstanceNews(None, 18, [], [], 2))
+        assert roster.names == {"one", "two"}
+        made.take_instances(InstanceNews(18, 19, [one], [], 2))
+        made.tick(dispatch.loop.time() + RETURN_SECONDS)
+        assert roster.names == {"one"}
+
+
+class KeepingRoster:
+    """Keeps the names of the instances."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+
+    def put(self, instance: Instance) -> None:
+        self.names.add(instance.name)
+
+    def remove(self, name: str) -> None:
+        self.names.discard(name)
--- a/tests/unit/engine/test_frames.py
+++ b/tests/unit/engine/test_frames.py
@@ -10,6 +10,7 @@
     BatchCall,
     BatchFailure,
     Heartbeat,
+    InstanceNews,
     SearcherNews,
     decode_frame,
     encode_frame,
@@ -19,6 +20,7 @@
 from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.request.verdicts import Verdict
+from limpethollow_wire.codecs import to_cbor
 from limpethollow_wire.exceptions import BadRequest
 from limpethollow_wire.limits import MAX_FRAME_BYTES
 from tests.support.virtual import VirtualDispatch
@@ -74,6 +76,23 @@
         assert [f.verdict for f in refused] == ([] if worked else [Verdict.NOT_SENT.value])
 
 
+class TestOtherReleases:
+    """Guards against a rolling update in which instances can't read each other's frames."""
+
+    def test_news_of_a_release_without_eras_tell_none(self):
+        frame = decode_frame(to_cbor(["searchers", None, 7, [], []]))
+        assert frame == SearcherNews(None, 7, [], [], era=0)
+
+    def test_neither_do_its_heartbeats(self):
+        known = {"version": 1, "searchers": 2, "instances": 3, "evacuations": 0}
+        frame = decode_frame(to_cbor(["beat", True, True, known, 5.0, 0.5]))
+        assert frame.known == Known(1, 2, 3, era=0)
+
+    def test_fields_that_a_later_release_adds_are_passed_over(self):
+        frame = decode_frame(to_cbor(["instances", 5, 7, [], [], 2, "later"]))
+        assert frame == InstanceNews(5, 7, [], [], era=2)
+
+
 class TestSize:
     def test_a_list_of_searchers_shrinks_and_comes_back_the_same(self):
         many = [Searcher(f"i-{n}", f"s-{n}", f"10.0.0.{n}:80", "a", 2) for n in range(200)]
