Calls that wait for a connection to a searcher that drains go elsewhere

Cause: a call is assigned to a searcher when it is queued for one of its connections, and nothing looked at the searcher again when a connection came free; only evacuations refused what was queued. Class: a decision that is made at the head of a queue and not checked at its end.

It works because the queue is emptied in the moment in which the drain becomes known, as calls that have not left are safe to move, and no new ones come.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -134,6 +134,8 @@
         """Add or update a searcher; one that started anew begins without connections."""
         if self.fleet.put(searcher, self.loop.time()) is not None:
             self._drop_pool(searcher.id)
+        elif searcher.draining:
+            self._refuse_waiting(searcher.id)
 
     def remove_searcher(self, searcher_id: str) -> None:
         """Forget a searcher that is gone."""
@@ -143,9 +145,7 @@
     def evacuate(self, failure_domain: str) -> None:
         """Send nothing new to a failure domain, also no calls that still wait for a connection."""
         for replica in self.fleet.evacuate(failure_domain):
-            pool = self._pools.get(replica.searcher.id)
-            if pool is not None:
-                pool.refuse_waiting()
+            self._refuse_waiting(replica.searcher.id)
 
     def restore(self, failure_domain: str) -> None:
         """Use an evacuated failure domain again."""
@@ -185,6 +185,11 @@
         if pool is not None:
             pool.close()
 
+    def _refuse_waiting(self, searcher_id: str) -> None:
+        pool = self._pools.get(searcher_id)
+        if pool is not None:
+            pool.refuse_waiting()
+
     def _share(self, service: str) -> float:
         """Return this instance's part of the connections that a searcher takes."""
         allowed = self._service_limits.get(service, _DEFAULT_CONNECTIONS)
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -1,11 +1,18 @@
 """Searchers that fail, lie, leave or hand out wrong bytes."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import urllib3
 
 from tests.standins.backends import PROOF, REQUEST_ID, Cut, Hang, Reset
-from tests.support.platforms import forward_route, search_route
+from tests.support.platforms import (
+    PlatformInstance,
+    configuration,
+    forward_route,
+    search_route,
+)
 from tests.support.processes import wait_for
 
 FOREIGN = "HTTP/1.1 200 OK\r\n{id}: somebody\r\n{proof}: x\r\nContent-Length: 2\r\n\r\nno"
@@ -39,6 +46,17 @@
 WRONG = [foreign, without_proof, encoded, truncated, unframed_reset, rubbish]
 
 
+# Long enough for a request to reach the queue of its searcher's connections.
+QUEUED_SECONDS = 0.3
+
+
+def book(instance: PlatformInstance, request_id: str) -> urllib3.BaseHTTPResponse:
+    """Send a request that may run once only."""
+    return instance.ask(
+        "/get/x", method="POST", body=b"book", request_id=request_id, time_left=3000
+    )
+
+
 class TestWrongBytes:
     @pytest.mark.parametrize("answer", WRONG)
     def test_none_reaches_a_caller_and_a_safe_request_is_sent_again(self, system, answer):
@@ -169,6 +187,23 @@
             instance.ask("/get/x")
         assert len(one.seen) == count
 
+    def test_a_booking_that_waits_for_a_connection_to_it_goes_to_another(self, system):
+        """Guards against queued calls that are sent long after their searcher drains."""
+        one = system.backend("desk", "i-1", answer=lambda me, seen: Hang())
+        version = configuration(1, forward_route("desk", type="unsafe", timeoutMs=6000))
+        version["services"][0]["maxConns"] = 1
+        system.store.put("config", "main", version)
+        instance = system.instance()
+        with ThreadPoolExecutor() as callers:
+            callers.submit(book, instance, "r1")
+            wait_for(lambda: one.seen, "the first booking holds the connection")
+            waiting = callers.submit(book, instance, "r2")
+            time.sleep(QUEUED_SECONDS)
+            system.backend("desk", "i-2")
+            system.store.put("servers", "i-1", one.entry(state="draining"))
+            assert waiting.result().headers[PROOF] == "i-2.r2.200"
+        assert [seen.id for seen in one.seen] == ["r1"]
+
     def test_an_entry_by_another_writer_leaves_the_others_in_use(self, system):
         system.backend("desk", "i-1")
         system.store.put("servers", "i-bad", {"service": "desk", "addr": 7})
