A connection to a searcher never carries the same request twice after a failure

Cause: a searcher that refuses a booking may send the refusal a second time, late; the booking went to the same searcher again, on the same connection, and the late refusal, which has the booking's id, stood where the reply to that send was due. Class: replies are told apart by an id that repeated sends share.

The invariant stands in one place, the pool: a connection remembers the requests on it that got no success, and no later send of one of these uses it; so what comes on it with that id is never taken for the reply to another send. One on which many are remembered is not kept. A connection that brought a reply to another request is closed, since its next reply may be late too.

Closing after a refusal leaves late second replies after other failures open, and costs a handshake for each refusal where searchers shed. The new tests failed before: three sends reached the searcher instead of two.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -34,6 +34,11 @@
     Args:
         on_idle: Called with this connection when it can take another request.
         on_closed: Called with this connection once it is closed.
+
+    Attributes:
+        idle_since: Monotonic second since which no request is under way.
+        idle_timeout: Seconds after which the server closes it when idle; None where it didn't say.
+        unsettled: Ids of the requests on it that got no success, and may be sent again.
     """
 
     __slots__ = (
@@ -52,6 +57,7 @@
         "_until_close",
         "idle_since",
         "idle_timeout",
+        "unsettled",
     )
 
     def __init__(
@@ -74,6 +80,7 @@
         self._reply_begun = False
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
+        self.unsettled: set[bytes] = set()
 
     @property
     def usable(self) -> bool:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -19,6 +19,9 @@
 # Idle connections of a searcher that names no timeout are closed after this time.
 _IDLE_SECONDS = 45.0
 
+# A connection on which more requests got no success than this is not kept.
+_MOST_UNSETTLED = 64
+
 RenderCall = Callable[[], bytes]
 
 
@@ -32,9 +35,21 @@
         on_failed: Called instead with the error; `sent` then says whether bytes had gone out.
         fresh: Whether an idle connection that might be about to close must not be used.
         head: Whether the method is HEAD.
+        request_id: Id that the reply echoes; the same where a request is sent again.
     """
 
-    __slots__ = ("_connection", "_pool", "fresh", "head", "on_failed", "on_reply", "render", "sent")
+    __slots__ = (
+        "_answered_on",
+        "_connection",
+        "_pool",
+        "_request_id",
+        "fresh",
+        "head",
+        "on_failed",
+        "on_reply",
+        "render",
+        "sent",
+    )
 
     def __init__(
         self,
@@ -44,7 +59,9 @@
         *,
         fresh: bool,
         head: bool,
+        request_id: bytes | None = None,
     ) -> None:
+        self._request_id = request_id
         self.render = render
         self.on_reply = on_reply
         self.on_failed = on_failed
@@ -53,11 +70,20 @@
         self.sent = False
         self._pool: Pool | None = None
         self._connection: ClientConnection | None = None
+        self._answered_on: ClientConnection | None = None
 
     def queued(self, pool: "Pool") -> None:
         """Note where the call waits for a connection."""
         self._pool = pool
 
+    def may_use(self, connection: ClientConnection) -> bool:
+        """Return whether a reply on a connection can only be one to this call.
+
+        A searcher may reply a second time, late. Where the connection has carried the same request
+        before, that reply has the id of this call.
+        """
+        return self._request_id not in connection.unsettled
+
     def write_to(self, connection: ClientConnection) -> None:
         """Send the request."""
         self.sent = True
@@ -78,12 +104,22 @@
         if connection is not None:
             connection.close()
 
+    def distrust(self) -> None:
+        """Close the connection that brought the reply: it was to another request.
+
+        The reply to this one may still come, where that to the next is due.
+        """
+        if self._answered_on is not None:
+            self._answered_on.close()
+
     def _unqueue(self) -> None:
         if self._pool is not None:
             self._pool.withdraw(self)
 
     def _replied(self, reply: Reply) -> None:
-        self._connection = None
+        self._answered_on, self._connection = self._connection, None
+        if not 200 <= reply.status < 300 and self._request_id is not None:
+            self._answered_on.unsettled.add(self._request_id)
         self.on_reply(reply)
 
     def _broke(self, error: Exception) -> None:
@@ -149,14 +185,14 @@
 
     def send(self, call: Call) -> None:
         """Send a call on an idle connection, or as soon as one is open or idle."""
-        connection = self._take_idle(fresh=call.fresh)
+        connection = self._take_idle(call)
         if connection is not None:
             call.write_to(connection)
             return
         call.queued(self)
         self._waiting.append(call)
         if len(self._open) + len(self._opening) >= self.limit and self._idle:
-            # All the connections that may be open are idle, but too long for this call.
+            # All the connections that may be open are idle, and none is good for this call.
             self._idle.pop(0).close()
         if len(self._open) + len(self._opening) < self.limit:
             self._start_connect()
@@ -228,11 +264,11 @@
             return
         # Every whole reply ends here, or with a connection that the searcher closes.
         self._on_sign()
-        while self._waiting:
-            call = self._waiting.popleft()
+        call = self._next_for(connection)
+        if call is not None:
             call.write_to(connection)
             return
-        if not self.keeps_idle:
+        if self._waiting or not self.keeps_idle or len(connection.unsettled) > _MOST_UNSETTLED:
             connection.close()
             return
         connection.idle_since = self._loop.time()
@@ -245,13 +281,22 @@
         if self._waiting and not self._closed and len(self._open) + len(self._opening) < self.limit:
             self.send(self._waiting.popleft())
 
-    def _take_idle(self, *, fresh: bool) -> ClientConnection | None:
+    def _next_for(self, connection: ClientConnection) -> Call | None:
+        """Take the first waiting call that may use a connection."""
+        call = next((call for call in self._waiting if call.may_use(connection)), None)
+        if call is not None:
+            self._waiting.remove(call)
+        return call
+
+    def _take_idle(self, call: Call) -> ClientConnection | None:
+        """Take the connection that was used last and is good for a call."""
         now = self._loop.time()
-        while self._idle:
-            connection = self._idle[-1]
-            if fresh and now - connection.idle_since > FRESH_SECONDS:
+        for connection in reversed(tuple(self._idle)):
+            if call.fresh and now - connection.idle_since > FRESH_SECONDS:
                 return None
-            self._idle.pop()
+            if not call.may_use(connection):
+                continue
+            self._idle.remove(connection)
             if connection.usable and not _is_stale(connection, now):
                 return connection
             connection.close()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -61,6 +61,11 @@
         self._timer = None
         self._telling = None
 
+    @property
+    def request_id(self) -> bytes | None:
+        """Return the caller's id for the request; None where it sent none."""
+        return self._batch.request_id or None
+
     def start(self) -> None:
         """Make the calls."""
         loop = self._dispatch.loop
@@ -90,8 +95,10 @@
     def replied(self, shard: str, reply: Reply) -> None:
         """Take in a searcher's reply."""
         names = self._dispatch.names
-        verdict = judge(reply, names, self._batch.request_id or None)
+        verdict = judge(reply, names, self.request_id)
         call = self._calls.pop(shard)
+        if verdict is Verdict.UNKNOWN:
+            call.call.distrust()
         load = read_load(reply, names)
         if load is not None:
             call.replica.reported(load, self._dispatch.loop.time())
@@ -175,6 +182,7 @@
             self._broke,
             fresh=False,
             head=False,
+            request_id=worked.request_id,
         )
 
     def drop(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -97,6 +97,7 @@
             self._failed,
             fresh=not outgoing.route.idempotent or self.on_trial,
             head=outgoing.is_head,
+            request_id=outgoing.request_id,
         )
         self.call = call
         self._owner.dispatch.send(self.replica, call)
@@ -170,6 +171,8 @@
     def _replied(self, reply: Reply) -> None:
         names = self._owner.dispatch.names
         verdict = judge(reply, names, self._owner.outgoing.request_id)
+        if verdict is Verdict.UNKNOWN:
+            self.call.distrust()
         load = read_load(reply, names)
         if load is not None:
             self.replica.reported(load, self._now())
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -27,6 +27,8 @@
     headers: dict[str, str]
     body: bytes
     at: float
+    # Number of the connection that it came on, from 1.
+    connection: int = 0
 
     @property
     def id(self) -> str:
@@ -161,13 +163,15 @@
                 return
             self.connections += 1
             self._open.append(connection)
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+            serve = (connection, self.connections)
+            threading.Thread(target=self._serve, args=serve, daemon=True).start()
 
-    def _serve(self, connection: socket.socket) -> None:
+    def _serve(self, connection: socket.socket, number: int) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = connection.makefile("rb")
         try:
             while (seen := _read(stream)) is not None:
+                seen.connection = number
                 self.seen.append(seen)
                 time.sleep(self.work)
                 answer = self.answer(self, seen) if self.answer else self.success(seen)
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -198,6 +198,7 @@
         self.closed = False
         self.work = 0.0
         self.request_id = b""
+        self.unsettled: set[bytes] = set()
 
     def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
         """Take a request's bytes."""
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -6,7 +6,7 @@
 import pytest
 import urllib3
 
-from tests.standins.backends import PROOF, REQUEST_ID, Cut, Hang, Reset
+from tests.standins.backends import PROOF, REQUEST_ID, BackendStandIn, Cut, Hang, Reset, Seen
 from tests.support.platforms import (
     PlatformInstance,
     configuration,
@@ -141,6 +141,62 @@
         assert instance.ask("/get/x").headers[PROOF] == "i-2.r1.200"
 
 
+class TestSecondRefusals:
+    """Guards against a booking that runs twice, or is refused and runs."""
+
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_a_late_one_is_not_taken_for_the_answer_to_the_next_send(self, system, status):
+        searcher = system.backend("desk", "i-1", answer=SecondRefusal(status))
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = book(system.instance(), "r1")
+        assert (reply.status, reply.headers[PROOF]) == (200, "i-1.r1.200")
+        assert len(searcher.seen) == 2
+
+
+class TestLateReplies:
+    """Guards against replies that each stand for the request before it."""
+
+    def test_a_connection_that_brought_one_of_another_request_is_given_up(self, system):
+        searcher = system.backend("desk", "i-1", answer=FirstReplyOfAnother())
+        system.configure(1, forward_route("desk", type="unsafe"))
+        instance = system.instance()
+        assert book(instance, "r1").status == 502
+        assert book(instance, "r2").headers[PROOF] == "i-1.r2.200"
+        first, second = searcher.seen
+        assert first.connection != second.connection
+
+
+class FirstReplyOfAnother:
+    """Puts a reply to another request before its first own one."""
+
+    def __init__(self) -> None:
+        self._told = False
+
+    def __call__(self, me: BackendStandIn, seen: Seen) -> bytes:
+        """Return what the searcher sends."""
+        if self._told:
+            return me.success(seen)
+        self._told = True
+        return foreign(me, seen)
+
+
+class SecondRefusal:
+    """Refuses a request, and again where the answer to its next send is due."""
+
+    def __init__(self, status: int) -> None:
+        self._status = status
+        self._refused: set[tuple[str, int]] = set()
+
+    def __call__(self, me: BackendStandIn, seen: Seen) -> bytes:
+        """Return what the searcher sends."""
+        refusal = me.refusal(seen, self._status)
+        if not any(seen.id == request_id for request_id, _ in self._refused):
+            self._refused.add((seen.id, seen.connection))
+            return refusal
+        late = refusal if (seen.id, seen.connection) in self._refused else b""
+        return late + me.success(seen)
+
+
 class TestTimes:
     def test_a_searcher_gets_what_is_left_of_the_callers_time(self, system):
         backend = system.backend("desk", "i-1")
