A reload signal while the program is loaded does not end the process

A process that got SIGHUP in the first 0.15 s of its start ended by it (found by the review, ten delays): the default action holds until the loop's handler is set, after all imports. It is passed over now from the first import of our own on; the settings are read after that. What is left is the interpreter's own start.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -1,5 +1,12 @@
 """Command line of a process on the platform."""
 
+import signal
+
+if __name__ == "__main__":
+    # A reload signal that comes while the rest is imported would end the process. The settings are
+    # read after that, and looked at again once it runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import argparse
 import sys
 
