A process that starts again has no slack of repeated sends until a window has passed

Cause: each process begins with its whole part of the slack, so that one that is stopped and started within the window spends it twice. Class: a budget whose use is forgotten by a restart; docs/LIFECYCLE.md lists what else a start resets.

The first start of the whole system has its slack at once. The new test failed before (14 repeats of a part of 7).

--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -79,8 +79,14 @@
         self._rng = Random()
         self.metrics = Metrics()
         bounds = settings.bounds
+        slack_from = asyncio.get_running_loop().time()
+        if not settings.bootstrap:
+            slack_from += bounds.budget_window_s
         self._budget = SendBudget(
-            bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_slack,
+            bounds.budget_window_s,
+            slack_from,
         )
         self._dispatch = Dispatch(
             Fleet(settings.zone, self._rng), self._budget, HEADERS, self.metrics
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -86,20 +86,25 @@
     The bound holds for all instances together: a ratio of the requests for a service, and a fixed
     slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes its
     part of the slack. An instance that has left still has its repeats in the window, so the
-    greatest number of instances within a window counts.
+    greatest number of instances within a window counts. A process that starts again can't know what
+    the one before it has spent, and has no slack until a window has passed.
 
     Args:
         ratio: Repeats allowed for each request.
         slack: Repeats allowed besides, for all instances together.
         window: Length of the sliding window in seconds.
+        slack_from: Monotonic second from which the slack may be used.
     """
 
-    __slots__ = ("_counts", "_ratio", "_searches", "_slack", "_window", "_windows")
+    __slots__ = ("_counts", "_ratio", "_searches", "_slack", "_slack_from", "_window", "_windows")
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window: float, slack_from: float = float("-inf")
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._slack_from = slack_from
         self._counts: list[tuple[float, float]] = []
         self._windows: dict[str, SendWindow] = {}
         self._searches: dict[tuple[str, ...], _SearchWindow] = {}
@@ -125,9 +130,13 @@
         for searches in self._searches.values():
             if service in searches.shards:
                 asked += searches.requests_until(now)
-        allowed = self._ratio * asked + self._slack / self._sharing(now)
+        allowed = self._ratio * asked + self._slack_part(now)
         return allowed * _USABLE - self._of(service).repeats_until(now)
 
+    def _slack_part(self, now: float) -> float:
+        """Return this instance's part of the slack."""
+        return 0.0 if now < self._slack_from else self._slack / self._sharing(now)
+
     def _sharing(self, now: float) -> float:
         return max((count for until, count in self._counts if until > now), default=1.0)
 
@@ -164,8 +173,7 @@
             reserve: Share of the slack, 0 to 1, that this repeat must leave to others. Hedges
                 leave some, so that a request whose only send failed can still be repeated.
         """
-        slack = self._slack / self._sharing(now)
-        if self.room(service, now) < 1 + reserve * slack:
+        if self.room(service, now) < 1 + reserve * self._slack_part(now):
             return False
         self._of(service).repeat(now)
         return True
--- a/tests/unit/engine/test_budgets.py
+++ b/tests/unit/engine/test_budgets.py
@@ -78,3 +78,28 @@
         assert allowed <= SLACK / 8
         later = sum(budget.take("s", 5.0 + WINDOW + 2.0) for _ in range(100))
         assert SLACK / 8 < later <= SLACK / 4
+
+
+class TestRestart:
+    def test_a_process_that_starts_again_does_not_spend_the_slack_twice(self):
+        """Guards against a restart of all instances that doubles the repeats within a window."""
+        spent = 0
+        for slack_from in (float("-inf"), 105.0 + WINDOW):
+            budget = SendBudget(0.2, 56.0, WINDOW, slack_from)
+            budget.share_among(8, 100.0)
+            while budget.take("s", 105.0):
+                spent += 1
+        assert spent <= 56.0 / 8
+
+    def test_it_repeats_as_its_requests_allow_meanwhile(self):
+        budget = SendBudget(0.2, 56.0, WINDOW, 100.0 + WINDOW)
+        budget.share_among(8, 100.0)
+        for _ in range(20):
+            budget.request("s", 101.0)
+        assert budget.take("s", 101.0, reserve=0.25)
+
+    def test_it_has_its_slack_once_a_window_has_passed(self):
+        budget = SendBudget(0.2, 56.0, WINDOW, 100.0 + WINDOW)
+        budget.share_among(8, 100.0)
+        assert not budget.take("s", 100.0 + WINDOW - 0.1)
+        assert budget.take("s", 100.0 + WINDOW)
