An instance that serves and hears nobody stops naming the others

Cause: an instance without any link counted all listed ones as live, since it can't tell their end from its own cut, but for those whose machines refuse connections; one that is switched off doesn't. Class: a verdict that needs evidence which never comes.

What each verdict needs now: to be named, an instance is heard, or it is unknown for at most 4 s to one that serves; an instance that can't serve (no searcher and no peer answers it) goes on naming the others, as callers that reach it have no better place.

Entries of machines that left stay in the store while one instance is alone, and count where connections are divided.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -168,7 +168,9 @@
         self.choose(now)
         if self._peers.follows:
             self._catalog.confirm_searchers()
-            self._remove_gone(now)
+            # One that hears nobody may be cut off from the others itself.
+            if self._peers.heard_count(now) > 0:
+                self._remove_gone(now)
 
     def _remove_gone(self, now: float) -> None:
         for name in self._roster.silent_for(GONE_SECONDS, now):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
@@ -9,6 +9,9 @@
 
 # An instance that was just listed has this long to link up before it counts as silent.
 _LINK_UP_SECONDS = 2.5
+# An instance that serves, and has heard no other one for this long, names only itself: links are up
+# within a second, also after a start of all.
+ALONE_SECONDS = 4.0
 
 
 class SilenceJudge:
@@ -19,7 +22,7 @@
         links: The links to other instances, by name.
     """
 
-    __slots__ = ("_known_since", "_links", "_missed_by", "_roster", "_told")
+    __slots__ = ("_alone_since", "_known_since", "_links", "_missed_by", "_roster", "_told")
 
     def __init__(self, roster: Roster, links: Mapping[str, PeerLink]) -> None:
         self._roster = roster
@@ -27,6 +30,7 @@
         self._known_since: dict[str, float] = {}
         self._missed_by: dict[str, frozenset[str]] = {}
         self._told: frozenset[str] | None = None
+        self._alone_since: float | None = None
 
     @property
     def told(self) -> Silent | None:
@@ -66,8 +70,9 @@
         """Tell the roster who is silent.
 
         An instance that hears nobody can't tell whether the others are gone or it is cut off
-        itself. It counts all as live, but for those whose machines answer that nothing listens
-        there: callers that still reach it shall be told of them.
+        itself. It counts all as live for a while, and for longer where it can't serve: callers that
+        still reach it shall be told of them. Those whose machines answer that nothing listens there
+        are silent at once.
 
         Args:
             heard: What `heard` returned.
@@ -76,15 +81,25 @@
         """
         # Whom every relay misses is silent; without a word from any, only own links count.
         missed = frozenset.intersection(*self._missed_by.values()) if self._missed_by else None
+        hears_nobody = not self._links and not self._is_alone(now)
         for instance in self._roster.known:
             name = instance.name
             since = self._known_since.setdefault(name, now)
             young = now - since < _LINK_UP_SECONDS
-            unknown = not self._links and instance.peer_address not in refusing
+            unknown = hears_nobody and instance.peer_address not in refusing
             reported = name in heard or (missed is not None and name not in missed)
             lives = unknown or reported or (young and name not in self._links)
             self._roster.set_silent(name, not lives, now)
 
+    def _is_alone(self, now: float) -> bool:
+        """Return whether this instance serves and has heard no other one for some time."""
+        if self._links or not self._roster.ready:
+            self._alone_since = None
+            return False
+        if self._alone_since is None:
+            self._alone_since = now
+        return now - self._alone_since > ALONE_SECONDS
+
     def _missed(self, heard: frozenset[str]) -> frozenset[str] | None:
         """Return the instances that this one misses as a relay; None where it is none."""
         own = self._roster.own.name
--- /dev/null
+++ b/tests/unit/engine/test_silence.py
@@ -0,0 +1,29 @@
+"""Which instances callers are told of where one hears few others, or none."""
+
+from limpethollow_node.engine.process.roster import Roster
+from limpethollow_node.engine.process.silence import ALONE_SECONDS, SilenceJudge
+from limpethollow_policy.process.placements import Instance
+
+OWN, OTHER = (Instance(name, f"10.0.0.{n}:1", f"10.0.0.{n}:2", "a") for n, name in enumerate("ab"))
+
+
+class TestAlone:
+    def judged(self, *, ready: bool) -> list[set[str]]:
+        """Return who is named at once, and after a while in which nobody was heard."""
+        roster = Roster(OWN, lambda: None)
+        roster.ready = ready
+        roster.put(OTHER)
+        judge = SilenceJudge(roster, {})
+        named = []
+        for now in (100.0, 100.0 + ALONE_SECONDS + 0.5):
+            judge.judge(frozenset(), [], now)
+            named.append({instance.name for instance in roster.live})
+        return named
+
+    def test_one_that_serves_does_not_name_instances_that_it_never_hears(self):
+        """Guards against callers that are sent to machines which left for good."""
+        assert self.judged(ready=True) == [{"a", "b"}, {"a"}]
+
+    def test_one_that_can_not_serve_goes_on_naming_the_others(self):
+        """Guards against a machine that is cut off and names nobody to callers that reach it."""
+        assert self.judged(ready=False) == [{"b"}, {"b"}]
