A process that starts again may use a tenth of the slack of repeated sends

A process uses nine tenths of its slack at most, so the next one can have the tenth that is left, and both stay within it.

A second restart within the same window may use a tenth more; the ratio's own reserve covers it where there are requests.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -87,13 +87,13 @@
     slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes its
     part of the slack. An instance that has left still has its repeats in the window, so the
     greatest number of instances within a window counts. A process that starts again can't know what
-    the one before it has spent, and has no slack until a window has passed.
+    the one before it has spent; until a window has passed it has what that one kept back.
 
     Args:
         ratio: Repeats allowed for each request.
         slack: Repeats allowed besides, for all instances together.
         window: Length of the sliding window in seconds.
-        slack_from: Monotonic second from which the slack may be used.
+        slack_from: Monotonic second from which the whole part of the slack may be used.
     """
 
     __slots__ = ("_counts", "_ratio", "_searches", "_slack", "_slack_from", "_window", "_windows")
@@ -130,12 +130,13 @@
         for searches in self._searches.values():
             if service in searches.shards:
                 asked += searches.requests_until(now)
-        allowed = self._ratio * asked + self._slack_part(now)
-        return allowed * _USABLE - self._of(service).repeats_until(now)
+        allowed = _USABLE * self._ratio * asked + self._slack_part(now)
+        return allowed - self._of(service).repeats_until(now)
 
     def _slack_part(self, now: float) -> float:
-        """Return this instance's part of the slack."""
-        return 0.0 if now < self._slack_from else self._slack / self._sharing(now)
+        """Return what this instance may use of the slack."""
+        share = _USABLE if now >= self._slack_from else 1 - _USABLE
+        return share * self._slack / self._sharing(now)
 
     def _sharing(self, now: float) -> float:
         return max((count for until, count in self._counts if until > now), default=1.0)
--- a/tests/unit/engine/test_budgets.py
+++ b/tests/unit/engine/test_budgets.py
@@ -91,6 +91,12 @@
                 spent += 1
         assert spent <= 56.0 / 8
 
+    def test_it_can_repeat_a_failed_request_at_once_where_few_instances_share(self):
+        """Guards against an instance that fails each request with a bad searcher after its start."""
+        budget = SendBudget(0.2, 56.0, WINDOW, 100.0 + WINDOW)
+        budget.share_among(2, 100.0)
+        assert budget.take("s", 101.0)
+
     def test_it_repeats_as_its_requests_allow_meanwhile(self):
         budget = SendBudget(0.2, 56.0, WINDOW, 100.0 + WINDOW)
         budget.share_among(8, 100.0)
