--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 from tempfile import mkdtemp
 
 from soak.callers import Caller, CrashingCaller, Outcome
-from soak.faults import Planned, act, plan
+from soak.faults import Planned, act, plan, plan_returns
 from soak.promises import RECOVER_SECONDS, Seen, broken
 from soak.world import World
 
@@ -25,13 +25,26 @@
     failed = [
         seed
         for seed in options.seeds
-        if run(seed, options.seconds, options.instances, crashing=options.crashing)
+        if run(
+            seed,
+            options.seconds,
+            options.instances,
+            crashing=options.crashing,
+            returns=options.returns,
+        )
     ]
     print(f"{len(options.seeds)} seeds, {len(failed)} broke a promise: {failed}", flush=True)
     return 1 if failed else 0
 
 
-def run(seed: int, seconds: float, instances: int, *, crashing: bool = False) -> list[str]:
+def run(
+    seed: int,
+    seconds: float,
+    instances: int,
+    *,
+    crashing: bool = False,
+    returns: bool = False,
+) -> list[str]:
     """Run one seed, print what came of it, and return the broken promises.
 
     The logs of a run that broke one are kept.
@@ -41,10 +54,14 @@
         seconds: How long faults are injected.
         instances: How many instances.
         crashing: Whether a request comes again and again that ends each searcher which runs it.
+        returns: Whether the store comes back from an older copy, too.
     """
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     rng = Random(seed)
     faults = plan(rng, seconds)
+    if returns:
+        faults += plan_returns(Random(f"returns {seed}"), seconds)
+        faults.sort(key=lambda planned: planned.at)
     outcomes: list[Outcome] = []
     with World(folder, instances) as world:
         callers = [Caller(f"c{n}", world, Random(seed + n), outcomes) for n in range(_CALLERS)]
@@ -98,6 +115,9 @@
     parser.add_argument("--seconds", type=float, default=10.0, help="time of faults a seed")
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--crashing", action="store_true", help="send a crashing request, too")
+    parser.add_argument(
+        "--returns", action="store_true", help="let the store come back from an older copy, too"
+    )
     return parser
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,12 +8,17 @@
 from random import Random
 
 from soak.world import DESK, Mood, SoakInstance, SoakSearcher, World
+from tests.standins.objectstore import StoreCopy
 from tests.standins.proxy import ProxyStandIn
 
 Fault = Callable[[World, Random, float], None]
 _FAULTS: dict[str, Fault] = {}
 # An instance whose kept connections were harmed counts as rough for this long after it.
 _SETTLE_SECONDS = 0.5
+# Not drawn by `plan`, so that the seeds of before keep their faults.
+STORE_RETURNS = "store back from a copy"
+# What others than instances wrote is written again this long after the store's return.
+_REWRITE_SECONDS = 1.0
 # Share of the faults of searchers that meet one of the two that take bookings.
 _DESK_SHARE = 0.4
 
@@ -55,9 +60,18 @@
     return found
 
 
+def plan_returns(rng: Random, until: float) -> list[Planned]:
+    """Return one or two returns of the store from a copy, at random times."""
+    times = [rng.uniform(1.5, until - 1.0) for _ in range(rng.choice((1, 2)))]
+    return [Planned(at, STORE_RETURNS, rng.uniform(0.5, 4.0)) for at in times]
+
+
 def act(planned: Planned, world: World, rng: Random) -> None:
     """Carry out a planned fault."""
-    _FAULTS[planned.name](world, rng, planned.seconds)
+    if planned.name == STORE_RETURNS:
+        _return(world, planned.seconds)
+    else:
+        _FAULTS[planned.name](world, rng, planned.seconds)
 
 
 @fault("instance killed")
@@ -135,6 +149,25 @@
     world.store.forget_history()
 
 
+def _return(world: World, seconds: float) -> None:
+    kept = world.store.copy()
+    time.sleep(seconds)
+    with world.store_rough.span():
+        lost = world.store.copy()
+        world.store.restore(kept)
+        time.sleep(_REWRITE_SECONDS)
+        for kind in ("config", "servers"):
+            _write_again(world, kind, kept, lost)
+
+
+def _write_again(world: World, kind: str, kept: StoreCopy, lost: StoreCopy) -> None:
+    """Let the operator and the searchers write what the store has lost."""
+    for (of, name), stored in lost.objects.items():
+        before = kept.objects.get((of, name))
+        if of == kind and (before is None or before["spec"] != stored["spec"]):
+            world.store.put(kind, name, stored["spec"])
+
+
 @fault("instance cut from the store")
 def _cut_from_store(world: World, rng: Random, seconds: float) -> None:
     instance = rng.choice(world.instances)
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -15,3 +15,7 @@
     @pytest.mark.parametrize("seed", [5, 127])
     def test_no_promise_is_broken_beside_a_crashing_request(self, seed):
         assert run(seed, seconds=8.0, instances=3, crashing=True) == []
+
+    @pytest.mark.parametrize("seed", [9051, 9066])
+    def test_no_promise_is_broken_where_the_store_comes_back_from_a_copy(self, seed):
+        assert run(seed, seconds=8.0, instances=3, returns=True) == []
