A refusal of full searchers right after a start doesn't cut the rate of admitted requests

Cause: an instance that had just started met one searcher that refused one request as full. The rate was cut to 0.4 of what searchers had answered here, which was one answer or none, so to 1.3 requests a second, and grew by a tenth in 0.3 s from there. Class: a bound worked out from a figure that nothing has been measured for.

The rate is cut only once four answers, or five seconds, tell what the searchers can do; until then their own refusals bound the load.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
@@ -51,6 +51,12 @@
         span = now - first
         return count / (span if count >= _ENOUGH and span > 0 else max(_SPAN, span))
 
+    def tell_rate(self, now: float) -> bool:
+        """Return whether enough requests have come, or for long enough, to tell their rate."""
+        if self._began is None:
+            return False
+        return len(self._recent) >= _LEAST_IN_SPAN or now - self._began >= _KNOWN_AFTER
+
     def since_last(self, now: float) -> float:
         """Return the seconds since the last request; infinite before the first."""
         return now - self._recent[-1][0] if self._recent else float("inf")
--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -131,6 +131,15 @@
 class TestSingleRequests:
     """Requests that one of a service's searchers answers."""
 
+    def test_a_refusal_right_after_a_start_says_nothing_of_what_searchers_can_do(self):
+        """Guards against an instance that refuses most calm requests for ten seconds."""
+        shedder = SingleShedder()
+        assert shedder.wait(100.0) == 0.0
+        shedder.answered(100.02)
+        assert shedder.wait(100.05) == 0.0
+        assert not shedder.full(100.1, OBJECTIVE)
+        assert all(shedder.wait(100.1 + n / 20) == 0.0 for n in range(20))
+
     def begin(self, rate: float, answered: float) -> SingleShedder:
         """Return a shedder that saw requests for a second, and answers of some of them."""
         shedder = SingleShedder()
