--- a/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/catchups.py
@@ -23,8 +23,8 @@
         searchers: Number of the last revision of searchers that it knows.
         instances: The same of instances.
         evacuations: The same of evacuated failure domains.
-        era: Era of these revisions; a kind that it knows in an older era only has number 0. Releases
-            that don't know of eras leave it out, and count as older than any that do.
+        era: Era of these revisions; a kind that it knows in an older era only has number 0.
+            Releases that don't know of eras leave it out, and count as older than any that do.
     """
 
     version: int = -1
--- a/tests/unit/engine/test_budgets.py
+++ b/tests/unit/engine/test_budgets.py
@@ -92,7 +92,7 @@
         assert spent <= 56.0 / 8
 
     def test_it_can_repeat_a_failed_request_at_once_where_few_instances_share(self):
-        """Guards against an instance that fails each request with a bad searcher after its start."""
+        """Guards against an instance that after its start fails all that meets a bad searcher."""
         budget = SendBudget(0.2, 56.0, WINDOW, 100.0 + WINDOW)
         budget.share_among(2, 100.0)
         assert budget.take("s", 101.0)
