Simpler: one delay for what a returned store lacks, one registry of soak faults, dead code removed

Evacuations and instances that the store's older copy lacks had the same pair of methods, delay and loop each: `LossDelay` serves both, and a cancel that could never find anything is gone. The store stand-in had a field that no test used.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -16,7 +16,7 @@
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
-from limpethollow_policy.process.removals import RETURN_SECONDS, RemovalDelay
+from limpethollow_policy.process.removals import RETURN_SECONDS, LossDelay, RemovalDelay
 from limpethollow_policy.process.revisions import Revision
 from limpethollow_policy.version.routes import RoutingVersion
 
@@ -59,10 +59,10 @@
         "_departures",
         "_dispatch",
         "_engine",
+        "_evacuation_losses",
         "_held",
+        "_instance_losses",
         "_listed",
-        "_lost_evacuations",
-        "_lost_instances",
         "_on_version",
         "_removals",
         "_roster",
@@ -87,9 +87,8 @@
         self._departures = Departures()
         # Searchers listed as ready in an older copy of the store though they had left since.
         self._held = RemovalDelay(RETURN_SECONDS)
-        # Evacuations and instances that an older copy of the store doesn't have.
-        self._lost_evacuations = RemovalDelay(RETURN_SECONDS)
-        self._lost_instances = RemovalDelay(RETURN_SECONDS)
+        self._evacuation_losses = LossDelay(self._restore)
+        self._instance_losses = LossDelay(roster.remove)
         self._on_version = on_version
         self._searchers_confirmed_at = float("-inf")
         self._listed: list[_ListedSearcher] = []
@@ -193,39 +192,32 @@
             self._remove(searcher_id, "delay_over")
         for searcher_id in self._held.due(now):
             self._put(self.searchers.items[searcher_id])
-        for domain in self._lost_evacuations.due(now):
-            self._restore(domain)
-        for name in self._lost_instances.due(now):
-            self._roster.remove(name)
+        self._evacuation_losses.tick(now)
+        self._instance_losses.tick(now)
         self._departures.expire(now)
         self._log_listed()
 
     def _evacuate(self, evacuation: Evacuation) -> None:
         domain = evacuation.failure_domain
-        self._lost_evacuations.cancel(domain)
+        self._evacuation_losses.came(domain)
         if domain not in self._dispatch.fleet.evacuated:
             self._dispatch.evacuate(domain)
             revision = self.evacuations.revision.number
             events.DOMAIN_EVACUATED.log(domain=domain, revision=revision)
 
     def _evacuation_gone(self, failure_domain: str) -> None:
-        if self.evacuations.begins_era:
-            self._lost_evacuations.add(failure_domain, self._dispatch.loop.time())
-        else:
-            self._restore(failure_domain)
+        now, lost = self._dispatch.loop.time(), self.evacuations.begins_era
+        self._evacuation_losses.went(failure_domain, now, lost=lost)
 
     def _instance_put(self, instance: Instance) -> None:
-        self._lost_instances.cancel(instance.name)
+        self._instance_losses.came(instance.name)
         self._roster.put(instance)
 
     def _instance_gone(self, name: str) -> None:
-        if self.instances.begins_era:
-            self._lost_instances.add(name, self._dispatch.loop.time())
-        else:
-            self._roster.remove(name)
+        now, lost = self._dispatch.loop.time(), self.instances.begins_era
+        self._instance_losses.went(name, now, lost=lost)
 
     def _restore(self, failure_domain: str) -> None:
-        self._lost_evacuations.cancel(failure_domain)
         self._dispatch.restore(failure_domain)
         revision = self.evacuations.revision.number
         events.DOMAIN_RESTORED.log(domain=failure_domain, revision=revision)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/news.py
@@ -97,12 +97,15 @@
 
     def _answer(self, link: PeerLink, ask: Ask) -> None:
         catalog, known = self._catalog, ask.known
+        evacuations = known.revision(known.evacuations)
+        searchers = known.revision(known.searchers)
+        instances = known.revision(known.instances)
         # Before the searchers: one that has just started must not send calls meanwhile.
-        if catalog.evacuations.changed_at > known.revision(known.evacuations):
-            link.send(catalog.evacuations_since(known.revision(known.evacuations)))
+        if catalog.evacuations.changed_at > evacuations:
+            link.send(catalog.evacuations_since(evacuations))
         if catalog.version is not None and catalog.version_number > known.version:
             link.send(VersionNews(catalog.version))
-        if catalog.searchers.changed_at > known.revision(known.searchers):
-            link.send(catalog.searchers_since(known.revision(known.searchers)))
-        if catalog.instances.changed_at > known.revision(known.instances):
-            link.send(catalog.instances_since(known.revision(known.instances)))
+        if catalog.searchers.changed_at > searchers:
+            link.send(catalog.searchers_since(searchers))
+        if catalog.instances.changed_at > instances:
+            link.send(catalog.instances_since(instances))
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -125,7 +125,7 @@
             replica: The searcher.
             chosen_at: Monotonic second at which the call was taken in.
         """
-        tell_if_leaving(self._dispatch, replica, self._batch.request_id, chosen_at)
+        tell_if_leaving(self._dispatch, replica, self.request_id, chosen_at)
         left = self._deadline - self._dispatch.loop.time()
         names = self._dispatch.names
         return render_call(self._batch.head, self._batch.body, names, replica.searcher.id, left)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -70,12 +70,9 @@
 
     def end_now(self) -> None:
         """Answer because this instance stops; the request is not run unless it was sent."""
-        may_have_run = self._tries.may_have_run
+        kind = NoUsableReply if self._tries.may_have_run else Unavailable
         self._tries.abandon()
-        error: LimpethollowError = Unavailable(STOPPING, retry_after=RETRY_ELSEWHERE)
-        if may_have_run:
-            error = NoUsableReply(STOPPING, retry_after=RETRY_ELSEWHERE)
-        self._fail(error, "stopping")
+        self._fail(kind(STOPPING, retry_after=RETRY_ELSEWHERE), "stopping")
 
     def _hedge(self) -> None:
         if self._tries.hedge():
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -256,15 +256,17 @@
         await self._peers.serve(self._settings.ip, first)
         await self._server(self._show_metrics).serve(open_listener("0.0.0.0", last))
 
-    def _store_is_back(self) -> None:
+    def _restart_feeds(self) -> None:
         for feed in self._feeds:
             feed.restart()
+
+    def _store_is_back(self) -> None:
+        self._restart_feeds()
         self._membership.store_is_back()
         self._quarantine_keeper.store_is_back()
 
     def _store_restored(self) -> None:
-        for feed in self._feeds:
-            feed.restart()
+        self._restart_feeds()
         self._quarantine_keeper.store_restored()
 
     async def _tick(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -78,8 +78,8 @@
 SETTINGS_RELOADED = _event(215, logging.INFO, "settings file read again")
 SETTINGS_REFUSED = _event(216, logging.ERROR, "settings file can't be used; the old one stays")
 STORE_RESTORED = _event(217, logging.WARNING, "the store came back from an older copy")
-ERA_UNREADABLE = _event(219, logging.WARNING, "an answer of the store tells no usable era")
 LIST_DROPPED = _event(218, logging.WARNING, "a list of the store was dropped as older")
+ERA_UNREADABLE = _event(219, logging.WARNING, "an answer of the store tells no usable era")
 
 # 300: instances
 PEER_LINKED = _event(300, logging.INFO, "link to peer opened")
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/arrivals.py
@@ -51,7 +51,7 @@
         span = now - first
         return count / (span if count >= _ENOUGH and span > 0 else max(_SPAN, span))
 
-    def tell_rate(self, now: float) -> bool:
+    def tells_rate(self, now: float) -> bool:
         """Return whether enough requests have come, or for long enough, to tell their rate."""
         if self._began is None:
             return False
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/removals.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/removals.py
@@ -1,5 +1,7 @@
 """How long something without an entry in the platform's store is still used."""
 
+from collections.abc import Callable
+
 # Whoever wrote an entry that the store lost with its return writes it again within two seconds.
 RETURN_SECONDS = 3.0
 
@@ -36,3 +38,39 @@
         for name in over:
             del self._due[name]
         return over
+
+
+class LossDelay:
+    """Removes objects that went; those that the store's older copy lacks, only after a while.
+
+    Args:
+        remove: Called with the name of each object to remove.
+    """
+
+    __slots__ = ("_delay", "_remove")
+
+    def __init__(self, remove: Callable[[str], None]) -> None:
+        self._remove = remove
+        self._delay = RemovalDelay(RETURN_SECONDS)
+
+    def came(self, name: str) -> None:
+        """Note that an object is there."""
+        self._delay.cancel(name)
+
+    def went(self, name: str, now: float, *, lost: bool) -> None:
+        """Take in that an object is not there any more.
+
+        Args:
+            name: Its name.
+            now: Monotonic second.
+            lost: Whether the store's older copy lacks it, so that it may be written again.
+        """
+        if lost:
+            self._delay.add(name, now)
+        else:
+            self._remove(name)
+
+    def tick(self, now: float) -> None:
+        """Remove what was not written again."""
+        for name in self._delay.due(now):
+            self._remove(name)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
@@ -49,7 +49,7 @@
             objective: As for `ended`.
         """
         self._full_at = now
-        if now < self._cut_at + objective or not self._answers.tell_rate(now):
+        if now < self._cut_at + objective or not self._answers.tells_rate(now):
             return False
         rate = min(self._rate, _FULL_CUT * self._answers.highest_admitted(now))
         self._lower_to(rate, now, _SHOWS_AFTER * objective)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,9 +13,10 @@
 
 Fault = Callable[[World, Random, float], None]
 _FAULTS: dict[str, Fault] = {}
+# Names of those that `plan` doesn't draw, so that the seeds of before keep their faults.
+_NOT_DRAWN: set[str] = set()
 # An instance whose kept connections were harmed counts as rough for this long after it.
 _SETTLE_SECONDS = 0.5
-# Not drawn by `plan`, so that the seeds of before keep their faults.
 STORE_RETURNS = "store back from a copy"
 # What others than instances wrote is written again this long after the store's return.
 _REWRITE_SECONDS = 1.0
@@ -23,11 +24,13 @@
 _DESK_SHARE = 0.4
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
+def fault(name: str, *, drawn: bool = True) -> Callable[[Fault], Fault]:
     """Register a fault; it lasts for the seconds it is given, and then cleans up."""
 
     def register(act: Fault) -> Fault:
         _FAULTS[name] = act
+        if not drawn:
+            _NOT_DRAWN.add(name)
         return act
 
     return register
@@ -52,7 +55,7 @@
     """Return a random plan: faults in series and overlapping, some kinds twice."""
     found = []
     at = 1.0
-    names = sorted(_FAULTS)
+    names = sorted(_FAULTS.keys() - _NOT_DRAWN)
     while at < until - 2.0:
         seconds = rng.uniform(0.4, 2.5)
         found.append(Planned(at, rng.choice(names), min(seconds, until - at)))
@@ -68,10 +71,7 @@
 
 def act(planned: Planned, world: World, rng: Random) -> None:
     """Carry out a planned fault."""
-    if planned.name == STORE_RETURNS:
-        _return(world, planned.seconds)
-    else:
-        _FAULTS[planned.name](world, rng, planned.seconds)
+    _FAULTS[planned.name](world, rng, planned.seconds)
 
 
 @fault("instance killed")
@@ -149,7 +149,8 @@
     world.store.forget_history()
 
 
-def _return(world: World, seconds: float) -> None:
+@fault(STORE_RETURNS, drawn=False)
+def _return(world: World, rng: Random, seconds: float) -> None:
     kept = world.store.copy()
     time.sleep(seconds)
     with world.store_rough.span():
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -3,7 +3,7 @@
 Tests set the fields below to act out its faults: `silent` takes calls and never answers them, also
 watches that were waiting; `refuses` answers 503; `loses_replies` carries writes out and closes the
 connection; `forget_history` makes older watches fail with 410; `restore` goes back to what `copy`
-kept, with its revisions, which are given out again; `era_told` replaces the era in replies.
+kept, with its revisions, which are given out again.
 """
 
 import copy
@@ -42,7 +42,6 @@
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
         self.era = 1
-        self.era_told: str | None = None
         self.silent = False
         self.refuses = False
         self.loses_replies = False
@@ -121,8 +120,7 @@
 
     def headers_of_all(self) -> dict[str, str]:
         """Return the header with the era."""
-        era = str(self.era) if self.era_told is None else self.era_told
-        return {"Store-Era": era} if era else {}
+        return {"Store-Era": str(self.era)}
 
     def go_silent(self) -> None:
         """Answer nothing more; calls that wait now are never answered, also not later."""
--- a/tests/system/platform/test_returns.py
+++ b/tests/system/platform/test_returns.py
@@ -39,6 +39,11 @@
     system.store.restore(kept)
 
 
+def wait_linked(instance: PlatformInstance) -> None:
+    """Wait until an instance hears one other."""
+    wait_for(lambda: "instances_heard 1" in instance.metrics(), "the instances are linked")
+
+
 def drain(system: PlatformSystem, *instances: PlatformInstance) -> None:
     """Let a searcher drain, and check that it gets nothing once its time is over."""
     draining = system.backends[0]
@@ -94,7 +99,7 @@
         restarted.kill()
         restarted.start()
         restarted.wait_ready()
-        wait_for(lambda: "instances_heard 1" in restarted.metrics(), "the instances are linked")
+        wait_linked(restarted)
         drain(desk, first, restarted)
 
 
@@ -106,10 +111,7 @@
         searchers = [system.backend("desk", name) for name in ("i-1", "i-2")]
         instances = [system.instance(f"front-{number}") for number in range(2)]
         for instance in instances:
-            wait_for(
-                lambda instance=instance: "instances_heard 1" in instance.metrics(),
-                "the instances are linked",
-            )
+            wait_linked(instance)
         system.store.restore(kept)
         assert set(ask_for(REWRITTEN_SECONDS, *instances)) == {200}
         for searcher in searchers:
