Requests without an id are refused before a searcher gets them

What a caller would see: a booking sent without an id runs twice, or is refused and has run. Replies are told apart by the id that they echo; without one, whatever comes next on the connection passed for the reply, and nothing kept the next send off a connection that still owed one.

Such a request is answered 400 at once, naming the header; searchers run none either (they answer 400 with their word that it has not run), so each one cost sends to several searchers and ended as 503. Weighed against a connection of its own for each such request, which costs a handshake for what is refused all the same.

The new test failed before: the searcher got the request and the caller 200. A test whose caller left now sends an id, as each attempt of a caller does; what it checks is unchanged.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -159,7 +159,7 @@
         number: The sender's number for the batch.
         head: Request line and headers, without those that differ between calls.
         body: The request's body.
-        request_id: The caller's id for the request; empty where it sent none.
+        request_id: The caller's id for the request.
         calls: The calls.
         top: Records wanted.
         left: Seconds until nobody waits for the answer.
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -62,9 +62,9 @@
         self._telling = None
 
     @property
-    def request_id(self) -> bytes | None:
-        """Return the caller's id for the request; None where it sent none."""
-        return self._batch.request_id or None
+    def request_id(self) -> bytes:
+        """Return the caller's id for the request."""
+        return self._batch.request_id
 
     def start(self) -> None:
         """Make the calls."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -106,7 +106,7 @@
                 number,
                 outgoing.head,
                 outgoing.body,
-                outgoing.request_id or b"",
+                outgoing.request_id,
                 calls,
                 outgoing.route.top,
                 outgoing.deadline - now,
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/judging.py
@@ -8,17 +8,17 @@
 from limpethollow_wire.exceptions import BadRequest
 
 
-def judge(reply: Reply, names: HeaderNames, request_id: bytes | None) -> Verdict:
+def judge(reply: Reply, names: HeaderNames, request_id: bytes) -> Verdict:
     """Return what a whole reply proves about a request.
 
     Args:
         reply: The reply.
         names: The deployment's header names.
-        request_id: Id of the request; None where the caller sent none.
+        request_id: Id of the request.
     """
     return judge_reply(
         reply.status,
-        own_id=request_id is None or reply.header(names.request_id) == request_id,
+        own_id=reply.header(names.request_id) == request_id,
         proved=reply.header(names.proof) is not None,
         not_run=reply.header(names.not_run) is not None,
         encoded=reply.header(b"content-encoding") is not None,
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/leaving.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/leaving.py
@@ -13,7 +13,7 @@
     Args:
         dispatch: What the process shares.
         replica: The searcher.
-        request_id: The caller's id for the request; None where it sent none.
+        request_id: The caller's id for the request.
         chosen_at: Monotonic second at which the searcher was chosen.
     """
     if replica.leaving_since is None:
@@ -21,7 +21,7 @@
     now = dispatch.loop.time()
     dispatch.metrics.count("sends_to_leaving_searchers", replica.state)
     events.SENT_TO_LEAVING.log(
-        request=(request_id or b"").decode("latin-1"),
+        request=request_id.decode("latin-1"),
         searcher=replica.searcher.id,
         state=replica.state,
         known_ms=round((now - replica.leaving_since) * 1000),
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -28,7 +28,7 @@
     Attributes:
         head: Request line and headers, without those that differ between sends.
         body: The request's body.
-        request_id: The caller's id for the request; None where it sent none.
+        request_id: The caller's id for the request.
         deadline: Monotonic second at which the last answer must leave to find its caller waiting.
         answer_by: Monotonic second at which an answer must leave to come within the objective.
         in_time: Whether a usual call fits into the time until then.
@@ -40,7 +40,7 @@
 
     head: bytes
     body: bytes
-    request_id: bytes | None
+    request_id: bytes
     deadline: float
     answer_by: float
     in_time: bool
@@ -59,11 +59,12 @@
             dispatch: What the process shares.
 
         Raises:
-            BadRequest: The time that the caller has left is no number.
+            BadRequest: There is no id, or the time that the caller has left is no number.
             Quarantined: Searchers ended under earlier tries of the request.
         """
         names = dispatch.names
         request, arrived = exchange.request, exchange.arrived_at
+        request_id = _request_id(request, names)
         guard = dispatch.quarantines.guard(request.fingerprint, single_sends=not route.idempotent)
         timings = dispatch.timings(route)
         left = _time_left(request, names)
@@ -79,7 +80,7 @@
         return cls(
             b"%b %b HTTP/1.1\r\n%b" % (request.method, request.target, render_headers(headers)),
             request.body,
-            request.header(names.request_id),
+            request_id,
             arrived + max(seconds - way, seconds / 2),
             arrived + timings.patience_for(spent + way),
             timings.fits(spent + way),
@@ -90,9 +91,19 @@
         )
 
     @property
-    def id_text(self) -> str | None:
+    def id_text(self) -> str:
         """Return the caller's id for the request as logs show it."""
-        return None if self.request_id is None else self.request_id.decode("latin-1")
+        return self.request_id.decode("latin-1")
+
+
+def _request_id(request: Request, names: HeaderNames) -> bytes:
+    """Return the caller's id for a request; without one, nothing tells its replies apart."""
+    request_id = request.header(names.request_id)
+    if not request_id:
+        raise BadRequest(
+            f"The request has no id. Give each attempt its own in {names.request_id.decode()}."
+        )
+    return request_id
 
 
 def _time_left(request: Request, names: HeaderNames) -> float | None:
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -166,6 +166,18 @@
         assert first.connection != second.connection
 
 
+class TestRequestsWithoutAnId:
+    """Guards against replies that nothing tells apart."""
+
+    def test_they_are_refused_before_a_searcher_gets_them(self, system):
+        searcher = system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = system.instance().ask("/get/x", method="POST", body=b"book", request_id="")
+        assert reply.status == 400
+        assert REQUEST_ID.lower() in reply.json()["message"]
+        assert not searcher.seen
+
+
 class FirstReplyOfAnother:
     """Puts a reply to another request before its first own one."""
 
@@ -222,7 +234,8 @@
         system.configure(1, forward_route("desk"))
         instance = system.instance()
         caller = socket.create_connection(("127.0.0.1", instance.front))
-        caller.sendall(b"GET /get/x HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        head = f"GET /get/x HTTP/1.1\r\nHost: shop.example\r\n{REQUEST_ID}: r1\r\n\r\n"
+        caller.sendall(head.encode())
         wait_for(lambda: backend.seen, "the request arrives")
         assert not backend.closed
         caller.close()
