A connection to a searcher never carries an id again that was answered on it

The caller of the second request got the answer to the first. The connection remembered only the ids that got no success.

The new test failed before ('POST one' in place of 'POST two'). The test of kept connections sends each request with its own id, as callers do, and still asks for one connection.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from limpethollow_node.engine.connection.carried import CarriedRequests
 from limpethollow_node.engine.connection.sockets import set_probes
 from limpethollow_node.engine.messages import Headers, Reply
 
@@ -38,7 +39,7 @@
     Attributes:
         idle_since: Monotonic second since which no request is under way.
         idle_timeout: Seconds after which the server closes it when idle; None where it didn't say.
-        unsettled: Ids of the requests on it that got no success, and may be sent again.
+        carried: The requests that it has carried.
     """
 
     __slots__ = (
@@ -55,9 +56,9 @@
         "_reply_begun",
         "_transport",
         "_until_close",
+        "carried",
         "idle_since",
         "idle_timeout",
-        "unsettled",
     )
 
     def __init__(
@@ -80,7 +81,7 @@
         self._reply_begun = False
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
-        self.unsettled: set[bytes] = set()
+        self.carried = CarriedRequests()
 
     @property
     def usable(self) -> bool:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -19,9 +19,6 @@
 # Idle connections of a searcher that names no timeout are closed after this time.
 _IDLE_SECONDS = 45.0
 
-# A connection on which more requests got no success than this is not kept.
-_MOST_UNSETTLED = 64
-
 RenderCall = Callable[[], bytes]
 
 
@@ -35,7 +32,8 @@
         on_failed: Called instead with the error; `sent` then says whether bytes had gone out.
         fresh: Whether an idle connection that might be about to close must not be used.
         head: Whether the method is HEAD.
-        request_id: Id that the reply echoes; the same where a request is sent again.
+        request_id: Id that the reply echoes, the same where a request is sent again; None where
+            the server echoes none.
     """
 
     __slots__ = (
@@ -77,12 +75,8 @@
         self._pool = pool
 
     def may_use(self, connection: ClientConnection) -> bool:
-        """Return whether a reply on a connection can only be one to this call.
-
-        A searcher may reply a second time, late. Where the connection has carried the same request
-        before, that reply has the id of this call.
-        """
-        return self._request_id not in connection.unsettled
+        """Return whether a reply on a connection can only be one to this call."""
+        return self._request_id is None or self._request_id not in connection.carried
 
     def write_to(self, connection: ClientConnection) -> None:
         """Send the request."""
@@ -118,8 +112,8 @@
 
     def _replied(self, reply: Reply) -> None:
         self._answered_on, self._connection = self._connection, None
-        if not 200 <= reply.status < 300 and self._request_id is not None:
-            self._answered_on.unsettled.add(self._request_id)
+        if self._request_id is not None:
+            self._answered_on.carried.add(self._request_id, reply.status)
         self.on_reply(reply)
 
     def _broke(self, error: Exception) -> None:
@@ -268,7 +262,7 @@
         if call is not None:
             call.write_to(connection)
             return
-        if self._waiting or not self.keeps_idle or len(connection.unsettled) > _MOST_UNSETTLED:
+        if self._waiting or not self.keeps_idle or connection.carried.is_full:
             connection.close()
             return
         connection.idle_since = self._loop.time()
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from limpethollow_node.engine.connection.carried import CarriedRequests
 from limpethollow_node.engine.messages import Reply, Request
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.pools import Call
@@ -198,7 +199,7 @@
         self.closed = False
         self.work = 0.0
         self.request_id = b""
-        self.unsettled: set[bytes] = set()
+        self.carried = CarriedRequests()
 
     def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
         """Take a request's bytes."""
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -165,6 +165,16 @@
         first, second = searcher.seen
         assert first.connection != second.connection
 
+    def test_a_second_success_is_not_taken_for_the_answer_to_a_repeated_id(self, system):
+        """Guards against an old answer for a caller that uses an id again."""
+        searcher = system.backend("desk", "i-1", answer=late_second_success)
+        system.configure(1, forward_route("desk", type="unsafe"))
+        instance = system.instance()
+        assert instance.ask("/get/x", method="POST", body=b"one").data == b"POST one"
+        assert instance.ask("/get/x", method="POST", body=b"two").data == b"POST two"
+        first, second = searcher.seen
+        assert first.connection != second.connection
+
 
 class TestRequestsWithoutAnId:
     """Guards against replies that nothing tells apart."""
@@ -178,6 +188,12 @@
         assert not searcher.seen
 
 
+def late_second_success(me: BackendStandIn, seen: Seen) -> bytes:
+    """Put the success that the connection's last request had before that of this one."""
+    earlier = [s for s in me.seen[:-1] if s.connection == seen.connection]
+    return b"".join(me.success(s, body=f"{s.method} ".encode() + s.body) for s in [*earlier, seen])
+
+
 class FirstReplyOfAnother:
     """Puts a reply to another request before its first own one."""
 
@@ -286,8 +302,8 @@
         backend = system.backend("desk", "i-1")
         system.configure(1, forward_route("desk"))
         instance = system.instance()
-        for _ in range(5):
-            assert instance.ask("/get/x").status == 200
+        for number in range(5):
+            assert instance.ask("/get/x", request_id=f"r{number}").status == 200
         assert backend.connections == 1
 
     def test_a_searcher_that_refuses_connections_is_left(self, system):
