A stopping instance waits until its answers have been read

What a caller would see: an answer that ends early, though a searcher has run the request, when the instance that sends it stops. Whether something is open was told from requests alone; an answer that had been written but not taken by a slow caller counted as done, and the exit 0.1 s later dropped the rest.

The wait for a quiet moment and the last phase now look at what is unsent too, the last one until 0.96 of the grace.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -115,6 +115,11 @@
         """Return whether a request is being read or answered."""
         return self._current is not None or self.message_since is not None or bool(self._ahead)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of an answer still waits for the caller to read."""
+        return self._transport.get_write_buffer_size() > 0
+
     def finish(self, exchange: Exchange, reply: Reply) -> None:
         """Write the answer to the current request and take up the next one."""
         if exchange is not self._current:
@@ -304,6 +309,16 @@
         self.connections: set[CallerConnection] = set()
         self._listener: asyncio.Server | None = None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether a part of an answer still waits for its caller to read."""
+        return any(connection.has_unsent for connection in self.connections)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether nothing is read, answered or sent."""
+        return not self.has_unsent and not any(c.busy for c in self.connections)
+
     async def serve(self, listener: socket.socket) -> None:
         """Start to accept connections, first those that wait in the listener's queue."""
         loop = asyncio.get_running_loop()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
@@ -20,10 +20,11 @@
 # the first, all requests are taken: callers keep what the directory said for up to three times as
 # long as it asks them to, and then connect here. Then it ends as soon as nothing is open. From the
 # second on, new requests are refused, since they might not end in time; at the third, what is still
-# open is answered.
+# open is answered; at the last, it ends whether callers have read their answers or not.
 _STAY_SHARE = 0.6
 _REFUSE_SHARE = 0.75
 _LAST_SHARE = 0.93
+_EXIT_SHARE = 0.96
 _LOOK_SECONDS = 0.02
 # What was written last still has to leave the socket.
 _LINGER_SECONDS = 0.1
@@ -124,7 +125,7 @@
         refused_from = begun + grace * _REFUSE_SHARE
         while (now := loop.time()) < begun + grace * _LAST_SHARE:
             self._engine.refuses = now > refused_from
-            if now > quiet_from and not any(c.busy for c in self._front.connections):
+            if now > quiet_from and self._front.is_quiet:
                 break
             await asyncio.sleep(_LOOK_SECONDS)
         self._engine.refuses = True
@@ -132,6 +133,13 @@
         self._front.close_idle()
         events.DRAINED.log(open=len(self._front.connections), after_s=loop.time() - begun)
         self._engine.end_all()
+        await self._flush(begun + grace * _EXIT_SHARE)
+
+    async def _flush(self, until: float) -> None:
+        """Wait until callers have read their answers, but not past a second of the loop's time."""
+        loop = asyncio.get_running_loop()
+        while self._front.has_unsent and loop.time() + _LINGER_SECONDS < until:
+            await asyncio.sleep(_LOOK_SECONDS)
         await asyncio.sleep(_LINGER_SECONDS)
 
     def _look_around(self, now: float) -> None:
--- a/tests/system/platform/test_stops.py
+++ b/tests/system/platform/test_stops.py
@@ -1,6 +1,7 @@
 """A process that was asked to stop, under callers that send one request after the other."""
 
 import http.client
+import socket
 import threading
 import time
 
@@ -10,6 +11,9 @@
 GRACE_SECONDS = 3
 WORK_SECONDS = 0.3
 CALLERS = 8
+# More than the system keeps for a caller that reads slowly.
+LARGE_BYTES = 3_900_000
+SMALL_WINDOW = 8192
 # A request that was not passed on may lose its connection this soon after it was sent.
 LOSS_SLACK_SECONDS = 0.2
 
@@ -102,3 +106,45 @@
         instance.terminate()
         caller.join()
         assert answers == [502]
+
+    def test_an_answer_that_its_caller_still_reads_is_whole(self, system):
+        """Guards against answers that the exit cuts short on the way to slow callers."""
+        body = b"x" * LARGE_BYTES
+        system.backend("desk", "i-1", answer=lambda me, seen: me.success(seen, body=body))
+        system.configure(1, forward_route("desk", timeoutMs=8000))
+        instance = system.instance()
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
+            caller.connect(("127.0.0.1", instance.front))
+            caller.sendall(head_of("r1"))
+            wait_for(lambda: instance.events(520), "the request is answered")
+            instance.terminate()
+            stopped_at = time.monotonic()
+            wait_until(stopped_at + 0.75 * GRACE_SECONDS)
+            read = read_all(caller)
+        assert read.endswith(body[:1])
+        assert len(read) > LARGE_BYTES
+
+
+def head_of(request_id: str) -> bytes:
+    """Return a request without a body as its caller sends it."""
+    lines = [
+        "GET /get/x HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Limpethollow-Request-Id: {request_id}",
+        "X-Limpethollow-Deadline-Ms: 8000",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def read_all(caller: socket.socket) -> bytes:
+    """Return what comes until the connection ends."""
+    read = bytearray()
+    while piece := caller.recv(65536):
+        read += piece
+    return bytes(read)
+
+
+def wait_until(second: float) -> None:
+    """Wait until a monotonic second."""
+    time.sleep(max(0.0, second - time.monotonic()))
