A stopping instance answers the requests that a caller has sent ahead

What a caller would see: it sends a second request before it has the answer to the first, and the connection is closed after the first answer, without one to the second, which had been read. While an instance stops (or is cut off), each answer closed its connection, whatever had been read behind it.

Now the answer to the last request that was read closes it. The new test failed before: one answer of two.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -125,7 +125,7 @@
         if exchange is not self._current:
             return
         self._current = None
-        last = self._server.leaving or not exchange.request.keep_alive
+        last = not exchange.request.keep_alive or self._server.leaving and not self._ahead
         self._write(reply, close=last, head=exchange.request.method == b"HEAD")
         self.idle_since = self._loop.time()
         if not last:
--- a/tests/system/platform/test_stops.py
+++ b/tests/system/platform/test_stops.py
@@ -125,6 +125,19 @@
         assert read.endswith(body[:1])
         assert len(read) > LARGE_BYTES
 
+    def test_requests_that_were_sent_ahead_are_answered(self, system):
+        """Guards against requests that are read behind another one and dropped at a stop."""
+        system.backend("desk", "i-1", work=WORK_SECONDS)
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        instance.terminate()
+        wait_for(lambda: instance.events(101), "it stops")
+        with socket.create_connection(("127.0.0.1", instance.front), timeout=5.0) as caller:
+            caller.sendall(head_of("r1") + head_of("r2"))
+            read = read_all(caller)
+        assert [f"i-1.{id}.200".encode() in read for id in ("r1", "r2")] == [True, True]
+        assert read.count(b"Connection: close") == 1
+
 
 def head_of(request_id: str) -> bytes:
     """Return a request without a body as its caller sends it."""
