The grace of a stop is counted from when the signal may have come

What callers would see: requests cut by the kill, since the process counts the grace from when it takes the signal in, and ends up to the length of the freeze too late.

A watch that is fed by the regular look around knows when the process last ran. The phases are counted from there where the signal is taken in right after a stall, and by the clock that goes on while the machine is suspended. Ruled out: always counting from the last look around, which would take 0.25 s off each calm stop; a timestamp of the signal, which the system doesn't keep.

The new test failed before: frozen for 1.2 of 3 s of grace, the process still ran at its end.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Sequence
 
 from limpethollow_node.engine.connection.callers import CallerServer
@@ -11,6 +12,7 @@
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
+from limpethollow_policy.process.stalls import StallWatch
 
 # Callers that connect to a process that is just starting wait in the listener's queue at most this
 # long for the first configuration, which takes 10 ms from the store or a peer that answers. Without
@@ -47,7 +49,17 @@
         front: Takes callers' requests.
     """
 
-    __slots__ = ("_catalog", "_dispatch", "_engine", "_front", "_leaving", "_peers", "_roster")
+    __slots__ = (
+        "_asked_at",
+        "_catalog",
+        "_dispatch",
+        "_engine",
+        "_front",
+        "_leaving",
+        "_peers",
+        "_roster",
+        "_stalls",
+    )
 
     def __init__(
         self,
@@ -65,6 +77,8 @@
         self._peers = peers
         self._front = front
         self._leaving = asyncio.Event()
+        self._stalls = StallWatch(_uptime())
+        self._asked_at = 0.0
 
     @property
     def is_ready(self) -> bool:
@@ -77,8 +91,10 @@
         )
 
     def ask_to_leave(self) -> None:
-        """Begin the graceful shutdown."""
-        self._leaving.set()
+        """Begin the graceful shutdown; further calls change nothing."""
+        if not self._leaving.is_set():
+            self._asked_at = self._stalls.came_from(_uptime())
+            self._leaving.set()
 
     async def wait_for_leave(self) -> None:
         """Return once the shutdown was asked for."""
@@ -100,6 +116,7 @@
 
     def tick(self, now: float) -> None:
         """Do what has no event of its own to wait for; called a few times a second."""
+        self._stalls.ran(_uptime())
         self._look_around(now)
         self._roster.ready = self.is_ready
         self._catalog.tick(now)
@@ -114,16 +131,15 @@
             servers: All servers, that for callers' requests included.
             grace: Seconds after which the platform kills the process.
         """
-        events.STOPPING.log()
-        loop = asyncio.get_running_loop()
-        begun = loop.time()
+        begun = self._asked_at
+        events.STOPPING.log(late_s=round(_uptime() - begun, 3))
         self._roster.ready = False
         for server in servers:
             server.leaving = True
         self._peers.leave()
         quiet_from = begun + grace * _STAY_SHARE
         refused_from = begun + grace * _REFUSE_SHARE
-        while (now := loop.time()) < begun + grace * _LAST_SHARE:
+        while (now := _uptime()) < begun + grace * _LAST_SHARE:
             self._engine.refuses = now > refused_from
             if now > quiet_from and self._front.is_quiet:
                 break
@@ -131,14 +147,13 @@
         self._engine.refuses = True
         self._front.stop_listening()
         self._front.close_idle()
-        events.DRAINED.log(open=len(self._front.connections), after_s=loop.time() - begun)
+        events.DRAINED.log(open=len(self._front.connections), after_s=_uptime() - begun)
         self._engine.end_all()
         await self._flush(begun + grace * _EXIT_SHARE)
 
     async def _flush(self, until: float) -> None:
-        """Wait until callers have read their answers, but not past a second of the loop's time."""
-        loop = asyncio.get_running_loop()
-        while self._front.has_unsent and loop.time() + _LINGER_SECONDS < until:
+        """Wait until callers have read their answers, but not past a second of the uptime."""
+        while self._front.has_unsent and _uptime() + _LINGER_SECONDS < until:
             await asyncio.sleep(_LOOK_SECONDS)
         await asyncio.sleep(_LINGER_SECONDS)
 
@@ -155,3 +170,8 @@
         if isolation.is_isolated:
             self._dispatch.probe()
         self._front.leaving = isolation.is_isolated or self._leaving.is_set()
+
+
+def _uptime() -> float:
+    """Return a second by which the platform's grace is counted: suspended time is part of it."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/system/platform/test_stops.py
+++ b/tests/system/platform/test_stops.py
@@ -1,6 +1,7 @@
 """A process that was asked to stop, under callers that send one request after the other."""
 
 import http.client
+import signal
 import socket
 import threading
 import time
@@ -11,6 +12,8 @@
 GRACE_SECONDS = 3
 WORK_SECONDS = 0.3
 CALLERS = 8
+# Of the grace; a process that was starved or frozen this long doesn't know when the signal came.
+FROZEN_SECONDS = 1.2
 # More than the system keeps for a caller that reads slowly.
 LARGE_BYTES = 3_900_000
 SMALL_WINDOW = 8192
@@ -138,6 +141,24 @@
         assert [f"i-1.{id}.200".encode() in read for id in ("r1", "r2")] == [True, True]
         assert read.count(b"Connection: close") == 1
 
+    def test_a_process_that_was_frozen_ends_before_it_is_killed(self, system):
+        """Guards against requests lost to a kill that comes sooner than the process believes."""
+        for number in range(4):
+            system.backend("desk", f"i-{number}", work=WORK_SECONDS)
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        callers = [ClosedLoopCaller(instance, number) for number in range(CALLERS)]
+        time.sleep(1.0)
+        instance.signal(signal.SIGSTOP)
+        instance.terminate()
+        stopped_at = time.monotonic()
+        wait_until(stopped_at + FROZEN_SECONDS)
+        instance.signal(signal.SIGCONT)
+        wait_until(stopped_at + GRACE_SECONDS)
+        assert instance.child.poll() == 0
+        for caller in callers:
+            caller.wait()
+
 
 def head_of(request_id: str) -> bytes:
     """Return a request without a body as its caller sends it."""
