The slack of repeated sends is used only by instances that all others count

Cause: a process that starts had a tenth of its part at once, which is what the one before kept back; that is a margin for one restart, and it is also what covers sends on their way. And until the list of instances was known, the part was that of a system of one.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -15,13 +15,28 @@
     Args:
         own: This instance.
         on_change: Called when an instance came or went.
+
+    Attributes:
+        own: This instance.
+        ready: Whether callers may use it.
+        is_listed: Whether it is on the list of instances that it knows.
     """
 
-    __slots__ = ("_known", "_leaving", "_on_change", "_silent", "_silent_since", "own", "ready")
+    __slots__ = (
+        "_known",
+        "_leaving",
+        "_on_change",
+        "_silent",
+        "_silent_since",
+        "is_listed",
+        "own",
+        "ready",
+    )
 
     def __init__(self, own: Instance, on_change: Callable[[], None]) -> None:
         self.own = own
         self.ready = False
+        self.is_listed = False
         self._known: dict[str, Instance] = {own.name: own}
         self._silent: set[str] = set()
         self._silent_since: dict[str, float] = {}
@@ -66,6 +81,7 @@
         any other one is a new start. News come in the store's order, never an old one after it.
         """
         if instance.name == self.own.name:
+            self._set_listed(True)
             return
         known = self._known.get(instance.name)
         if known is None or known.incarnation != instance.incarnation:
@@ -77,7 +93,9 @@
 
     def remove(self, name: str) -> None:
         """Forget an instance."""
-        if name != self.own.name and self._known.pop(name, None) is not None:
+        if name == self.own.name:
+            self._set_listed(False)
+        elif self._known.pop(name, None) is not None:
             self._silent.discard(name)
             self._silent_since.pop(name, None)
             self._leaving.pop(name, None)
@@ -104,3 +122,8 @@
         """Note which process of an instance runs now."""
         if self._leaving.get(name) != incarnation:
             self._leaving.pop(name, None)
+
+    def _set_listed(self, is_listed: bool) -> None:
+        if is_listed != self.is_listed:
+            self.is_listed = is_listed
+            self._on_change()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -44,6 +44,7 @@
 from limpethollow_policy.process.lifetimes import ListLifetime
 from limpethollow_policy.process.placements import Instance, entries_for
 from limpethollow_policy.process.sendbudgets import SendBudget
+from limpethollow_policy.process.slackclaims import SlackClaim
 from limpethollow_policy.process.topology import WatchRole
 from limpethollow_policy.version.routes import RoutingVersion, VersionBook
 from limpethollow_wire.exceptions import LimpethollowError, SettingsError
@@ -79,14 +80,12 @@
         self._rng = Random()
         self.metrics = Metrics()
         bounds = settings.bounds
-        slack_from = asyncio.get_running_loop().time()
-        if not settings.bootstrap:
-            slack_from += bounds.budget_window_s
+        self._slack_claim = SlackClaim(bounds.budget_window_s, first_start=settings.bootstrap)
         self._budget = SendBudget(
             bounds.retry_budget_ratio,
             bounds.retry_budget_slack,
             bounds.budget_window_s,
-            slack_from,
+            self._slack_claim,
         )
         self._dispatch = Dispatch(
             Fleet(settings.zone, self._rng), self._budget, HEADERS, self.metrics
@@ -187,7 +186,10 @@
         bounds = settings.bounds
         self._settings = settings
         self._budget.set_bounds(
-            bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_slack,
+            bounds.budget_window_s,
+            asyncio.get_running_loop().time(),
         )
         self._catalog.set_removal_delay(settings.removal_delay)
         self._lifetime.longest = bounds.ttl_max_s
@@ -284,6 +286,7 @@
         if self._settings_file.changed():
             self.reload_settings()
         self._life.tick(now)
+        self._slack_claim.heard(len(self._roster) - 1, self._peers.heard_count(now), now)
         self._follower.tick(now)
         for server in self._servers:
             server.sweep(now)
@@ -303,6 +306,7 @@
         self._front.limits = version.limits
 
     def _instances_changed(self) -> None:
+        self._slack_claim.listed(self._roster.is_listed, asyncio.get_running_loop().time())
         self._dispatch.share_among(self._roster.sharers)
 
     def _addresses_for(self, domain: str) -> list[str]:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sendbudgets.py
@@ -1,5 +1,7 @@
 """How many repeated sends to a service this instance may make: retries and hedges together."""
 
+from limpethollow_policy.process.slackclaims import SlackClaim
+
 BUCKETS = 20
 # Sends that are on their way when a window ends are counted in the next one at the searchers.
 # Keeping a tenth back covers a window's worth of such sends at each end.
@@ -86,36 +88,37 @@
     The bound holds for all instances together: a ratio of the requests for a service, and a fixed
     slack. Each instance sees its own requests, so it keeps to the ratio of these, and takes its
     part of the slack. An instance that has left still has its repeats in the window, so the
-    greatest number of instances within a window counts. A process that starts again can't know what
-    the one before it has spent; until a window has passed it has what that one kept back.
+    greatest number of instances within a window counts. Its claim says whether it has a part.
 
     Args:
         ratio: Repeats allowed for each request.
         slack: Repeats allowed besides, for all instances together.
         window: Length of the sliding window in seconds.
-        slack_from: Monotonic second from which the whole part of the slack may be used.
+        claim: Says when the slack may be used; always where left out.
     """
 
-    __slots__ = ("_counts", "_ratio", "_searches", "_slack", "_slack_from", "_window", "_windows")
+    __slots__ = ("_claim", "_counts", "_ratio", "_searches", "_slack", "_window", "_windows")
 
     def __init__(
-        self, ratio: float, slack: float, window: float, slack_from: float = float("-inf")
+        self, ratio: float, slack: float, window: float, claim: SlackClaim | None = None
     ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._slack_from = slack_from
+        self._claim = claim
         self._counts: list[tuple[float, float]] = []
         self._windows: dict[str, SendWindow] = {}
         self._searches: dict[tuple[str, ...], _SearchWindow] = {}
 
-    def set_bounds(self, ratio: float, slack: float, window: float) -> None:
+    def set_bounds(self, ratio: float, slack: float, window: float, now: float) -> None:
         """Take over changed bounds; a window of another length begins empty."""
         self._ratio, self._slack = ratio, slack
         if window != self._window:
             self._window = window
             self._windows.clear()
             self._searches.clear()
+            if self._claim is not None:
+                self._claim.use_window(window, now)
 
     def share_among(self, sharers: float, now: float) -> None:
         """Set into how many parts like this instance's the slack is divided from now on."""
@@ -135,8 +138,9 @@
 
     def _slack_part(self, now: float) -> float:
         """Return what this instance may use of the slack."""
-        share = _USABLE if now >= self._slack_from else 1 - _USABLE
-        return share * self._slack / self._sharing(now)
+        if self._claim is not None and not self._claim.holds(now):
+            return 0.0
+        return _USABLE * self._slack / self._sharing(now)
 
     def _sharing(self, now: float) -> float:
         return max((count for until, count in self._counts if until > now), default=1.0)
