Instances that start look for quarantined requests as soon as they follow the store

What callers saw: after a start of all instances, a quarantined request ran twice more, as the store's list of them was read at the next look, up to 0.25 s after the first requests. It is looked for every 20 ms now until it has been read, for 2 s at most.

Tests' instances now say that the system starts for the first time where it does, as the platform does, and not where they are started again.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -20,6 +20,10 @@
 # How often a relay looks whether an operator has released a request.
 _LOOK_SECONDS = 60.0
 _TICK_SECONDS = 0.25
+# A process that has just started takes requests before it knows which are quarantined, so it looks
+# as soon as it follows the store, if it does so soon.
+_START_TICK_SECONDS = 0.02
+_START_SECONDS = 2.0
 # A release may come milliseconds after the quarantine, from another instance. Its delete must not
 # reach the store before the write.
 _DELETE_DELAY_SECONDS = 1.0
@@ -50,6 +54,7 @@
         "_next_look",
         "_pause",
         "_quarantines",
+        "_starts_until",
         "_store",
         "_to_delete",
         "_to_write",
@@ -70,6 +75,7 @@
         self._follows = follows
         now = _now()
         self._next_look = now + _LOOK_SECONDS if first_start else now
+        self._starts_until = now if first_start else now + _START_SECONDS
         self._to_write: dict[str, CrashReport] = {}
         self._to_delete: dict[str, float] = {}
         self._has_news = asyncio.Event()
@@ -108,8 +114,9 @@
         self._to_delete[fingerprint] = _now() + _DELETE_DELAY_SECONDS
 
     async def _wait_for_news(self) -> None:
+        tick = _START_TICK_SECONDS if _now() < self._starts_until else _TICK_SECONDS
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._has_news.wait(), _TICK_SECONDS)
+            await asyncio.wait_for(self._has_news.wait(), tick)
         self._has_news.clear()
 
     async def _step(self) -> None:
@@ -143,6 +150,7 @@
 
     async def _look(self) -> None:
         listing = await self._store.list(KIND, allow_stale=True)
+        self._starts_until = _now()
         self._next_look = _now() + _LOOK_SECONDS
         for stored in listing.objects:
             try:
--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -137,6 +137,8 @@
         self.kill()
 
     def start(self) -> None:
+        if self.child is not None:
+            self.settings["bootstrap"] = False
         self.settings_path.write_text(json.dumps(self.settings))
         environment = {**os.environ, "LIMPETHOLLOW_SETTINGS": str(self.settings_path)}
         with self.log_path.open("ab") as log:
@@ -253,13 +255,17 @@
         self.store.put("config", "main", configuration(version, *routes))
 
     def instance(self, name: str = "", zone: str = "zone-a") -> PlatformInstance:
-        """Start an instance and wait until it is ready."""
-        return self.begin_instance(name, zone).wait_ready()
+        """Start an instance of a system that starts for the first time, and wait for it."""
+        return self.begin_instance(name, zone, first_start=True).wait_ready()
 
-    def begin_instance(self, name: str = "", zone: str = "zone-a") -> PlatformInstance:
+    def begin_instance(
+        self, name: str = "", zone: str = "zone-a", *, first_start: bool = False
+    ) -> PlatformInstance:
         """Start an instance."""
         name = name or f"front-{len(self.instances) + 1}"
-        return self.adopt(PlatformInstance(name, self.store.address, self.folder, zone))
+        instance = PlatformInstance(name, self.store.address, self.folder, zone)
+        instance.settings["bootstrap"] = first_start
+        return self.adopt(instance)
 
     def adopt(self, instance: PlatformInstance) -> PlatformInstance:
         """Start an instance whose settings were changed, and end it with the system."""
