A request is on trial only on a connection opened for it

Cause: its trials went on kept connections used up to 150 ms before, whose searchers the crashing request had ended 10 to 100 ms earlier; their ends, not yet read, counted as ends under the trial.

A call now says what it asks of its connection: any, a recent one, or a new one. A trial asks for a new one; where its searcher has ended, the connect fails, which says nothing of the request. The first end under a request that may run once isn't a trial any more (its connection may have been gone); the second and third are, so that its quarantine still takes three ends.

Ruled out by the logs: news that come late (the crashing request's quarantine was known 10 to 110 ms before), reuse of ids (each start of a searcher has its own).

--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -205,8 +205,8 @@
     "a booking goes on any kept connection",
     Edit(
         _ENGINE + "request/sends.py",
-        "fresh=not outgoing.route.idempotent",
-        "fresh=False",
+        "if self._owner.outgoing.route.idempotent else ConnectionAge.RECENT",
+        "",
     ),
 )
 _mechanism(
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -40,6 +40,7 @@
         idle_since: Monotonic second since which no request is under way.
         idle_timeout: Seconds after which the server closes it when idle; None where it didn't say.
         carried: The requests that it has carried.
+        was_used: Whether a request was ever sent on it.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "carried",
         "idle_since",
         "idle_timeout",
+        "was_used",
     )
 
     def __init__(
@@ -82,6 +84,7 @@
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
         self.carried = CarriedRequests()
+        self.was_used = False
 
     @property
     def usable(self) -> bool:
@@ -107,6 +110,7 @@
         self._on_broken = on_broken
         self._is_head = head
         self._reply_begun = False
+        self.was_used = True
         self._transport.write(data)
 
     def close(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/asks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/asks.py
@@ -54,7 +54,6 @@
             lambda: data,
             lambda reply: waiter.done() or waiter.set_result(reply),
             lambda error: waiter.done() or waiter.set_exception(error),
-            fresh=False,
             head=False,
         )
         self._pool.send(call)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 
 from limpethollow_node.engine.connection.clients import ClientConnection
 from limpethollow_node.engine.messages import Reply
@@ -13,7 +14,7 @@
 # A request that may run once is sent only on a connection that was opened or used this recently.
 # An older one may be about to be closed, or its searcher may have gone dark; then nobody could say
 # whether the request has run. A connect of some 2 ms shows that the searcher is there.
-FRESH_SECONDS = 0.15
+_RECENT_SECONDS = 0.15
 # A kept connection is closed this long before the searcher would close it.
 _CLOSE_EARLY_SECONDS = 1.0
 # Idle connections of a searcher that names no timeout are closed after this time.
@@ -22,6 +23,20 @@
 RenderCall = Callable[[], bytes]
 
 
+class ConnectionAge(Enum):
+    """What a call asks of its connection.
+
+    Attributes:
+        ANY: It may have been idle for long.
+        RECENT: It was opened or used just now, so that the searcher is likely to be there.
+        NEW: It is opened for the call, so that the searcher is there, and carries nothing else.
+    """
+
+    ANY = "any"
+    RECENT = "recent"
+    NEW = "new"
+
+
 class Call:
     """One request to one searcher.
 
@@ -30,7 +45,7 @@
             that is left.
         on_reply: Called with the whole reply.
         on_failed: Called instead with the error; `sent` then says whether bytes had gone out.
-        fresh: Whether an idle connection that might be about to close must not be used.
+        age: What it asks of its connection.
         head: Whether the method is HEAD.
         request_id: Id that the reply echoes, the same where a request is sent again; None where
             the server echoes none.
@@ -41,7 +56,7 @@
         "_connection",
         "_pool",
         "_request_id",
-        "fresh",
+        "age",
         "head",
         "on_failed",
         "on_reply",
@@ -55,7 +70,7 @@
         on_reply: Callable[[Reply], None],
         on_failed: Callable[[Exception], None],
         *,
-        fresh: bool,
+        age: ConnectionAge = ConnectionAge.ANY,
         head: bool,
         request_id: bytes | None = None,
     ) -> None:
@@ -63,7 +78,7 @@
         self.render = render
         self.on_reply = on_reply
         self.on_failed = on_failed
-        self.fresh = fresh
+        self.age = age
         self.head = head
         self.sent = False
         self._pool: Pool | None = None
@@ -75,7 +90,9 @@
         self._pool = pool
 
     def may_use(self, connection: ClientConnection) -> bool:
-        """Return whether a reply on a connection can only be one to this call."""
+        """Return whether a reply on a connection, or its end, can only be due to this call."""
+        if self.age is ConnectionAge.NEW and connection.was_used:
+            return False
         return self._request_id is None or self._request_id not in connection.carried
 
     def write_to(self, connection: ClientConnection) -> None:
@@ -284,9 +301,12 @@
 
     def _take_idle(self, call: Call) -> ClientConnection | None:
         """Take the connection that was used last and is good for a call."""
+        if call.age is ConnectionAge.NEW:
+            return None
         now = self._loop.time()
         for connection in reversed(tuple(self._idle)):
-            if call.fresh and now - connection.idle_since > FRESH_SECONDS:
+            age = now - connection.idle_since
+            if call.age is ConnectionAge.RECENT and age > _RECENT_SECONDS:
                 return None
             if not call.may_use(connection):
                 continue
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -48,22 +48,21 @@
         """Return how many requests are quarantined."""
         return len(self._ledger.quarantined())
 
-    def guard(self, fingerprint: str, *, single_sends: bool) -> CrashGuard:
+    def guard(self, fingerprint: str) -> CrashGuard:
         """Return the guard of a request that is about to run.
 
         Args:
             fingerprint: The request's fingerprint.
-            single_sends: As for `CrashGuard`.
 
         Raises:
             Quarantined: It doesn't run any more.
         """
         evidence = self._ledger.evidence(fingerprint)
         if evidence.standing is not Standing.QUARANTINED:
-            return CrashGuard(fingerprint, evidence, single_sends=single_sends)
+            return CrashGuard(fingerprint, evidence)
         now = self._clock()
         if self._ledger.grant_retrial(fingerprint, now):
-            return CrashGuard(fingerprint, evidence, single_sends=single_sends, retrial=True)
+            return CrashGuard(fingerprint, evidence, retrial=True)
         self._metrics.count("quarantined_requests_refused")
         raise Quarantined(
             "Each searcher that ran this request ended.",
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -180,7 +180,6 @@
             lambda: worked.render(replica, now),
             self._replied,
             self._broke,
-            fresh=False,
             head=False,
             request_id=worked.request_id,
         )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -65,7 +65,7 @@
         names = dispatch.names
         request, arrived = exchange.request, exchange.arrived_at
         request_id = _request_id(request, names)
-        guard = dispatch.quarantines.guard(request.fingerprint, single_sends=not route.idempotent)
+        guard = dispatch.quarantines.guard(request.fingerprint)
         timings = dispatch.timings(route)
         left = _time_left(request, names)
         way = exchange.round_trip or _USUAL_ROUND_TRIP
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -5,7 +5,7 @@
 
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
-from limpethollow_node.engine.process.pools import Call
+from limpethollow_node.engine.process.pools import Call, ConnectionAge
 from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
 from limpethollow_node.engine.request.leaving import tell_if_leaving
 from limpethollow_node.engine.request.outgoing import Outgoing
@@ -95,13 +95,18 @@
             self._render,
             self._replied,
             self._failed,
-            fresh=not outgoing.route.idempotent or self.on_trial,
+            age=self._connection_age(),
             head=outgoing.is_head,
             request_id=outgoing.request_id,
         )
         self.call = call
         self._owner.dispatch.send(self.replica, call)
 
+    def _connection_age(self) -> ConnectionAge:
+        if self.on_trial:
+            return ConnectionAge.NEW
+        return ConnectionAge.ANY if self._owner.outgoing.route.idempotent else ConnectionAge.RECENT
+
     @property
     def service(self) -> str:
         """Return the service that the send is for."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -23,7 +23,6 @@
     Args:
         fingerprint: The request's fingerprint.
         earlier: The evidence from earlier repeats of it, here or at other instances.
-        single_sends: Whether each send of the request is on a connection that is known to work.
         retrial: Whether it runs in spite of the earlier evidence, until one more searcher ends.
 
     Attributes:
@@ -38,7 +37,6 @@
         "_is_sound",
         "_on_trial",
         "_retrial",
-        "_single_sends",
         "_waiting",
         "evidence",
         "fingerprint",
@@ -49,7 +47,6 @@
         fingerprint: str,
         earlier: CrashEvidence,
         *,
-        single_sends: bool,
         retrial: bool = False,
     ) -> None:
         # Kept rather than merged when asked for: each send of a search asks for it twice.
@@ -59,7 +56,6 @@
         self._is_sound = False
         self._on_trial: str | None = None
         self._retrial = retrial
-        self._single_sends = single_sends
         self._waiting: deque[Callable[[], None]] = deque()
         self.evidence = CrashEvidence(epoch=earlier.epoch)
         self.fingerprint = fingerprint
@@ -90,12 +86,12 @@
         return self.standing is Standing.QUARANTINED
 
     @property
-    def wants_fresh(self) -> bool:
-        """Return whether sends must go on connections that are known to work.
+    def wants_trials(self) -> bool:
+        """Return whether a searcher's end under a send would count against the request.
 
-        One that was idle may have ended long ago, which says nothing of the request.
+        The first end may be that of a kept connection, whose searcher was gone before.
         """
-        return self._single_sends or (not self._answered and bool(self._all_evidence))
+        return not self._answered and bool(self._all_evidence)
 
     def may_send(self) -> bool:
         """Return whether another send may go out now."""
@@ -109,13 +105,13 @@
         self._waiting.append(resume)
 
     def begin(self, searcher: str, *, doubtful: bool) -> bool:
-        """Note a send to a searcher; return whether it is a trial.
+        """Note a send to a searcher; return whether it is a trial, on a connection of its own.
 
         Args:
             searcher: The searcher's id.
             doubtful: Whether the searcher may be gone already. Its end proves nothing then.
         """
-        if self._on_trial is not None or not self.wants_fresh:
+        if self._on_trial is not None or not self.wants_trials:
             return False
         self._on_trial = searcher
         self._is_sound = not doubtful
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -200,6 +200,7 @@
         self.work = 0.0
         self.request_id = b""
         self.carried = CarriedRequests()
+        self.was_used = False
 
     def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
         """Take a request's bytes."""
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -157,7 +157,7 @@
         play = Play()
         play.crash_all()
         with pytest.raises(Quarantined):
-            play.dispatch.quarantines.guard(request().fingerprint, single_sends=False)
+            play.dispatch.quarantines.guard(request().fingerprint)
 
     @pytest.mark.parametrize("lost", [1, 3])
     def test_a_repeat_runs_at_one_searcher_first(self, lost):
@@ -204,12 +204,12 @@
         CrashNewsExchange(here, {"there": link})
         for each in (here, there):
             each.take([told], "third")
-        guard = here.guard(FINGERPRINT, single_sends=False)
+        guard = here.guard(FINGERPRINT)
         guard.answered()
         here.ended(guard)
         there.take(link.sent[0].reports, "here")
         there.take([told], "third")
-        assert there.guard(FINGERPRINT, single_sends=False).standing is Standing.TRUSTED
+        assert there.guard(FINGERPRINT).standing is Standing.TRUSTED
 
     def test_a_retrial_that_is_answered_releases_the_request(self):
         report = CrashReport(request().fingerprint, evidence(4, 2))
@@ -279,4 +279,4 @@
         CrashNewsExchange(here, {"there": link})
         here.release(FINGERPRINT, "operator")
         there.take(link.sent[0].reports, "here")
-        assert there.guard(FINGERPRINT, single_sends=False).standing is Standing.TRUSTED
+        assert there.guard(FINGERPRINT).standing is Standing.TRUSTED
--- a/tests/unit/engine/test_evacuations.py
+++ b/tests/unit/engine/test_evacuations.py
@@ -129,7 +129,6 @@
             lambda: b"",
             lambda reply: None,
             lambda error: ended.append((type(error).__name__, call.sent)),
-            fresh=False,
             head=False,
         )
         dispatch.send(fleet.get("i-a"), call)
--- a/tests/unit/engine/test_pools.py
+++ b/tests/unit/engine/test_pools.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from limpethollow_node.engine.messages import Reply
-from limpethollow_node.engine.process.pools import Call, Pool
+from limpethollow_node.engine.process.pools import Call, ConnectionAge, Pool
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=60\r\n\r\nok"
 
@@ -26,7 +26,7 @@
             writer.close()
 
 
-async def ask(pool: Pool) -> Reply:
+async def ask(pool: Pool, age: ConnectionAge = ConnectionAge.ANY) -> Reply:
     """Make one call and wait for its reply."""
     waiter = asyncio.get_running_loop().create_future()
     pool.send(
@@ -34,7 +34,7 @@
             lambda: b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
             waiter.set_result,
             waiter.set_exception,
-            fresh=False,
+            age=age,
             head=False,
         )
     )
@@ -75,3 +75,29 @@
         searcher = asyncio.run(play(pools=3, share=1.0, calls=4))
         assert searcher.open == 3
         assert searcher.taken == 3
+
+
+class TestConnectionAge:
+    """Guards against a searcher's earlier end that is blamed on the request sent to it next."""
+
+    def test_a_call_that_asks_for_a_new_connection_gets_one_right_after_a_reply(self):
+        assert asyncio.run(connections_of(ConnectionAge.NEW)) == 2
+
+    def test_others_use_one_that_was_used_just_now(self):
+        assert asyncio.run(connections_of(ConnectionAge.RECENT)) == 1
+
+    def test_it_gets_one_where_all_that_may_be_open_are_in_use(self):
+        assert asyncio.run(connections_of(ConnectionAge.NEW, share=1.0)) == 2
+
+
+async def connections_of(age: ConnectionAge, share: float = 5.0) -> int:
+    """Make a call, and another one of an age; return how many connections the searcher took."""
+    searcher = CountingSearcher()
+    server = await asyncio.start_server(searcher.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    pool = Pool(f"{host}:{port}", share, lambda error: None)
+    async with server:
+        await ask(pool)
+        assert (await ask(pool, age)).status == 200
+        pool.close()
+    return searcher.taken
--- a/tests/unit/platform/test_quarantines.py
+++ b/tests/unit/platform/test_quarantines.py
@@ -26,7 +26,7 @@
 def lose_on_trial(quarantines: Quarantines, *searchers: str) -> None:
     """Let searchers end under a request on trial."""
     names = frozenset(searchers)
-    guard = CrashGuard("f", CrashEvidence(), single_sends=True)
+    guard = CrashGuard("f", CrashEvidence())
     guard.evidence = CrashEvidence(names, names)
     quarantines.ended(guard)
 
