One end of a searcher is blamed on one request

The other half of the cause: searchers that a crashing request had ended still counted as ended under the trials of the search, up to 250 ms later, also on connections opened for them (a proxy between the two takes a connection and then finds nobody).

Evidence names the run of each searcher (its id and start), and a run ends once. So of quarantined requests, the one released least often, or else the one under which most ended, is blamed; another that would not be quarantined without these ends goes back on trial, everywhere, with its other evidence, and the store forgets its quarantine. Evidence keeps 32 runs in place of 8, so that a search over many shards can be compared. A request with three ends of its own, two of them on trial, is quarantined as before.

Five new tests, of which all but the one of ends of its own failed before (there was no such decision).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quarantines.py
@@ -152,7 +152,17 @@
                 searchers=sorted(evidence.searchers),
                 on_trial=sorted(evidence.on_trial),
             )
+            self._try_explained_again()
         return True
 
+    def _try_explained_again(self) -> None:
+        """Let requests run again whose searchers ended under another quarantined one."""
+        for fingerprint in self._ledger.explained():
+            report = self._ledger.try_again(fingerprint, self._clock())
+            was = Standing.QUARANTINED.value
+            events.REQUEST_RELEASED.log(fingerprint=fingerprint, was=was, reason="explained")
+            self.on_released(fingerprint)
+            self.on_reports([report])
+
     def _standing(self, fingerprint: str) -> Standing:
         return self._ledger.evidence(fingerprint).standing
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -83,7 +83,7 @@
         self.started = now
         self.call: OpenCall | None = None
         self.on_trial = owner.outgoing.guard.begin(
-            replica.searcher.id, doubtful=replica.is_doubtful
+            replica.searcher.run, doubtful=replica.is_doubtful
         )
         replica.in_flight[self._number] = now
         replica.sent(now)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -227,14 +227,14 @@
 
     def _tell_guard(self, send: Send, verdict: Verdict) -> None:
         """Tell what the end of a send says of the request."""
-        guard, searcher = self.outgoing.guard, send.replica.searcher.id
+        guard, searcher = self.outgoing.guard, send.replica.searcher.run
         if verdict is Verdict.ANSWERED:
             guard.answered()
             return
         if verdict is not Verdict.LOST:
             guard.ended(searcher)
             return
-        self.lost.append(searcher)
+        self.lost.append(send.replica.searcher.id)
         guard.lost(searcher)
         if guard.is_quarantined:
             # Now, not at the request's end: other sends of it may last until its deadline.
@@ -326,12 +326,12 @@
         dropped, self._under_way = self._under_way, []
         for send in dropped:
             send.drop()
-            self.outgoing.guard.ended(send.replica.searcher.id)
+            self.outgoing.guard.ended(send.replica.searcher.run)
 
     def _withdraw(self, send: Send) -> None:
         self._under_way.remove(send)
         send.drop()
-        self.outgoing.guard.ended(send.replica.searcher.id)
+        self.outgoing.guard.ended(send.replica.searcher.run)
         self._sends -= 1
         self._runs -= 1
         self._arrivals -= 1
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -9,7 +9,7 @@
 # How many of them must have run it on trial. One end may be a coincidence: others crash them too.
 _TRIALS_TO_QUARANTINE = 2
 # Ids that are kept and told of one request; more would prove nothing more.
-_MOST_SEARCHERS = 8
+_MOST_SEARCHERS = 32
 # Requests that are kept. The oldest go first, suspects before quarantined ones.
 _MOST_REQUESTS = 256
 _SUSPECT_SECONDS = 600.0
@@ -38,7 +38,7 @@
     """Searchers whose connections ended under a request before any reply, while none answered it.
 
     Attributes:
-        searchers: Their ids.
+        searchers: The runs of searchers that ended.
         on_trial: Those of them that ran it on trial: on a connection that was known to work, and
             one at a time.
         epoch: How often the request was released: by an answer, or by an operator. Evidence of an
@@ -70,6 +70,14 @@
         """Return what is left of it once the request is released."""
         return CrashEvidence(epoch=self.epoch + 1)
 
+    def without_trials(self) -> "CrashEvidence":
+        """Return what is left of it once its trials turn out to prove nothing."""
+        return CrashEvidence(self.searchers, epoch=self.epoch + 1)
+
+    def unexplained(self, searchers: frozenset[str]) -> "CrashEvidence":
+        """Return what is left of it without some searchers, whose ends had another cause."""
+        return CrashEvidence(self.searchers - searchers, self.on_trial - searchers, self.epoch)
+
     def merged(self, other: "CrashEvidence") -> "CrashEvidence":
         """Return this and other evidence, those on trial first where there are too many."""
         if self.epoch != other.epoch:
@@ -180,6 +188,33 @@
         self.add(report, now)
         return report
 
+    def explained(self) -> list[str]:
+        """Return the quarantined requests that would not be without the ends another one explains.
+
+        Requests that ran on the same searchers lose their connections together. Of them, the one
+        that was released least often is to blame, or else that under which most searchers ended.
+        """
+        suspects = [(name, self._records[name].evidence) for name in self.quarantined()]
+        suspects.sort(key=lambda each: (each[1].epoch, -len(each[1].searchers), each[0]))
+        blamed: frozenset[str] = frozenset()
+        found = []
+        for name, evidence in suspects:
+            if evidence.unexplained(blamed).standing is Standing.QUARANTINED:
+                blamed |= evidence.searchers
+            else:
+                found.append(name)
+        return found
+
+    def try_again(self, fingerprint: str, now: float) -> CrashReport:
+        """Let a request run on trial again, as its trials proved nothing.
+
+        Returns:
+            What others must know of that.
+        """
+        report = CrashReport(fingerprint, self.evidence(fingerprint).without_trials())
+        self.add(report, now)
+        return report
+
     def expire(self, now: float) -> list[str]:
         """Forget what is too old; return the fingerprints of the requests that may run again."""
         old = [name for name, record in self._records.items() if _is_over(record, now)]
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -54,6 +54,11 @@
     incarnation: int = 0
     cold_left: float = 0.0
 
+    @property
+    def run(self) -> str:
+        """Return what tells this run of its process from others under the same id."""
+        return f"{self.id}/{self.incarnation}" if self.incarnation else self.id
+
 
 @dataclass(slots=True)
 class Replica:
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/crashguards.py
@@ -108,7 +108,7 @@
         """Note a send to a searcher; return whether it is a trial, on a connection of its own.
 
         Args:
-            searcher: The searcher's id.
+            searcher: The run of the searcher.
             doubtful: Whether the searcher may be gone already. Its end proves nothing then.
         """
         if self._on_trial is not None or not self.wants_trials:
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -16,6 +16,7 @@
     CrashReport,
     Standing,
 )
+from limpethollow_policy.process.fleets import Searcher
 from limpethollow_wire.exceptions import Quarantined
 from tests.support.searches import SearchPlay
 from tests.support.virtual import VirtualDispatch, lose, reply_of, request
@@ -238,6 +239,55 @@
         assert not play.dispatch.quarantines.reports()
 
 
+class TestExplainedEnds:
+    """Guards against a quarantine of requests that ran beside a crashing one."""
+
+    CRASHING = CrashReport("crashing", evidence(6, 2))
+    INNOCENT = CrashReport(
+        "innocent", CrashEvidence(frozenset({"i-1", "i-2", "i-3"}), frozenset({"i-2", "i-3"}))
+    )
+
+    @pytest.mark.parametrize("first", [CRASHING, INNOCENT])
+    def test_one_end_is_blamed_on_one_request(self, first):
+        quarantines = Quarantines(Metrics(), lambda: 0.0)
+        released: list[str] = []
+        quarantines.on_released = released.append
+        second = self.INNOCENT if first is self.CRASHING else self.CRASHING
+        quarantines.take([first], "peer")
+        quarantines.take([second], "peer")
+        assert released == ["innocent"]
+        assert quarantines.is_quarantined("crashing")
+        assert quarantines.guard("innocent").standing is Standing.SUSPECT
+
+    def test_ends_of_its_own_quarantine_a_request_all_the_same(self):
+        quarantines = Quarantines(Metrics(), lambda: 0.0)
+        own = frozenset({"j-1", "j-2", "j-3"})
+        quarantines.take([self.CRASHING], "peer")
+        quarantines.take([CrashReport("other", CrashEvidence(own | {"i-1"}, own))], "peer")
+        assert quarantines.is_quarantined("other")
+
+    def test_instances_that_hear_of_it_in_another_order_agree(self):
+        one, two = (Quarantines(Metrics(), lambda: 0.0) for _ in range(2))
+        told: list[CrashReport] = []
+        one.on_reports = two.on_reports = told.extend
+        one.take([self.CRASHING, self.INNOCENT], "peer")
+        two.take([self.INNOCENT, self.CRASHING], "peer")
+        for each in (one, two):
+            each.take(told, "peer")
+        assert set(one.reports()) == set(two.reports())
+
+    def test_of_two_alike_the_one_that_was_never_answered_is_blamed(self):
+        quarantines = Quarantines(Metrics(), lambda: 0.0)
+        answered = CrashEvidence(evidence(6, 2).searchers, evidence(6, 2).on_trial, epoch=1)
+        quarantines.take([CrashReport("answered", answered), self.CRASHING], "peer")
+        assert quarantines.is_quarantined("crashing")
+        assert not quarantines.is_quarantined("answered")
+
+    def test_a_searcher_that_started_again_under_its_id_ends_anew(self):
+        before, after = (Searcher("i", "s", "h:1", "a", 2, incarnation=n) for n in (1, 2))
+        assert before.run != after.run
+
+
 class FakeLink:
     """Keeps what it is given to send."""
 
