--- a/tests/system/platform/test_stops.py
+++ b/tests/system/platform/test_stops.py
@@ -6,13 +6,13 @@
 import threading
 import time
 
-from tests.support.platforms import HOST, PlatformInstance, forward_route
+from tests.support.platforms import HOST, PlatformInstance, PlatformSystem, forward_route
 from tests.support.processes import wait_for
 
 GRACE_SECONDS = 3
 WORK_SECONDS = 0.3
 CALLERS = 8
-# Of the grace; a process that was starved or frozen this long doesn't know when the signal came.
+# A process that is frozen for this part of the grace doesn't know when the signal came.
 FROZEN_SECONDS = 1.2
 # More than the system keeps for a caller that reads slowly.
 LARGE_BYTES = 3_900_000
@@ -73,12 +73,7 @@
 class TestStop:
     def test_no_request_that_was_read_is_lost(self, system):
         """Guards against requests taken until the end and cut by the exit."""
-        for number in range(4):
-            system.backend("desk", f"i-{number}", work=WORK_SECONDS)
-        system.configure(1, forward_route("desk"))
-        instance = system.instance()
-        callers = [ClosedLoopCaller(instance, number) for number in range(CALLERS)]
-        time.sleep(1.0)
+        instance, callers = start_under_load(system)
         for caller in callers:
             caller.stopped_at = time.monotonic()
         instance.terminate()
@@ -143,12 +138,7 @@
 
     def test_a_process_that_was_frozen_ends_before_it_is_killed(self, system):
         """Guards against requests lost to a kill that comes sooner than the process believes."""
-        for number in range(4):
-            system.backend("desk", f"i-{number}", work=WORK_SECONDS)
-        system.configure(1, forward_route("desk"))
-        instance = system.instance()
-        callers = [ClosedLoopCaller(instance, number) for number in range(CALLERS)]
-        time.sleep(1.0)
+        instance, callers = start_under_load(system)
         instance.signal(signal.SIGSTOP)
         instance.terminate()
         stopped_at = time.monotonic()
@@ -160,6 +150,17 @@
             caller.wait()
 
 
+def start_under_load(system: PlatformSystem) -> tuple[PlatformInstance, list[ClosedLoopCaller]]:
+    """Start an instance and callers that keep it busy."""
+    for number in range(4):
+        system.backend("desk", f"i-{number}", work=WORK_SECONDS)
+    system.configure(1, forward_route("desk"))
+    instance = system.instance()
+    callers = [ClosedLoopCaller(instance, number) for number in range(CALLERS)]
+    time.sleep(1.0)
+    return instance, callers
+
+
 def head_of(request_id: str) -> bytes:
     """Return a request without a body as its caller sends it."""
     lines = [
