--- a/tests/system/lifecycle/test_shutdown.py
+++ b/tests/system/lifecycle/test_shutdown.py
@@ -1,8 +1,10 @@
 """Graceful shutdown of real instances under real callers."""
 
+import threading
 import time
 
 import pytest
+import urllib3
 
 from tests.support.clusters import DOMAINS, Cluster
 from tests.support.processes import Process, wait_for
@@ -12,6 +14,8 @@
 EXIT_SECONDS = 60.0
 LONG = 3.0
 LAST_MOMENT = 0.5
+# A search that was not read may lose its connection this soon after it was sent.
+LOSS_SLACK_SECONDS = 0.2
 
 
 @pytest.fixture
@@ -252,6 +256,51 @@
     cluster.publish_list()
 
 
+class ClosedLoopCaller:
+    """Searches at one address, each time on a new connection, until nobody listens there.
+
+    Attributes:
+        statuses: Statuses of the answers.
+        cut: Seconds that each request without a whole answer waited.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._thread = threading.Thread(target=self._run)
+        self.statuses: list[int] = []
+        self.cut: list[float] = []
+        self._thread.start()
+
+    def wait(self) -> None:
+        self._thread.join()
+
+    def _run(self) -> None:
+        while True:
+            sent_at = time.monotonic()
+            with KeptConnection(self._address) as caller:
+                try:
+                    self.statuses.append(caller.search(SERVICE)[0])
+                except urllib3.exceptions.NewConnectionError:
+                    return
+                except (OSError, urllib3.exceptions.HTTPError):
+                    self.cut.append(time.monotonic() - sent_at)
+
+
+class TestCallersInAClosedLoop:
+    def test_no_search_is_cut_off_by_the_exit(self, cluster):
+        """Guards against a shutdown that waits for a quiet moment which never comes."""
+        start(cluster, service_time=LONG)
+        callers = [ClosedLoopCaller(address(cluster, "n0")) for _ in range(6)]
+        wait_for(lambda: all(caller.statuses for caller in callers), "all are served")
+        cluster.instances["n0"].terminate()
+        assert cluster.instances["n0"].wait(EXIT_SECONDS) == 0
+        for caller in callers:
+            caller.wait()
+        # Connections that wait in the listener's queue when it closes are reset unread.
+        assert [s for caller in callers for s in caller.cut if s > LOSS_SLACK_SECONDS] == []
+        assert {status for caller in callers for status in caller.statuses} <= {200, 503}
+
+
 class TestWaitingIsBounded:
     FOREVER = 600.0
     DEADLINE = 60.0
