The first return of a store that told no era before, or 0, cuts its watches too

A store that tells no era, or 0, until its first drill was followed on as if nothing had happened.

What callers saw (new test, real process): the store comes back from a copy while it keeps its waiting watches. The watch is at the old revision, and stays silent until the store has passed it. A searcher that drained got 170 requests later than 3 s, until the watch's own ten seconds were over. With a first era of 1 the same test passed: the answer to the next check cuts the watches.

Cause: era 0 stood both for "no answer yet" and for "the answers tell none", so `era > was > 0` left the first return out. The same in the own entry, which was written again 3 s later than it could be.

Fix: before the first answer the era is unknown, a value of its own; each later rise is a return.

Before: test_it_is_known_where_the_store_keeps_the_watches_of_the_time_before[None] and [0] failed, [1] passed; three of the unit tests failed. After: all pass.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/membership.py
@@ -10,6 +10,7 @@
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.revisions import UNKNOWN_ERA
 from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound
 
 KIND = "instances"
@@ -50,7 +51,7 @@
         self._rng = rng
         self._joining = False
         self._joined = False
-        self._era = 0
+        self._era = UNKNOWN_ERA
         self._delay = 0.0
         self._missing_since: float | None = None
 
@@ -66,7 +67,7 @@
             era: The store's era of that list.
             now: Monotonic second.
         """
-        if era > self._era > 0:
+        if era > self._era > UNKNOWN_ERA:
             self._joined = listed
             self._delay = _SPREAD_SECONDS * self._rng.random()
         self._era = max(self._era, era)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -10,7 +10,7 @@
 from limpethollow_node.platform.codec import StoredObject
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.revisions import Revision
+from limpethollow_policy.process.revisions import UNKNOWN_ERA, Revision
 from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
 
 T = TypeVar("T")
@@ -89,7 +89,8 @@
         on_restored: Called when an answer shows that the store came back from an older copy.
 
     Attributes:
-        era: The highest era that an answer told; 0 where none did.
+        era: The highest era that an answer told, 0 where none did; `UNKNOWN_ERA` before the first
+            answer.
     """
 
     __slots__ = ("_asker", "_metrics", "_on_restored", "era")
@@ -100,7 +101,7 @@
         self._asker = Asker(address, _CONNECTIONS)
         self._metrics = metrics
         self._on_restored = on_restored
-        self.era = 0
+        self.era = UNKNOWN_ERA
 
     async def list(self, kind: str, *, allow_stale: bool = False) -> Listing:
         """Read all objects of a kind.
@@ -229,15 +230,16 @@
         """
         value = reply.header(_ERA)
         if value is None or not value.isdigit():
-            if value is not None or self.era:
+            if value is not None or self.era > 0:
                 events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
+            self.era = max(self.era, 0)
             return 0
         era = int(value)
         if era < self.era:
             events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
             raise Unavailable(f"The answer to a {call} is of the store's era {era}, an older one.")
         was, self.era = self.era, era
-        if era > was > 0:
+        if era > was > UNKNOWN_ERA:
             events.STORE_RESTORED.log(era=era, was=was)
             self._on_restored()
         return era
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/revisions.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/revisions.py
@@ -19,3 +19,5 @@
 
 
 NOTHING_KNOWN = Revision()
+# Before the first answer: below the first era of any store, also of one that counts from 0.
+UNKNOWN_ERA = -1
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -3,7 +3,8 @@
 Tests set the fields below to act out its faults: `silent` takes calls and never answers them, also
 watches that were waiting; `refuses` answers 503; `loses_replies` carries writes out and closes the
 connection; `forget_history` makes older watches fail with 410; `restore` goes back to what `copy`
-kept, with its revisions, which are given out again.
+kept, with its revisions, which are given out again, and cuts the watches that wait unless
+`cuts_watches` is off. With an `era` of None no answer tells one.
 """
 
 import copy
@@ -41,7 +42,8 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
-        self.era = 1
+        self.era: int | None = 1
+        self.cuts_watches = True
         self.silent = False
         self.refuses = False
         self.loses_replies = False
@@ -110,17 +112,17 @@
             return StoreCopy(self.revision, self.oldest, objects, list(self.history))
 
     def restore(self, kept: StoreCopy) -> None:
-        """Go on from a copy, in a new era; watches that wait are cut."""
+        """Go on from a copy, in a new era."""
         with self.changed:
             self.objects = copy.deepcopy(kept.objects)
             self.history = list(kept.history)
             self.revision, self.oldest = kept.revision, kept.oldest
-            self.era += 1
+            self.era = 1 if self.era is None else self.era + 1
             self.changed.notify_all()
 
     def headers_of_all(self) -> dict[str, str]:
         """Return the header with the era."""
-        return {"Store-Era": str(self.era)}
+        return {} if self.era is None else {"Store-Era": str(self.era)}
 
     def go_silent(self) -> None:
         """Answer nothing more; calls that wait now are never answered, also not later."""
@@ -173,15 +175,16 @@
             def is_gone() -> bool:
                 return after + 1 < self.oldest or after > self.revision
 
+            def is_cut() -> bool:
+                return self.cuts_watches and (is_gone() or self.era != era)
+
             if is_gone():
                 return 410, None
             self.watching[kind] += 1
-            self.changed.wait_for(
-                lambda: news() or self.silent or is_gone() or self.era != era, timeout=wait
-            )
+            self.changed.wait_for(lambda: news() or self.silent or is_cut(), timeout=wait)
             self.watching[kind] -= 1
             silent, found = self.silent, news()
-            if is_gone() or self.era != era:
+            if is_cut():
                 raise DropConnection
             answer = {"events": found, "currentRev": self.revision}
         if silent:
--- a/tests/system/platform/test_returns.py
+++ b/tests/system/platform/test_returns.py
@@ -15,6 +15,8 @@
 WATCHED_SECONDS = 1.0
 # Searchers that lost their entries write them again this much later.
 REWRITTEN_SECONDS = 1.5
+# An instance that has just started waits up to this long after changes until it watches again.
+LONGEST_PAUSE_SECONDS = 1.5
 # The other searcher is slower than the draining one, which is chosen wherever it may be.
 SLOW_SECONDS = 0.1
 
@@ -87,6 +89,19 @@
         change_others(desk, 2 * LOST)
         check_drained(draining, instance)
 
+    @pytest.mark.parametrize("era", [None, 0, 1])
+    def test_it_is_known_where_the_store_keeps_the_watches_of_the_time_before(self, desk, era):
+        """Guards against a first return that isn't noticed, as the era before it was none or 0."""
+        desk.store.era = era
+        desk.store.cuts_watches = False
+        instance = desk.instance()
+        kept = desk.store.copy()
+        change_others(desk, LOST)
+        wait_for(lambda: f"searchers_known {LOST + 2}" in instance.metrics(), "they are known")
+        time.sleep(LONGEST_PAUSE_SECONDS)
+        desk.store.restore(kept)
+        drain(desk, instance)
+
     def test_instances_that_hear_of_it_from_a_relay_know_too(self, desk):
         instances = [desk.instance(f"front-{number}") for number in range(3)]
         lose_changes(desk)
--- a/tests/unit/platform/test_eras.py
+++ b/tests/unit/platform/test_eras.py
@@ -50,6 +50,16 @@
         assert found == [Revision(1, 5), Revision(3, 5), Revision(3, 5)]
         assert told == [3]
 
+    @pytest.mark.parametrize("first", [None, b"0"])
+    def test_the_first_rise_of_a_store_that_told_none_is_a_return_too(self, first):
+        """Guards against watches that are kept across the first return of a store."""
+        _, told = play((200, first, LIST), (200, b"1", LIST), (200, b"1", LIST))
+        assert told == [1]
+
+    def test_the_first_era_that_is_heard_is_no_return(self):
+        _, told = play((200, b"5", LIST), (200, b"5", LIST))
+        assert told == []
+
     def test_it_is_read_from_errors_too(self):
         found, told = play((200, b"1", LIST), (404, b"2", b""))
         assert found == [Revision(1, 5), NotFound]
--- a/tests/unit/platform/test_membership.py
+++ b/tests/unit/platform/test_membership.py
@@ -3,6 +3,8 @@
 import asyncio
 from random import Random
 
+import pytest
+
 from limpethollow_node.platform.membership import MISSING_SECONDS, Membership
 from limpethollow_policy.process.placements import Instance
 from limpethollow_wire.exceptions import Unavailable
@@ -43,11 +45,12 @@
         assert not own.look(False, 1, 101.0 + MISSING_SECONDS)
         assert own.look(False, 1, 101.1 + MISSING_SECONDS)
 
-    def test_one_whose_entry_the_store_has_lost_joins_at_once(self):
+    @pytest.mark.parametrize("era", [0, 1])
+    def test_one_whose_entry_the_store_has_lost_joins_at_once(self, era):
         """Guards against an instance that nobody is told of for 3 s after the store's return."""
         own = membership()
-        own.look(True, 1, 100.0)
-        assert own.look(False, 2, 101.0)
+        own.look(True, era, 100.0)
+        assert own.look(False, era + 1, 101.0)
 
     def test_one_whose_entry_is_in_the_copy_does_not_join(self):
         own = membership()
