Quarantines that the store has lost are written again once it is followed

What callers would see: a request that ends its searchers is quarantined, the store comes back from a copy without it, all instances are killed, and the request runs again and ends its searchers once more.

Cause: the first answer of the new era is the one that shows the return, and it comes to an instance whose feeds have just lost the store. `store_restored` looked whether this instance follows the store at that very moment, found that it didn't, and left the writing to others, who did the same. The logs of the new test show it: event 212 (feed lost) 0.2 s before event 217 (the return), 213 after it.

Fix: the return is remembered, and what is quarantined is written as soon as this instance follows the store, within ten seconds.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -24,6 +24,8 @@
 # as soon as it follows the store, if it does so soon.
 _START_TICK_SECONDS = 0.02
 _START_SECONDS = 2.0
+# An instance that begins to follow the store this long after its return leaves that to the others.
+_RESTORED_SECONDS = 10.0
 # A release may come milliseconds after the quarantine, from another instance. Its delete must not
 # reach the store before the write.
 _DELETE_DELAY_SECONDS = 1.0
@@ -54,6 +56,7 @@
         "_next_look",
         "_pause",
         "_quarantines",
+        "_restored_at",
         "_starts_until",
         "_store",
         "_to_delete",
@@ -76,6 +79,7 @@
         now = _now()
         self._next_look = now + _LOOK_SECONDS if first_start else now
         self._starts_until = now if first_start else now + _START_SECONDS
+        self._restored_at: float | None = None
         self._to_write: dict[str, CrashReport] = {}
         self._to_delete: dict[str, float] = {}
         self._has_news = asyncio.Event()
@@ -87,12 +91,11 @@
         self._pause.end()
 
     def store_restored(self) -> None:
-        """Write again what the store may have lost, and read what it holds."""
-        if not self._follows():
-            return
-        for report in self._quarantines.quarantined_reports():
-            self._quarantined(report)
-        self._next_look = _now()
+        """Write again what the store may have lost, and read what it holds, if it is followed.
+
+        The first answer of a store that was away comes before its feeds are connected again.
+        """
+        self._restored_at = _now()
 
     async def run(self) -> None:
         """Keep the store and the evidence in step until cancelled."""
@@ -120,6 +123,8 @@
         self._has_news.clear()
 
     async def _step(self) -> None:
+        if self._restored_at is not None and self._follows():
+            self._write_again()
         await self._write_new()
         for fingerprint in self._quarantines.expire():
             self._delete_later(fingerprint)
@@ -127,6 +132,15 @@
         if self._follows() and _now() >= self._next_look:
             await self._look()
 
+    def _write_again(self) -> None:
+        """Have all that is quarantined written and read, unless that was up to other followers."""
+        restored_at, self._restored_at = self._restored_at, None
+        if _now() > restored_at + _RESTORED_SECONDS:
+            return
+        for report in self._quarantines.quarantined_reports():
+            self._quarantined(report)
+        self._next_look = _now()
+
     async def _write_new(self) -> None:
         for fingerprint, report in list(self._to_write.items()):
             if self._quarantines.is_quarantined(fingerprint):
--- a/tests/system/platform/test_returns.py
+++ b/tests/system/platform/test_returns.py
@@ -5,7 +5,13 @@
 import pytest
 
 from tests.standins.backends import BackendStandIn
-from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route
+from tests.support.crashes import CrashingSearchers, send_crashing, wait_served
+from tests.support.platforms import (
+    PlatformInstance,
+    PlatformSystem,
+    forward_route,
+    search_route,
+)
 from tests.support.processes import wait_for
 
 # Changes of other searchers that the copy doesn't have.
@@ -17,6 +23,7 @@
 REWRITTEN_SECONDS = 1.5
 # An instance that has just started waits up to this long after changes until it watches again.
 LONGEST_PAUSE_SECONDS = 1.5
+SHARDS = ["s-1", "s-2", "s-3", "s-4"]
 # The other searcher is slower than the draining one, which is chosen wherever it may be.
 SLOW_SECONDS = 0.1
 
@@ -148,6 +155,24 @@
         assert system.store.calls["create"] + system.store.calls["replace"] - writes <= 2
 
 
+class TestQuarantines:
+    @pytest.mark.parametrize("away", [0.0, 2.0])
+    def test_a_lost_quarantine_is_written_again(self, system, away):
+        """Guards against crashing requests that run again at a start of all after a return."""
+        searchers = CrashingSearchers(system, SHARDS)
+        system.configure(1, search_route(SHARDS))
+        instances = [system.instance("front-1"), system.instance("front-2")]
+        wait_served(instances, "/find/before")
+        kept = system.store.copy()
+        send_crashing(searchers, instances, "/find/", times=1)
+        wait_for(lambda: system.store.names("quarantines"), "the store has it")
+        system.store.refuses = away > 0
+        time.sleep(away)
+        system.store.restore(kept)
+        system.store.refuses = False
+        wait_for(lambda: system.store.names("quarantines"), "the store has it again", 4.0)
+
+
 def ask_for(seconds: float, *instances: PlatformInstance) -> list[int]:
     """Send requests for some seconds, and return the statuses of the answers."""
     until = time.monotonic() + seconds
