The own interface orders what the platform tells by era first

Configuration records, the list of instances and conditional writes were ordered by the platform's revision alone. After the platform came back from an older copy (stand-in: POST /control/copy, /control/restore):

- an operator's confirmed change stayed without effect at all instances while its version was lower than one that was lost, and for good where it had the same one;
- the list of instances was ignored until its revision had passed the old one, so that an instance that leaves was still named to callers;
- a conditional write with a version of before overwrote another write that was given the same version.

Its client carries era and number as one integer that orders writes of all eras, and splits it again in what it asks; nothing else changes, and instances of an older release order these integers as they should. A write that the copy lacks stays in force at the instances until the next one of the same object. People read "47 of era 2".

Weighed against a second field for the era in records, digests, fingerprints, list changes and plans: nine messages would change, and a release without it would order by the number again.

--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -10,10 +10,12 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.callbudgets import DEFAULT_RATES, CallBudget, RetryBudget
+from limpethollow_policy.process.revisions import UNKNOWN_ERA
 from limpethollow_wire.codecs import to_json
 from limpethollow_wire.exceptions import Conflict, NotFound, Unavailable
-from limpethollow_wire.instances import InstanceList
+from limpethollow_wire.instances import InstanceInfo, InstanceList, SearcherListing
 from limpethollow_wire.settings import PlatformSettings
+from limpethollow_wire.versions import era_of, number_of, version_of
 
 T = TypeVar("T")
 
@@ -30,7 +32,14 @@
 
 
 class PlatformObject(msgspec.Struct, frozen=True):
-    """One object with its version, which rises with every write."""
+    """One object with its version, which rises with every write.
+
+    Attributes:
+        kind: Its kind.
+        name: Its name.
+        version: Its version, which orders writes of all eras.
+        value: What it holds.
+    """
 
     kind: str
     name: str
@@ -39,12 +48,46 @@
 
 
 class ObjectList(msgspec.Struct, frozen=True):
-    """Objects and the platform's revision at which they were read."""
+    """Objects and the platform's revision at which they were read, which orders as versions do."""
 
     revision: int
     objects: tuple[PlatformObject, ...]
 
 
+class _ObjectAnswer(msgspec.Struct, frozen=True):
+    """An object as the platform tells it; its version counts within the era of its write."""
+
+    kind: str
+    name: str
+    version: int
+    value: dict[str, Any]
+    era: int = 0
+
+    def decoded(self) -> PlatformObject:
+        version = version_of(self.era, self.version)
+        return PlatformObject(self.kind, self.name, version, self.value)
+
+
+class _ListAnswer(msgspec.Struct, frozen=True):
+    revision: int
+    objects: tuple[_ObjectAnswer, ...]
+    era: int = 0
+
+    def decoded(self) -> ObjectList:
+        objects = tuple(stored.decoded() for stored in self.objects)
+        return ObjectList(version_of(self.era, self.revision), objects)
+
+
+class _InstancesAnswer(msgspec.Struct, frozen=True):
+    revision: int
+    instances: tuple[InstanceInfo, ...]
+    searchers: tuple[SearcherListing, ...] = ()
+    era: int = 0
+
+    def decoded(self) -> InstanceList:
+        return InstanceList(version_of(self.era, self.revision), self.instances, self.searchers)
+
+
 class PlatformClient:
     """Calls the object API within deadlines and a budget, each call counted by kind.
 
@@ -60,6 +103,7 @@
         self._budget = CallBudget(DEFAULT_RATES)
         self._retries = RetryBudget(_RETRY_SHARE, _RETRY_LIMIT)
         self._is_failing = False
+        self._era = UNKNOWN_ERA
         self._pool = self._new_pool()
 
     def __enter__(self) -> "PlatformClient":
@@ -77,13 +121,13 @@
         """
         path = f"/objects/{kind}/{name}"
         try:
-            return self._call("read", "GET", path, PlatformObject)
+            return self._call("read", "GET", path, _ObjectAnswer).decoded()
         except CallBudgetSpent:
             raise
         except Unavailable:
             if not self.may_retry("read"):
                 raise
-            return self._call("read", "GET", path, PlatformObject)
+            return self._call("read", "GET", path, _ObjectAnswer).decoded()
 
     def write(
         self, kind: str, name: str, value: dict[str, Any], if_version: int | None = None
@@ -94,12 +138,15 @@
             Conflict: The object has another version.
             Unavailable: The platform gave no usable answer; the write may have taken effect.
         """
-        body = to_json({"value": value, "if_version": if_version})
-        return self._call("write", "PUT", f"/objects/{kind}/{name}", PlatformObject, body)
+        body = to_json({"value": value, **_condition(if_version)})
+        path = f"/objects/{kind}/{name}"
+        return self._call("write", "PUT", path, _ObjectAnswer, body).decoded()
 
     def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind."""
-        return self._call("list", "GET", f"/objects/{kind}", ObjectList)
+        answer = self._call("list", "GET", f"/objects/{kind}", _ListAnswer)
+        self._note_era(answer.era)
+        return answer.decoded()
 
     def watch(self, kind: str, after: int, wait: float | None = None) -> ObjectList:
         """Wait for objects newer than a revision; empty where none came in time.
@@ -110,14 +157,18 @@
             wait: Seconds to wait; as the settings say where left out.
         """
         wait = self._settings.watch_timeout if wait is None else wait
-        path = f"/watch/{kind}?after={after}&timeout={wait}"
-        return self._call("watch", "GET", path, ObjectList, patience=wait)
+        path = f"/watch/{kind}?{_position(after)}&timeout={wait}"
+        answer = self._call("watch", "GET", path, _ListAnswer, patience=wait)
+        self._note_era(answer.era)
+        return answer.decoded()
 
     def instances(self, after: int) -> InstanceList:
         """Wait for the list of instances to be newer than a revision; -1 answers at once."""
         wait = self._settings.watch_timeout
-        path = f"/instances?after={after}&timeout={wait}"
-        return self._call("instances", "GET", path, InstanceList, patience=wait)
+        path = f"/instances?{_position(after)}&timeout={wait}"
+        answer = self._call("instances", "GET", path, _InstancesAnswer, patience=wait)
+        self._note_era(answer.era)
+        return answer.decoded()
 
     def may_retry(self, call: str) -> bool:
         """Take one retry from the budget; false where none is left."""
@@ -202,6 +253,12 @@
             self._pool = self._new_pool()
         pool.close()
 
+    def _note_era(self, era: int) -> None:
+        with self._lock:
+            was, self._era = self._era, max(self._era, era)
+        if era > was > UNKNOWN_ERA:
+            events.STORE_RESTORED.log(era=era, was=was)
+
     def _take_budget(self, call: str) -> None:
         with self._lock:
             wait = self._budget.take(call, time.monotonic())
@@ -225,6 +282,18 @@
             events.PLATFORM_BACK.log()
 
 
+def _position(after: int) -> str:
+    """Return the parameters that ask for what is newer than a version."""
+    return f"after={number_of(after)}&era={era_of(after)}"
+
+
+def _condition(version: int | None) -> dict[str, int | None]:
+    """Return the fields that make a write depend on an object's version."""
+    if version is None:
+        return {"if_version": None}
+    return {"if_version": number_of(version), "if_era": era_of(version)}
+
+
 def _read_reply(status: int, data: bytes, kind: type[T]) -> T:
     if status == 404:
         raise NotFound("The platform has no such object.")
--- a/packages/limpethollow-node/src/limpethollow_node/request/parts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/request/parts.py
@@ -16,6 +16,7 @@
 from limpethollow_wire.exceptions import DeadlinePassed, LimpethollowError, Unavailable, VersionGone
 from limpethollow_wire.searches import GroupAnswer, GroupSearch, GroupVersions, ServableVersions
 from limpethollow_wire.services import ServiceRecord
+from limpethollow_wire.versions import version_text
 
 GRACE_SECONDS = 0.25
 RETRY_AFTER = 0.2
@@ -146,7 +147,8 @@
                 return record
         version = record.version if record else 0
         raise VersionGone(
-            f"The owner has version {version} of '{asked.service}', not {asked.spec_version}.",
+            f"The owner has version {version_text(version)} of '{asked.service}', not "
+            f"{version_text(asked.spec_version)}.",
             details={"spec_version": version},
         )
 
--- a/packages/limpethollow-wire/src/limpethollow_wire/instances.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/instances.py
@@ -31,7 +31,13 @@
 
 
 class InstanceList(msgspec.Struct, frozen=True):
-    """The platform's list of instances; searchers are in it where the platform runs them."""
+    """The platform's list of instances; searchers are in it where the platform runs them.
+
+    Attributes:
+        revision: Its revision, which orders lists of all eras.
+        instances: The instances.
+        searchers: The searchers.
+    """
 
     revision: int
     instances: tuple[InstanceInfo, ...]
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -108,6 +108,10 @@
         """Change fields of the stand-in's state."""
         return post(self.address, "/control", fields)
 
+    def command(self, name: str) -> None:
+        """Have the stand-in do what it has a control path for."""
+        post(self.address, f"/control/{name}", {})
+
     def stats(self) -> dict[str, Any]:
         """Return what the stand-in counted."""
         return json.loads(_http.request("GET", f"http://{self.address}/control/stats").data)
