The own entry is written once after a return, not once for each list that comes in that moment

Cause, from the log of a failed run: the lists of four kinds come within the same millisecond, each makes the follower choose, and the first join is a task that has not begun when the next choice looks at the entry. The second write has no delay of its own, so at a return of a large system it also falls out of the second over which the writes are spread.

Fix: while a join is under way the own entry isn't looked at.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -184,6 +184,8 @@
 
         That of the process before says the same but for the start, which peers hear on their links.
         """
+        if self._joining is not None and not self._joining.done():
+            return
         entry = self._catalog.instances.items.get(self._roster.own.name)
         listed = entry is not None and entry.is_same_place(self._roster.own)
         if self._entry.look(listed, self._catalog.instances.revision.era, now):
--- a/tests/unit/engine/test_followers.py
+++ b/tests/unit/engine/test_followers.py
@@ -1,5 +1,6 @@
 """Who follows the store, and who only asks whether it is there."""
 
+import asyncio
 from dataclasses import replace
 from random import Random
 
@@ -57,12 +58,19 @@
 class FakeEntry:
     """Keeps whether the own entry was found as it should be, as often as that was looked at."""
 
+    missing = False
+
     def __init__(self) -> None:
         self.found: list[bool] = []
+        self.joins = 0
 
     def look(self, listed: bool, era: int, now: float) -> bool:
         self.found.append(listed)
-        return False
+        return self.missing
+
+    async def join(self) -> None:
+        self.joins += 1
+        await asyncio.sleep(0.01)
 
 
 def follower(name: str, roster=FakeRoster) -> tuple[StoreFollower, FakeFeed, FakeHealth]:
@@ -243,3 +251,18 @@
         play = Start(OTHER, first=False)
         play.choose(100.0)
         assert play.entry.found == []
+
+    def test_it_is_written_once_at_a_time(self):
+        """Guards against two writes where the lists of several kinds come in the same moment."""
+        assert asyncio.run(self.lists_in_one_moment()) == (1, 2)
+
+    async def lists_in_one_moment(self) -> tuple[int, int]:
+        play = Start(OTHER, first=False)
+        play.members.listed = play.entry.missing = True
+        play.choose(100.0)
+        play.choose(100.0)
+        await asyncio.sleep(0.02)
+        at_first = play.entry.joins
+        play.choose(100.1)
+        await asyncio.sleep(0.02)
+        return at_first, play.entry.joins
