An instance that had ended is not named to callers because an older copy of the store lists it again

Cause: whoever comes onto the list counts as live until the next judgement of silence, and then for as long as a relay that doesn't know of the entry yet doesn't miss it. A removed instance was forgotten together with its silence.

Fix: the roster remembers the last 256 processes that were silent when they were removed. One of them that is listed again stays silent for 3 s, in which relays say whether they miss it, unless this instance hears it itself. Another start of it counts as live at once, as before.

Ruled out: a hold on all entries that come back with a new era, as searchers have it. Instances whose entries were lost, too, would not be named for as long, and one that freezes until it is removed has the same fault without any return.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/roster.py
@@ -1,5 +1,6 @@
 """The instances of the system as this one knows them."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 from limpethollow_policy.process.placements import Instance, leading_among
@@ -8,6 +9,9 @@
 # of one that does: it makes calls for others only while theirs are lost.
 _OTHERS_WEIGHT = 0.125
 
+# Instances that were silent when they were removed, of which the last ones are remembered.
+_MOST_REMOVED = 256
+
 
 class Roster:
     """Known instances, and which of them can be used now.
@@ -26,6 +30,8 @@
         "_known",
         "_leaving",
         "_on_change",
+        "_relisted",
+        "_removed_silent",
         "_silent",
         "_silent_since",
         "is_listed",
@@ -40,6 +46,8 @@
         self._known: dict[str, Instance] = {own.name: own}
         self._silent: set[str] = set()
         self._silent_since: dict[str, float] = {}
+        self._removed_silent: OrderedDict[str, int] = OrderedDict()
+        self._relisted: set[str] = set()
         self._leaving: dict[str, int] = {}
         self._on_change = on_change
 
@@ -77,6 +85,9 @@
     def put(self, instance: Instance) -> None:
         """Add or update an instance; a new start of one counts as live again.
 
+        One that was silent when it was removed stays silent: the store may have come back from a
+        copy that still has its entry.
+
         Incarnations come from the time of day, which may have jumped back between two starts; so
         any other one is a new start. News come in the store's order, never an old one after it.
         """
@@ -85,8 +96,7 @@
             return
         known = self._known.get(instance.name)
         if known is None or known.incarnation != instance.incarnation:
-            self._silent.discard(instance.name)
-            self.started(instance.name, instance.incarnation)
+            self._begin(instance)
         self._known[instance.name] = instance
         if known != instance:
             self._on_change()
@@ -95,12 +105,19 @@
         """Forget an instance."""
         if name == self.own.name:
             self._set_listed(False)
-        elif self._known.pop(name, None) is not None:
+        elif (gone := self._known.pop(name, None)) is not None:
+            if name in self._silent:
+                self._keep_silent(gone)
             self._silent.discard(name)
             self._silent_since.pop(name, None)
+            self._relisted.discard(name)
             self._leaving.pop(name, None)
             self._on_change()
 
+    def is_relisted(self, name: str) -> bool:
+        """Return whether an instance was removed while silent, and not heard of since."""
+        return name in self._relisted
+
     def set_silent(self, name: str, silent: bool, now: float) -> None:
         """Note whether an instance answers its peers."""
         if silent:
@@ -109,6 +126,7 @@
         else:
             self._silent.discard(name)
             self._silent_since.pop(name, None)
+            self._relisted.discard(name)
 
     def silent_for(self, seconds: float, now: float) -> list[str]:
         """Return the instances that have been silent at least this long."""
@@ -123,6 +141,22 @@
         if self._leaving.get(name) != incarnation:
             self._leaving.pop(name, None)
 
+    def _begin(self, instance: Instance) -> None:
+        """Note a process of an instance that was not known."""
+        name = instance.name
+        self._silent.discard(name)
+        self._relisted.discard(name)
+        if self._removed_silent.pop(name, None) == instance.incarnation:
+            self._silent.add(name)
+            self._relisted.add(name)
+        self.started(name, instance.incarnation)
+
+    def _keep_silent(self, gone: Instance) -> None:
+        """Remember that an instance was silent when it was removed."""
+        self._removed_silent[gone.name] = gone.incarnation
+        if len(self._removed_silent) > _MOST_REMOVED:
+            self._removed_silent.popitem(last=False)
+
     def _set_listed(self, is_listed: bool) -> None:
         if is_listed != self.is_listed:
             self.is_listed = is_listed
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/silence.py
@@ -9,6 +9,9 @@
 
 # An instance that was just listed has this long to link up before it counts as silent.
 _LINK_UP_SECONDS = 2.5
+# One that is listed again, and was silent when it was removed, counts as silent this long unless it
+# is heard: relays say within that time whether they miss it.
+_RELISTED_SECONDS = 3.0
 # An instance that serves, and has heard no other one for this long, names only itself: links are up
 # within a second, also after a start of all.
 ALONE_SECONDS = 4.0
@@ -22,12 +25,21 @@
         links: The links to other instances, by name.
     """
 
-    __slots__ = ("_alone_since", "_known_since", "_links", "_missed_by", "_roster", "_told")
+    __slots__ = (
+        "_alone_since",
+        "_known_since",
+        "_links",
+        "_missed_by",
+        "_relisted_since",
+        "_roster",
+        "_told",
+    )
 
     def __init__(self, roster: Roster, links: Mapping[str, PeerLink]) -> None:
         self._roster = roster
         self._links = links
         self._known_since: dict[str, float] = {}
+        self._relisted_since: dict[str, float] = {}
         self._missed_by: dict[str, frozenset[str]] = {}
         self._told: frozenset[str] | None = None
         self._alone_since: float | None = None
@@ -89,8 +101,17 @@
             unknown = hears_nobody and instance.peer_address not in refusing
             reported = name in heard or (missed is not None and name not in missed)
             lives = unknown or reported or (young and name not in self._links)
+            if self._is_doubtful(name, now):
+                lives = name in heard
             self._roster.set_silent(name, not lives, now)
 
+    def _is_doubtful(self, name: str, now: float) -> bool:
+        """Return whether an instance is back on the list, and nobody can say yet that it lives."""
+        if not self._roster.is_relisted(name):
+            self._relisted_since.pop(name, None)
+            return False
+        return now - self._relisted_since.setdefault(name, now) < _RELISTED_SECONDS
+
     def _is_alone(self, now: float) -> bool:
         """Return whether this instance serves and has heard no other one for some time."""
         if self._links or not self._roster.ready:
--- a/tests/system/platform/test_returns.py
+++ b/tests/system/platform/test_returns.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from limpethollow_node.engine.process.silence import ALONE_SECONDS
 from tests.standins.backends import BackendStandIn
 from tests.support.crashes import CrashingSearchers, send_crashing, wait_served
 from tests.support.platforms import (
@@ -21,6 +22,8 @@
 WATCHED_SECONDS = 1.0
 # Searchers that lost their entries write them again this much later.
 REWRITTEN_SECONDS = 1.5
+# Lists of the new era are read within this time of the first answer of it.
+NEWS_SECONDS = 0.5
 # An instance that has just started waits up to this long after changes until it watches again.
 LONGEST_PAUSE_SECONDS = 1.5
 SHARDS = ["s-1", "s-2", "s-3", "s-4"]
@@ -79,6 +82,15 @@
     return system
 
 
+@pytest.fixture
+def two_domains(system):
+    """A service with a searcher in each of two failure domains, the instances' own one first."""
+    system.backend("desk", "i-1", zone="zone-a")
+    system.backend("desk", "i-2", zone="zone-b")
+    system.configure(1, forward_route("desk"))
+    return system
+
+
 class TestDrainAfterAReturn:
     """Guards against beliefs that ignore all news while the store's revisions are lower."""
 
@@ -173,6 +185,55 @@
         wait_for(lambda: system.store.names("quarantines"), "the store has it again", 4.0)
 
 
+class TestEvacuations:
+    def test_one_that_the_copy_lacks_holds_until_it_is_written_again(self, two_domains):
+        """Guards against requests to an evacuated failure domain between return and operator."""
+        instance = two_domains.instance()
+        evacuated, other = two_domains.backends
+        kept = two_domains.store.copy()
+        two_domains.store.put("evacuations", "zone-a", {})
+        wait_for(lambda: instance.events(407), "the evacuation is known")
+        reached = len(evacuated.seen)
+        two_domains.store.restore(kept)
+        assert set(ask_for(REWRITTEN_SECONDS, instance)) == {200}
+        two_domains.store.put("evacuations", "zone-a", {})
+        assert set(ask_for(DRAIN_SECONDS, instance)) == {200}
+        assert (len(evacuated.seen), instance.events(408)) == (reached, [])
+        assert other.seen
+
+    def test_one_that_is_taken_back_after_the_return_ends(self, two_domains):
+        """Guards against an evacuation that outlasts its end while revisions are low."""
+        two_domains.store.put("evacuations", "zone-a", {})
+        instance = two_domains.instance()
+        lose_changes(two_domains)
+        wait_for(lambda: instance.events(217), "the return is known")
+        time.sleep(NEWS_SECONDS)
+        two_domains.store.take_away("evacuations", "zone-a")
+        wait_for(lambda: instance.events(408), "the end is known", DRAIN_SECONDS)
+
+
+class TestDirectory:
+    @pytest.mark.parametrize("others", [1, 2])
+    def test_an_instance_that_is_gone_is_not_named_as_the_copy_has_it(self, desk, others):
+        """Guards against callers that are sent to an address which the drill brought back."""
+        live = [desk.instance(f"front-{number}") for number in range(others)]
+        gone = desk.instance("front-gone")
+        for instance in live:
+            wait_for(lambda i=instance: f"instances_heard {others}" in i.metrics(), "linked")
+        kept = desk.store.copy()
+        gone.kill()
+        own = {f"127.0.0.1:{instance.front}" for instance in live}
+        time.sleep(ALONE_SECONDS)
+        desk.store.take_away("instances", "front-gone")
+        for instance in live:
+            assert set(instance.addresses()) == own
+        desk.store.restore(kept)
+        until = time.monotonic() + DRAIN_SECONDS
+        while time.monotonic() < until:
+            for instance in live:
+                assert set(instance.addresses()) == own
+
+
 def ask_for(seconds: float, *instances: PlatformInstance) -> list[int]:
     """Send requests for some seconds, and return the statuses of the answers."""
     until = time.monotonic() + seconds
--- a/tests/unit/engine/test_roster.py
+++ b/tests/unit/engine/test_roster.py
@@ -80,3 +80,30 @@
         for number in range(5):
             roster.put(instance(f"i-{number}"))
         assert roster.sharers == 6
+
+
+class TestListedAgain:
+    def listed_again(self, incarnation: int, *, silent: bool = True) -> Roster:
+        roster = Roster(instance("own"), lambda: None)
+        roster.put(instance("other", 5))
+        roster.set_silent("other", silent, 10.0)
+        roster.remove("other")
+        roster.put(instance("other", incarnation))
+        return roster
+
+    def test_one_that_was_silent_when_it_was_removed_is_not_live(self):
+        """Guards against an ended instance that is named as the store's older copy has it."""
+        roster = self.listed_again(5)
+        assert (roster.live, roster.is_relisted("other")) == ([], True)
+        roster.set_silent("other", False, 11.0)
+        assert [each.name for each in roster.live] == ["other"]
+        assert not roster.is_relisted("other")
+
+    def test_its_next_process_is_live(self):
+        roster = self.listed_again(6)
+        assert [each.name for each in roster.live] == ["other"]
+        assert not roster.is_relisted("other")
+
+    def test_one_that_was_not_silent_is_live(self):
+        roster = self.listed_again(5, silent=False)
+        assert [each.name for each in roster.live] == ["other"]
--- a/tests/unit/engine/test_silence.py
+++ b/tests/unit/engine/test_silence.py
@@ -1,5 +1,6 @@
 """Which instances callers are told of where one hears few others, or none."""
 
+from limpethollow_node.engine.frames import Silent
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.engine.process.silence import ALONE_SECONDS, SilenceJudge
 from limpethollow_policy.process.placements import Instance
@@ -27,3 +28,31 @@
     def test_one_that_can_not_serve_goes_on_naming_the_others(self):
         """Guards against a machine that is cut off and names nobody to callers that reach it."""
         assert self.judged(ready=False) == [{"b"}, {"b"}]
+
+
+class TestListedAgain:
+    """The entry of an instance that had ended is back with an older copy of the store."""
+
+    def judge(self, *relays: Silent, heard: frozenset[str] = frozenset()) -> list[bool]:
+        """Return whether it is named at once and after a while, given what relays say then."""
+        roster = Roster(OWN, lambda: None)
+        roster.put(OTHER)
+        roster.set_silent(OTHER.name, True, 90.0)
+        roster.remove(OTHER.name)
+        judge = SilenceJudge(roster, {"relay": None})
+        roster.put(OTHER)
+        for number, silent in enumerate(relays):
+            judge.take(f"relay-{number}", silent)
+        named = []
+        for now in (100.0, 104.0):
+            judge.judge(heard, [], now)
+            named.append(OTHER in roster.live)
+        return named
+
+    def test_it_is_not_named_before_the_relays_know_of_its_entry(self):
+        """Guards against relays that don't miss it yet, as it was not on their lists."""
+        assert self.judge(Silent([])) == [False, True]
+        assert self.judge(Silent([OTHER.name])) == [False, False]
+
+    def test_it_is_named_as_soon_as_it_is_heard(self):
+        assert self.judge(Silent([OTHER.name]), heard=frozenset({OTHER.name})) == [True, True]
