Test instances hold their ports from the choice to the end

Ports were looked for first and bound later by the instance; only the workers of one pytest run shared the range out among themselves.

A port is now held by a socket that is bound and doesn't listen. Another reservation fails on it, and a listener with SO_REUSEADDR, which ours set, can take it. Ports of the scripts under review/ are chosen by their own code, and stay as they were.

--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -1,10 +1,8 @@
 """Runs the real platform process against stand-ins of the store and of searchers."""
 
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from contextlib import ExitStack
@@ -15,33 +13,13 @@
 
 from tests.standins.backends import REQUEST_ID, BackendStandIn
 from tests.standins.objectstore import ObjectStoreStandIn
+from tests.support.ports import ReservedPorts
 from tests.support.processes import ROOT, wait_for
 
 HOST = "shop.example"
-_PORTS_PER_WORKER = 1500
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_FIRST_PORT = 10_000 + _WORKER * _PORTS_PER_WORKER
-_ports = itertools.count(os.getpid() % 700)
 _http = urllib3.PoolManager(num_pools=50, retries=False)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody else takes before the process listens there.
-
-    They lie below the range from which the system draws ports for outgoing connections, and each
-    test worker has a part of its own.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = _FIRST_PORT + next(_ports) % _PORTS_PER_WORKER
-        try:
-            socket.create_server(("127.0.0.1", port)).close()
-        except OSError:
-            continue
-        found.append(port)
-    return found
-
-
 def search_route(shards: list[str], **fields: Any) -> dict[str, Any]:
     return {
         "name": "search",
@@ -104,7 +82,8 @@
 
     def __init__(self, name: str, store: str, folder: Path, zone: str = "zone-a") -> None:
         self.name = name
-        front, ready, directory, control, first, second = free_ports(6)
+        self._ports = ReservedPorts(6)
+        front, ready, directory, control, first, second = self._ports.numbers
         self.front, self.ready_port, self.directory = front, ready, directory
         self.settings_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
@@ -135,6 +114,7 @@
 
     def __exit__(self, *_: object) -> None:
         self.kill()
+        self._ports.close()
 
     def start(self) -> None:
         if self.child is not None:
