Refusals of searchers beside quick answers are no sign of load

Cause: each booking that its searchers refused counted as "the searchers are full", and the rate was cut to 0.4 of what was answered. Fewer requests don't help against chance.

Fix: a full searcher has a full queue, and what it answers has waited there. Refusals count only while the upper quartile of the last eight answers takes half of the objective, or while nothing is answered.

Before: test_refusals_beside_quick_answers_are_no_load fails without the look at answers. The other tests of single requests now say how long their answers took; their bounds are as they were.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/intake.py
@@ -102,7 +102,8 @@
     def answered(self) -> None:
         """Tell that its answer has come."""
         self._teach_target(late=False)
-        self._shedder.answered(self._dispatch.loop.time())
+        now, objective = self._dispatch.loop.time(), self._outgoing.route.objective
+        self._shedder.answered(now, now - self._started, objective)
         self._tell_passed()
 
     def due(self) -> None:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -46,7 +46,7 @@
 _FIRST_CREDIT = 0.5
 # An operator may state no objective at all, or one that nothing meets; the rate is then looked at
 # this often.
-_SHORTEST_OBJECTIVE = 0.01
+SHORTEST_OBJECTIVE = 0.01
 # Searches a second that are assumed to come where none has come of late.
 _SLOWEST_PROMISE = 1.0
 _UNBOUNDED = float("inf")
@@ -173,7 +173,7 @@
         self._congestion += congestion
         if now < self._look_at:
             return False
-        objective = max(objective, _SHORTEST_OBJECTIVE)
+        objective = max(objective, SHORTEST_OBJECTIVE)
         share = self._congestion / self._ended
         self._clean_looks = self._clean_looks + 1 if share == 0.0 else 0
         if share < _RAISE_BELOW:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/singles.py
@@ -4,8 +4,10 @@
 in a full queue for most of its time, or is sent to several searchers to learn that they are full.
 """
 
+from collections import deque
+
 from limpethollow_policy.process.arrivals import Arrivals
-from limpethollow_policy.process.shedding import LoadShedder
+from limpethollow_policy.process.shedding import SHORTEST_OBJECTIVE, LoadShedder
 
 # Late requests of a service count as load for so long after its searchers said that they were full:
 # a queue that was full takes about as long to empty.
@@ -13,6 +15,10 @@
 # Share that is admitted of what searchers answered once they are full. The rest of their work
 # empties the queues.
 _FULL_CUT = 0.4
+# The last answers of some seconds tell whether the searchers' queues are long: their upper quartile
+# then takes this share of the objective. Usual answers take a quarter of it.
+_TOLD_BY, _TOLD_SECONDS = 8, 2.0
+_QUEUED_SHARE = 0.5
 # A change of the rate shows in single requests after this share of their objective: usual ones take
 # a quarter of it, and some queue remains.
 _SHOWS_AFTER = 0.5
@@ -27,19 +33,30 @@
     Their own queues bound the load too late: behind a full one, a caller waits for its whole
     objective. Full searchers work as fast as they can, so what was answered here of late is this
     instance's part of that, and the rate goes below it until the queues are shorter.
+
+    A searcher that refuses by chance answers the others quickly. Where it is the only one, fewer
+    requests would not help, so its refusals count only while answers are slow, or none come.
     """
 
-    __slots__ = ("_answers", "_full_at")
+    __slots__ = ("_answers", "_full_at", "_shares")
 
     def __init__(self) -> None:
         super().__init__()
         # Answers by when they came: the fullest span of them is what the searchers can do.
         self._answers = Arrivals()
         self._full_at = float("-inf")
+        self._shares: deque[tuple[float, float]] = deque(maxlen=_TOLD_BY)
+
+    def answered(self, now: float, seconds: float, objective: float) -> None:
+        """Note an answer, in time or late.
 
-    def answered(self, now: float) -> None:
-        """Note an answer, in time or late."""
+        Args:
+            now: Monotonic second.
+            seconds: How long it took from its admission on.
+            objective: As for `ended`.
+        """
         self._answers.add(now, admitted=True)
+        self._shares.append((now, seconds / max(objective, SHORTEST_OBJECTIVE)))
 
     def full(self, now: float, objective: float) -> bool:
         """Take in that all searchers that were asked refused as full; return as `ended` does.
@@ -48,6 +65,8 @@
             now: Monotonic second.
             objective: As for `ended`.
         """
+        if self._answers_are_quick(now):
+            return False
         self._full_at = now
         if now < self._cut_at + objective or not self._answers.tells_rate(now):
             return False
@@ -62,6 +81,11 @@
             congestion = 0.0
         return super().ended(congestion, started, now, _SHOWS_AFTER * objective)
 
+    def _answers_are_quick(self, now: float) -> bool:
+        """Return whether the searchers' queues are short, by what they answered of late."""
+        shares = sorted(share for at, share in self._shares if at >= now - _TOLD_SECONDS)
+        return len(shares) > 0 and shares[len(shares) * 3 // 4] < _QUEUED_SHARE
+
     def _is_probing(self, now: float, objective: float) -> bool:
         """Return whether the searchers were full just now.
 
--- a/tests/unit/engine/test_shedding.py
+++ b/tests/unit/engine/test_shedding.py
@@ -148,19 +148,34 @@
         """Guards against an instance that refuses most calm requests for ten seconds."""
         shedder = SingleShedder()
         assert shedder.wait(100.0) == 0.0
-        shedder.answered(100.02)
+        shedder.answered(100.02, 0.02, OBJECTIVE)
         assert shedder.wait(100.05) == 0.0
         assert not shedder.full(100.1, OBJECTIVE)
         assert all(shedder.wait(100.1 + n / 20) == 0.0 for n in range(20))
 
     def begin(self, rate: float, answered: float) -> SingleShedder:
-        """Return a shedder that saw requests for a second, and answers of some of them."""
+        """Return a shedder that saw requests for a second, and late answers of some of them."""
         shedder = SingleShedder()
         admit(shedder, 100.0, 1.0, rate)
         for number in range(round(answered)):
-            shedder.answered(100.0 + number / answered)
+            shedder.answered(100.0 + number / answered, OBJECTIVE, OBJECTIVE)
         return shedder
 
+    def test_refusals_beside_quick_answers_are_no_load(self):
+        """Guards against half of the bookings refused where one searcher refuses by chance."""
+        shedder = SingleShedder()
+        for number in range(40):
+            now = 100.0 + number / 20
+            assert shedder.wait(now) == 0.0
+            if number % 2:
+                shedder.answered(now + 0.02, 0.02, OBJECTIVE)
+            else:
+                assert not shedder.full(now, OBJECTIVE)
+
+    def test_refusals_count_again_once_answers_are_slow(self):
+        shedder = self.begin(100.0, 20.0)
+        assert shedder.full(101.0, OBJECTIVE)
+
     def test_late_ones_alone_are_no_load(self):
         """One of four searchers was slow, so a quarter of the look-ups were late at calm load."""
         shedder = self.begin(20.0, 20.0)
@@ -204,7 +219,7 @@
             if 110.0 <= now < 118.0:
                 shedder.full(now, 0.55)
             else:
-                shedder.answered(now + 0.1)
+                shedder.answered(now + 0.1, 0.1, 0.55)
                 shedder.ended(0.0, now, now + 0.1, 0.55)
             admitted += now >= 124.0
         assert admitted > 0.9 * 6.0 * rate - 1.0
