The soak plays second replies beside shedding, and stops in turn under callers in a loop

`--replies` lets the searchers of bookings refuse 0.45 of them and send a fifth of their replies twice; `--stops` stops all instances in turn, with slow calls, under callers that send their next request when they have an answer and keep old addresses for 5 s. A process that doesn't stop in its grace is killed now, as the platform does; before, the soak waited for it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 from tempfile import mkdtemp
 
 from soak.callers import Caller, CrashingCaller, Outcome
-from soak.faults import Planned, act, plan, plan_returns
+from soak.faults import Planned, act, plan, plan_replies, plan_returns, plan_stops
 from soak.promises import RECOVER_SECONDS, Seen, broken
 from soak.world import World
 
@@ -31,6 +31,8 @@
             options.instances,
             crashing=options.crashing,
             returns=options.returns,
+            replies=options.replies,
+            stops=options.stops,
         )
     ]
     print(f"{len(options.seeds)} seeds, {len(failed)} broke a promise: {failed}", flush=True)
@@ -44,6 +46,8 @@
     *,
     crashing: bool = False,
     returns: bool = False,
+    replies: bool = False,
+    stops: bool = False,
 ) -> list[str]:
     """Run one seed, print what came of it, and return the broken promises.
 
@@ -55,16 +59,25 @@
         instances: How many instances.
         crashing: Whether a request comes again and again that ends each searcher which runs it.
         returns: Whether the store comes back from an older copy, too.
+        replies: Whether searchers of bookings shed, and send replies twice, too.
+        stops: Whether all instances are stopped in turn, too, under callers that don't pause.
     """
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     rng = Random(seed)
     faults = plan(rng, seconds)
     if returns:
         faults += plan_returns(Random(f"returns {seed}"), seconds)
-        faults.sort(key=lambda planned: planned.at)
+    if replies:
+        faults += plan_replies(Random(f"replies {seed}"), seconds)
+    if stops:
+        faults += plan_stops(Random(f"stops {seed}"), seconds)
+    faults.sort(key=lambda planned: planned.at)
     outcomes: list[Outcome] = []
     with World(folder, instances) as world:
-        callers = [Caller(f"c{n}", world, Random(seed + n), outcomes) for n in range(_CALLERS)]
+        callers = [
+            Caller(f"c{n}", world, Random(seed + n), outcomes, pauses=not stops)
+            for n in range(_CALLERS)
+        ]
         if crashing:
             callers.append(CrashingCaller("crash", world, Random(seed), outcomes))
         for caller in callers:
@@ -118,6 +131,12 @@
     parser.add_argument(
         "--returns", action="store_true", help="let the store come back from an older copy, too"
     )
+    parser.add_argument(
+        "--replies", action="store_true", help="let bookings be shed, and replies come twice, too"
+    )
+    parser.add_argument(
+        "--stops", action="store_true", help="stop all instances in turn under callers in a loop"
+    )
     return parser
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,8 @@
 DEADLINE_SECONDS = 1.5
 _PAUSE_SECONDS = (0.01, 0.06)
 _RESOLVE_SECONDS = 1.0
+# Callers that don't pause keep their addresses for longer than instances take to stop.
+_LONG_RESOLVE_SECONDS = 5.0
 # Seconds between two tries of a request that ends its searchers.
 _CRASHING_PAUSE_SECONDS = 0.7
 
@@ -64,10 +66,21 @@
         world: The system.
         rng: Draws what it does.
         outcomes: Takes each outcome.
+        pauses: Whether it waits a moment between an answer and its next request; where there is
+            no answer it always does.
     """
 
-    def __init__(self, name: str, world: World, rng: Random, outcomes: list[Outcome]) -> None:
+    def __init__(
+        self,
+        name: str,
+        world: World,
+        rng: Random,
+        outcomes: list[Outcome],
+        *,
+        pauses: bool = True,
+    ) -> None:
         super().__init__(daemon=True)
+        self._pauses = pauses
         self._name = name
         self._world = world
         self._rng = rng
@@ -82,15 +95,20 @@
         number = 0
         while not self.stopping.is_set():
             index = self._choose()
+            answered = False
             if index is not None:
                 number += 1
-                self._outcomes.append(self._ask(f"{self._name}-{number}", index))
-            time.sleep(self._rng.uniform(*_PAUSE_SECONDS))
+                outcome = self._ask(f"{self._name}-{number}", index)
+                self._outcomes.append(outcome)
+                answered = outcome.status is not None
+            if self._pauses or not answered:
+                time.sleep(self._rng.uniform(*_PAUSE_SECONDS))
 
     def _choose(self) -> int | None:
         """Return an instance that a directory names; None where no directory answers."""
         now = time.monotonic()
-        if now - self._resolved_at > _RESOLVE_SECONDS:
+        kept = _RESOLVE_SECONDS if self._pauses else _LONG_RESOLVE_SECONDS
+        if now - self._resolved_at > kept:
             self._addresses = self._resolve() or self._addresses
             self._resolved_at = now
         by_address = {each.address: n for n, each in enumerate(self._world.instances)}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of the soak, each registered under its name, and random plans of them."""
 
 import signal
+import subprocess
 import threading
 import time
 from collections.abc import Callable
@@ -18,8 +19,14 @@
 # An instance whose kept connections were harmed counts as rough for this long after it.
 _SETTLE_SECONDS = 0.5
 STORE_RETURNS = "store back from a copy"
+SECOND_REPLIES = "bookings shed, replies sent twice"
+STOPS_IN_TURN = "instances stopped in turn"
+# Moods that the fault of a bad mood doesn't draw, for the same reason.
+_MOODS_NOT_DRAWN = {Mood.WELL, Mood.DOUBLES}
 # What others than instances wrote is written again this long after the store's return.
 _REWRITE_SECONDS = 1.0
+# A busy machine may take this much longer to run a process that stops in time.
+_KILL_SLACK_SECONDS = 0.5
 # Share of the faults of searchers that meet one of the two that take bookings.
 _DESK_SHARE = 0.4
 
@@ -69,6 +76,18 @@
     return [Planned(at, STORE_RETURNS, rng.uniform(0.5, 4.0)) for at in times]
 
 
+def plan_replies(rng: Random, until: float) -> list[Planned]:
+    """Return some times in which the searchers of bookings shed, and send replies twice."""
+    times = [rng.uniform(1.0, until - 2.0) for _ in range(3)]
+    return [Planned(at, SECOND_REPLIES, rng.uniform(1.0, 3.0)) for at in times]
+
+
+def plan_stops(rng: Random, until: float) -> list[Planned]:
+    """Return series of stops of all instances in turn."""
+    times = [rng.uniform(1.0, until - 3.0) for _ in range(2)]
+    return [Planned(at, STOPS_IN_TURN, rng.uniform(0.5, 1.5)) for at in times]
+
+
 def act(planned: Planned, world: World, rng: Random) -> None:
     """Carry out a planned fault."""
     _FAULTS[planned.name](world, rng, planned.seconds)
@@ -93,16 +112,24 @@
 
 @fault("instance stopped")
 def _stop(world: World, rng: Random, seconds: float) -> None:
-    instance = rng.choice(world.instances)
-    with instance.claim() as free:
-        if not free:
-            return
-        with instance.stopped.span():
-            instance.process.terminate()
-            instance.process.child.wait()
-        time.sleep(min(seconds, 1.0))
-        instance.process.start()
-        instance.process.wait_ready()
+    _stop_and_restart(rng.choice(world.instances), seconds)
+
+
+@fault(STOPS_IN_TURN, drawn=False)
+def _stop_in_turn(world: World, rng: Random, seconds: float) -> None:
+    """Stop them while requests last long enough that some are always under way."""
+    threads = []
+    for searcher in world.searchers:
+        searcher.mood = Mood.SLOW
+    for instance in world.instances:
+        thread = threading.Thread(target=_stop_and_restart, args=(instance, 0.0))
+        thread.start()
+        threads.append(thread)
+        time.sleep(seconds)
+    for thread in threads:
+        thread.join()
+    for searcher in world.searchers:
+        searcher.mood = Mood.WELL
 
 
 @fault("instance paused")
@@ -169,6 +196,16 @@
             world.store.put(kind, name, stored["spec"])
 
 
+@fault(SECOND_REPLIES, drawn=False)
+def _send_twice(world: World, rng: Random, seconds: float) -> None:
+    desk = [searcher for searcher in world.searchers if searcher.backend.service == DESK]
+    for searcher in desk:
+        searcher.mood = Mood.DOUBLES
+    time.sleep(seconds)
+    for searcher in desk:
+        searcher.mood = Mood.WELL
+
+
 @fault("instance cut from the store")
 def _cut_from_store(world: World, rng: Random, seconds: float) -> None:
     instance = rng.choice(world.instances)
@@ -179,7 +216,7 @@
 @fault("searcher in a bad mood")
 def _mood(world: World, rng: Random, seconds: float) -> None:
     searcher = rng.choice(_searchers(world, rng))
-    searcher.mood = rng.choice([mood for mood in Mood if mood is not Mood.WELL])
+    searcher.mood = rng.choice([mood for mood in Mood if mood not in _MOODS_NOT_DRAWN])
     time.sleep(seconds)
     searcher.mood = Mood.WELL
 
@@ -237,6 +274,27 @@
         proxy.control({"cut": True}, {})
 
 
+def _stop_and_restart(instance: SoakInstance, seconds: float) -> None:
+    with instance.claim() as free:
+        if not free:
+            return
+        with instance.stopped.span():
+            instance.process.terminate()
+            _kill_after_grace(instance)
+        time.sleep(min(seconds, 1.0))
+        instance.process.start()
+        instance.process.wait_ready()
+
+
+def _kill_after_grace(instance: SoakInstance) -> None:
+    """Do as the platform does with a process that is slow to stop."""
+    grace = instance.process.settings["bounds"]["graceS"]
+    try:
+        instance.process.child.wait(grace + _KILL_SLACK_SECONDS)
+    except subprocess.TimeoutExpired:
+        instance.process.kill()
+
+
 def _kill_and_restart(instance: SoakInstance, seconds: float) -> None:
     with instance.claim() as free:
         if not free:
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from hashlib import blake2b
 from pathlib import Path
+from random import Random
 
 from tests.standins.backends import (
     RECORD_BYTES,
@@ -16,6 +17,7 @@
     BackendStandIn,
     Crash,
     Cut,
+    Doubled,
     Hang,
     Reset,
     Seen,
@@ -34,6 +36,9 @@
 CRASHING = "crash"
 # Seconds until a searcher that has ended runs again, under another id.
 _RESTART_SECONDS = 0.4
+# Shares of requests that a shedding searcher refuses, and of its replies that it sends twice, the
+# second one up to so many seconds later.
+_SHED_SHARE, _DOUBLED_SHARE, _LATEST_SECONDS = 0.45, 0.2, 0.04
 # A second reply that nobody asked for.
 FOREIGN_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 
@@ -49,6 +54,7 @@
     REFUSES = "refuses"
     GARBLES = "garbles"
     ADDS_BYTES = "adds bytes"
+    DOUBLES = "sheds and doubles"
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +90,7 @@
         self.proxy: ProxyStandIn | None = None
         self._runs = runs
         self._starts = 1
+        self._rng = Random(name)
         self._first_name = name
         self.backend = BackendStandIn(service, name, zone=zone, answer=self._answer)
 
@@ -103,6 +110,8 @@
 
     def _answer(self, backend: BackendStandIn, seen: Seen) -> Answer:
         mood = self.mood
+        if mood is Mood.DOUBLES:
+            return self._double(backend, seen)
         if mood is Mood.REFUSES:
             return backend.refusal(seen)
         self._runs.append(Run(seen.id, backend.service, backend.name, time.monotonic()))
@@ -120,6 +129,18 @@
         whole = backend.success(seen, body=self._body(seen))
         return whole + FOREIGN_BYTES if mood is Mood.ADDS_BYTES else whole
 
+    def _double(self, backend: BackendStandIn, seen: Seen) -> Answer:
+        """Refuse some requests and run the others, and send some of the replies twice."""
+        if self._rng.random() < _SHED_SHARE:
+            reply = backend.refusal(seen)
+        else:
+            self._runs.append(Run(seen.id, backend.service, backend.name, time.monotonic()))
+            time.sleep(USUAL_WORK)
+            reply = backend.success(seen, body=self._body(seen))
+        if self._rng.random() < _DOUBLED_SHARE:
+            return Doubled(reply, self._rng.uniform(0.0, _LATEST_SECONDS))
+        return reply
+
     def _body(self, seen: Seen) -> bytes:
         if self.backend.service == DESK:
             return desk_body(self.backend.name, seen.id)
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -5,6 +5,7 @@
 searcher.
 """
 
+import select
 import socket
 import struct
 import threading
@@ -58,7 +59,15 @@
     """End the searcher: all its connections and its listener close."""
 
 
-Answer = bytes | Hang | Cut | Reset | Crash
+class Doubled:
+    """Send a reply, and a copy of it later or with the next request, whichever is first."""
+
+    def __init__(self, reply: bytes, after: float) -> None:
+        self.reply = reply
+        self.after = after
+
+
+Answer = bytes | Hang | Cut | Reset | Crash | Doubled
 
 
 @dataclass
@@ -199,6 +208,10 @@
                 time.sleep(0.05)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             return False
+        if isinstance(answer, Doubled):
+            connection.sendall(answer.reply)
+            select.select([connection], [], [], answer.after)
+            answer = answer.reply
         connection.sendall(answer)
         return b"Content-Length" in answer or b"chunked" in answer
 
