--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -61,6 +61,10 @@
     return Edit(_POLICY + "process/fleets.py", old, new)
 
 
+def _searchers(old: str, new: str) -> Edit:
+    return Edit(_POLICY + "process/searchers.py", old, new)
+
+
 _mechanism(
     "hedges",
     "no second sends to late shards",
@@ -97,7 +101,7 @@
 _mechanism(
     "call-windows",
     "any number of calls to a searcher that answers too late",
-    _fleets(
+    _searchers(
         "return max(blocked, window, self.cold_start.wait(now), 0.0)",
         "return max(blocked, self.cold_start.wait(now), 0.0)",
     ),
@@ -165,8 +169,8 @@
 _mechanism(
     "slowness",
     "a searcher's past call times don't count",
-    _fleets("self.slowness += _NEWEST * (ratio - self.slowness)", "pass"),
-    _fleets(
+    _searchers("self.slowness += _NEWEST * (ratio - self.slowness)", "pass"),
+    _searchers(
         "self.slowness += _NEWEST * (min(ratio, _SLOWEST) - self.slowness)",
         "pass",
     ),
@@ -174,22 +178,22 @@
 _mechanism(
     "failures",
     "a searcher's past failures don't count",
-    _fleets("_FAILURE_WEIGHT = 8.0", "_FAILURE_WEIGHT = 0.0"),
+    _searchers("_FAILURE_WEIGHT = 8.0", "_FAILURE_WEIGHT = 0.0"),
 )
 _mechanism(
     "stuck",
     "a call that is under way for long doesn't count",
-    _fleets("_STUCK_FACTOR = 4.0", "_STUCK_FACTOR = 1.0"),
+    _searchers("_STUCK_FACTOR = 4.0", "_STUCK_FACTOR = 1.0"),
 )
 _mechanism(
     "own-domain",
     "searchers of other failure domains count like near ones",
-    _fleets("OTHER_DOMAIN_FACTOR = 1.35", "OTHER_DOMAIN_FACTOR = 1.0"),
+    _searchers("OTHER_DOMAIN_FACTOR = 1.35", "OTHER_DOMAIN_FACTOR = 1.0"),
 )
 _mechanism(
     "unlisted",
     "searchers whose entry is gone count like the others",
-    _fleets("_UNLISTED_FACTOR = 6.0", "_UNLISTED_FACTOR = 1.0"),
+    _searchers("_UNLISTED_FACTOR = 6.0", "_UNLISTED_FACTOR = 1.0"),
 )
 _mechanism(
     "isolation",
@@ -220,7 +224,7 @@
 _mechanism(
     "cold-slowness",
     "a cold searcher counts like a warm one until its calls show more",
-    _fleets("_COLD_SLOWNESS = 1.5", "_COLD_SLOWNESS = 1.0"),
+    _searchers("_COLD_SLOWNESS = 1.5", "_COLD_SLOWNESS = 1.0"),
 )
 _mechanism(
     "reported-queues",
@@ -235,3 +239,17 @@
     "an instance that starts reads all from the store itself",
     Edit(_ENGINE + "process/followers.py", "RESTART_SECONDS = 0.4", "RESTART_SECONDS = 0.0"),
 )
+_mechanism(
+    "clean-looks",
+    "a rate that was cut too deep grows at the same pace throughout",
+    Edit(
+        _POLICY + "process/shedding.py",
+        "_CLEAN_LOOKS, _FASTEST = 5,",
+        "_CLEAN_LOOKS, _FASTEST = 1e9,",
+    ),
+)
+_mechanism(
+    "quick-answers",
+    "each refusal of a searcher counts as a sign of load",
+    Edit(_POLICY + "process/singles.py", "_QUEUED_SHARE = 0.5", "_QUEUED_SHARE = 0.0"),
+)
--- a/benchmarks/steps.py
+++ b/benchmarks/steps.py
@@ -25,7 +25,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import Search
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.records import RECORD_BYTES, merge_records
 from tests.support.searches import VirtualExchange
 from tests.support.virtual import VirtualDispatch, request, route
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -9,9 +9,9 @@
 from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.crashes import CrashReport
 from limpethollow_policy.process.evacuations import Evacuation
-from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.version.routes import RoutingVersion
 from limpethollow_wire.codecs import convert, from_cbor, to_cbor
 from limpethollow_wire.exceptions import BadRequest
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -14,10 +14,10 @@
 from limpethollow_policy.process.catchups import Known
 from limpethollow_policy.process.departures import Departures
 from limpethollow_policy.process.evacuations import Evacuation
-from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.removals import RETURN_SECONDS, LossDelay, RemovalDelay
 from limpethollow_policy.process.revisions import Revision
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.version.routes import RoutingVersion
 
 T = TypeVar("T")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchworks.py
@@ -10,8 +10,8 @@
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
 from limpethollow_node.engine.request.leaving import tell_if_leaving
-from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.verdicts import Verdict
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/leaving.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/leaving.py
@@ -2,7 +2,7 @@
 
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.process import events
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 
 
 def tell_if_leaving(
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -12,7 +12,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.tries import Tries
 from limpethollow_node.process import events
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.parts import PartSet
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -9,8 +9,8 @@
 from limpethollow_node.engine.request.judging import judge, judge_failure, read_load, render_call
 from limpethollow_node.engine.request.leaving import tell_if_leaving
 from limpethollow_node.engine.request.outgoing import Outgoing
-from limpethollow_policy.process.fleets import Replica
 from limpethollow_policy.process.loadreports import LoadReport
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.verdicts import Verdict
 
 # A searcher whose address belongs to another one now is left alone this long. Its entry lapses some
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/tries.py
@@ -8,7 +8,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.sends import Send
 from limpethollow_node.process import events
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.verdicts import Verdict
 
 # Sends beyond a route's attempts that searchers refused or never got; those have not run. Two more
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -6,9 +6,9 @@
 
 from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
 from limpethollow_policy.process.evacuations import Evacuation
-from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.version.routes import (
     CallerLimits,
     Route,
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/departures.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/departures.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.searchers import Searcher
 
 # Longer than an outage of the store and the age of the copy that it comes back from.
 _KEPT_SECONDS = 60.0
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -16,7 +16,7 @@
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.version.routes import (
     CallerLimits,
     Route,
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -9,7 +9,7 @@
 from limpethollow_node.engine.request.outcomes import Outcome
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import Search
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from tests.support.virtual import VirtualDispatch, reply_of, request, route
 
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -11,8 +11,9 @@
 from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
+from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.isolation import Isolation
+from limpethollow_policy.process.searchers import Replica, Searcher
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.timings import OwnDelay, OwnPace, RouteTimings
 from limpethollow_policy.version.routes import Route, RoutingVersion
--- a/tests/unit/engine/test_catalog.py
+++ b/tests/unit/engine/test_catalog.py
@@ -5,9 +5,9 @@
 from limpethollow_node.engine.frames import InstanceNews, SearcherNews
 from limpethollow_node.engine.process import catalog
 from limpethollow_node.engine.process.catalog import Catalog
-from limpethollow_policy.process.fleets import Searcher
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.removals import RETURN_SECONDS
+from limpethollow_policy.process.searchers import Searcher
 from tests.support.virtual import VirtualDispatch
 
 
--- a/tests/unit/engine/test_coldstarts.py
+++ b/tests/unit/engine/test_coldstarts.py
@@ -5,7 +5,8 @@
 import pytest
 
 from limpethollow_policy.process.coldstarts import ColdStart, ColdStartLimits
-from limpethollow_policy.process.fleets import Fleet, Replica, Searcher
+from limpethollow_policy.process.fleets import Fleet
+from limpethollow_policy.process.searchers import Replica, Searcher
 from limpethollow_policy.version.routes import ServiceLimits
 
 RATE = 12.0
--- a/tests/unit/engine/test_crashes.py
+++ b/tests/unit/engine/test_crashes.py
@@ -16,7 +16,7 @@
     CrashReport,
     Standing,
 )
-from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_wire.exceptions import Quarantined
 from tests.support.searches import SearchPlay
 from tests.support.virtual import VirtualDispatch, lose, reply_of, request
--- a/tests/unit/engine/test_evacuations.py
+++ b/tests/unit/engine/test_evacuations.py
@@ -21,9 +21,10 @@
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.evacuations import Evacuation
-from limpethollow_policy.process.fleets import Fleet, Searcher
+from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.removals import RETURN_SECONDS
 from limpethollow_policy.process.revisions import NOTHING_KNOWN
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_policy.version.routes import ServiceLimits, VersionBook
--- a/tests/unit/engine/test_fleets.py
+++ b/tests/unit/engine/test_fleets.py
@@ -2,8 +2,9 @@
 
 from random import Random
 
-from limpethollow_policy.process.fleets import Fleet, Searcher
+from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.removals import RemovalDelay
+from limpethollow_policy.process.searchers import Searcher
 
 USUAL = 0.02
 
--- a/tests/unit/engine/test_frames.py
+++ b/tests/unit/engine/test_frames.py
@@ -18,7 +18,7 @@
 from limpethollow_node.engine.request.batches import MOST_LAG, BatchDesk
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import Known
-from limpethollow_policy.process.fleets import Searcher
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_wire.codecs import to_cbor
 from limpethollow_wire.exceptions import BadRequest
--- a/tests/unit/engine/test_loadreports.py
+++ b/tests/unit/engine/test_loadreports.py
@@ -10,8 +10,9 @@
 from limpethollow_node.engine.request.judging import read_load
 from limpethollow_node.platform.codec import decode_load
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_policy.process.fleets import Fleet, Searcher
+from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.loadreports import LoadReport, QueueTarget
+from limpethollow_policy.process.searchers import Searcher
 from limpethollow_wire.exceptions import BadRequest
 from tests.support.overload import Load, Tally, World
 
--- a/tests/unit/engine/test_second_replies.py
+++ b/tests/unit/engine/test_second_replies.py
@@ -14,7 +14,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.tries import Tries
 from limpethollow_node.platform.headers import HEADERS
-from limpethollow_policy.process.fleets import Replica
+from limpethollow_policy.process.searchers import Replica
 from limpethollow_policy.request.verdicts import Verdict
 from tests.support.searches import VirtualExchange
 from tests.support.virtual import VirtualDispatch, route
