A searcher's 503 that doesn't say "not run" promises nothing to the caller of a booking

What callers would see: a searcher runs a booking, fails with 503 (or 408, 429) and doesn't say that nothing ran. The status was passed on, callers take it for a promise that the booking has not run and never will, and send it again.

Cause: a failure with the searcher's proof went back unchanged, whatever its status.

Fix: where a request may run once only, such a status is answered with 502, as other replies that leave it open. Requests that may be repeated get the searcher's failure unchanged, as before: nothing rests on it.

Before: the three new tests of bookings failed, that of a repeatable request passed. After: all pass.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -8,7 +8,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, STOPPING
 from limpethollow_node.engine.request.tries import Tries
-from limpethollow_policy.request.verdicts import Verdict
+from limpethollow_policy.request.verdicts import Verdict, may_pass_on
 from limpethollow_wire.exceptions import AnswerLate, LimpethollowError, NoUsableReply, Unavailable
 
 # Seconds after which a caller may come back: when searchers refused, one of them has a free slot
@@ -82,7 +82,7 @@
         if tries.verdict is Verdict.ANSWERED:
             self._admission.answered()
             self._pass_on(tries.reply, "answered")
-        elif tries.reply is not None:
+        elif tries.reply is not None and self._may_pass_on(tries.reply):
             self._pass_on(tries.reply, "searcher_failed")
         elif tries.may_have_run:
             error = NoUsableReply(
@@ -100,6 +100,9 @@
             error = Unavailable("No searcher can be reached.", retry_after=_RETRY_WITHOUT_SEARCHER)
             self._fail(error, tries.reason)
 
+    def _may_pass_on(self, reply: Reply) -> bool:
+        return may_pass_on(reply.status, idempotent=self._outgoing.route.idempotent)
+
     def _pass_on(self, reply: Reply, reason: str) -> None:
         self._stop()
         self._exchange.respond(Reply(reply.status, end_to_end(reply.headers), reply.body))
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/verdicts.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/verdicts.py
@@ -3,6 +3,8 @@
 from enum import Enum
 
 _MISDIRECTED = 421
+# Callers take these for a promise that the request has not run, and send it again.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Verdict(Enum):
@@ -51,3 +53,13 @@
     if 200 <= status < 300:
         return Verdict.ANSWERED
     return Verdict.FAILED
+
+
+def may_pass_on(status: int, *, idempotent: bool) -> bool:
+    """Return whether a failure that doesn't say "not run" may go to the caller as it is.
+
+    Args:
+        status: The searcher's status.
+        idempotent: Whether the request may run more than once.
+    """
+    return idempotent or status not in _NOT_RUN_STATUSES
--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -129,6 +129,20 @@
         assert reply.status == 503
         assert float(reply.headers["Retry-After"]) > 0
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_one_that_does_not_say_that_nothing_ran_is_no_refusal(self, system, status):
+        """Guards against bookings that callers send again although a searcher has run them."""
+        system.backend("desk", "i-1", answer=lambda me, seen: me.reply(seen, status))
+        system.configure(1, forward_route("desk", type="unsafe"))
+        reply = book(system.instance(), "r1")
+        assert (reply.status, reply.headers.get(PROOF)) == (502, None)
+
+    def test_callers_of_repeatable_requests_get_it_unchanged(self, system):
+        system.backend("desk", "i-1", answer=lambda me, seen: me.reply(seen, 503))
+        system.configure(1, forward_route("desk", attempts=1))
+        reply = system.instance().ask("/get/x")
+        assert (reply.status, reply.headers.get(PROOF)) == (503, "i-1.r1.503")
+
     def test_an_address_that_another_searcher_took_is_left(self, system):
         """Requests failed for seconds after a searcher was replaced.
 
