--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,12 +6,13 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Collection
 from pathlib import Path
 from random import Random
 from tempfile import mkdtemp
 
 from soak.callers import Caller, CrashingCaller, Outcome
-from soak.faults import Planned, act, plan, plan_replies, plan_returns, plan_stops
+from soak.faults import EXTRA_PLANS, STOPS, Planned, act, plan
 from soak.promises import RECOVER_SECONDS, Seen, broken
 from soak.world import World
 
@@ -30,9 +31,7 @@
             options.seconds,
             options.instances,
             crashing=options.crashing,
-            returns=options.returns,
-            replies=options.replies,
-            stops=options.stops,
+            extras=options.extras or (),
         )
     ]
     print(f"{len(options.seeds)} seeds, {len(failed)} broke a promise: {failed}", flush=True)
@@ -45,9 +44,7 @@
     instances: int,
     *,
     crashing: bool = False,
-    returns: bool = False,
-    replies: bool = False,
-    stops: bool = False,
+    extras: Collection[str] = (),
 ) -> list[str]:
     """Run one seed, print what came of it, and return the broken promises.
 
@@ -58,24 +55,18 @@
         seconds: How long faults are injected.
         instances: How many instances.
         crashing: Whether a request comes again and again that ends each searcher which runs it.
-        returns: Whether the store comes back from an older copy, too.
-        replies: Whether searchers of bookings shed, and send replies twice, too.
-        stops: Whether all instances are stopped in turn, too, under callers that don't pause.
+        extras: Names of the plans of faults that are played beside the run's own.
     """
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     rng = Random(seed)
     faults = plan(rng, seconds)
-    if returns:
-        faults += plan_returns(Random(f"returns {seed}"), seconds)
-    if replies:
-        faults += plan_replies(Random(f"replies {seed}"), seconds)
-    if stops:
-        faults += plan_stops(Random(f"stops {seed}"), seconds)
+    for name in extras:
+        faults += EXTRA_PLANS[name].faults(seed, seconds)
     faults.sort(key=lambda planned: planned.at)
     outcomes: list[Outcome] = []
     with World(folder, instances) as world:
         callers = [
-            Caller(f"c{n}", world, Random(seed + n), outcomes, pauses=not stops)
+            Caller(f"c{n}", world, Random(seed + n), outcomes, pauses=STOPS not in extras)
             for n in range(_CALLERS)
         ]
         if crashing:
@@ -128,15 +119,14 @@
     parser.add_argument("--seconds", type=float, default=10.0, help="time of faults a seed")
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--crashing", action="store_true", help="send a crashing request, too")
-    parser.add_argument(
-        "--returns", action="store_true", help="let the store come back from an older copy, too"
-    )
-    parser.add_argument(
-        "--replies", action="store_true", help="let bookings be shed, and replies come twice, too"
-    )
-    parser.add_argument(
-        "--stops", action="store_true", help="stop all instances in turn under callers in a loop"
-    )
+    for extra in EXTRA_PLANS.values():
+        parser.add_argument(
+            f"--{extra.name}",
+            action="append_const",
+            dest="extras",
+            const=extra.name,
+            help=extra.summary,
+        )
     return parser
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,16 +13,20 @@
 from tests.standins.proxy import ProxyStandIn
 
 Fault = Callable[[World, Random, float], None]
+Plan = Callable[[Random, float], "list[Planned]"]
 _FAULTS: dict[str, Fault] = {}
 # Names of those that `plan` doesn't draw, so that the seeds of before keep their faults.
 _NOT_DRAWN: set[str] = set()
+# Moods that the fault of a bad mood doesn't draw, for the same reason.
+_MOODS_NOT_DRAWN = {Mood.WELL, Mood.DOUBLES}
 # An instance whose kept connections were harmed counts as rough for this long after it.
 _SETTLE_SECONDS = 0.5
+# Plans that are drawn beside that of each run where they are asked for, by name.
+EXTRA_PLANS: "dict[str, ExtraPlan]" = {}
+STOPS = "stops"
 STORE_RETURNS = "store back from a copy"
 SECOND_REPLIES = "bookings shed, replies sent twice"
 STOPS_IN_TURN = "instances stopped in turn"
-# Moods that the fault of a bad mood doesn't draw, for the same reason.
-_MOODS_NOT_DRAWN = {Mood.WELL, Mood.DOUBLES}
 # What others than instances wrote is written again this long after the store's return.
 _REWRITE_SECONDS = 1.0
 # A busy machine may take this much longer to run a process that stops in time.
@@ -43,6 +47,16 @@
     return register
 
 
+def extra_plan(name: str, summary: str) -> Callable[[Plan], Plan]:
+    """Register a plan of faults that a run has beside its own only where it is asked for."""
+
+    def register(make: Plan) -> Plan:
+        EXTRA_PLANS[name] = ExtraPlan(name, summary, make)
+        return make
+
+    return register
+
+
 @dataclass(slots=True, frozen=True)
 class Planned:
     """A fault at a time.
@@ -58,6 +72,25 @@
     seconds: float
 
 
+@dataclass(slots=True, frozen=True)
+class ExtraPlan:
+    """Faults beside those that each run draws.
+
+    Attributes:
+        name: Its name.
+        summary: What it does.
+        make: Returns the faults, given a random source and the seconds until they end.
+    """
+
+    name: str
+    summary: str
+    make: Plan
+
+    def faults(self, seed: int, until: float) -> list[Planned]:
+        """Return the faults of a seed."""
+        return self.make(Random(f"{self.name} {seed}"), until)
+
+
 def plan(rng: Random, until: float) -> list[Planned]:
     """Return a random plan: faults in series and overlapping, some kinds twice."""
     found = []
@@ -70,19 +103,22 @@
     return found
 
 
-def plan_returns(rng: Random, until: float) -> list[Planned]:
+@extra_plan("returns", "let the store come back from an older copy, too")
+def _plan_returns(rng: Random, until: float) -> list[Planned]:
     """Return one or two returns of the store from a copy, at random times."""
     times = [rng.uniform(1.5, until - 1.0) for _ in range(rng.choice((1, 2)))]
     return [Planned(at, STORE_RETURNS, rng.uniform(0.5, 4.0)) for at in times]
 
 
-def plan_replies(rng: Random, until: float) -> list[Planned]:
+@extra_plan("replies", "let bookings be shed, and replies come twice, too")
+def _plan_replies(rng: Random, until: float) -> list[Planned]:
     """Return some times in which the searchers of bookings shed, and send replies twice."""
     times = [rng.uniform(1.0, until - 2.0) for _ in range(3)]
     return [Planned(at, SECOND_REPLIES, rng.uniform(1.0, 3.0)) for at in times]
 
 
-def plan_stops(rng: Random, until: float) -> list[Planned]:
+@extra_plan(STOPS, "stop all instances in turn, too, under callers that don't pause")
+def _plan_stops(rng: Random, until: float) -> list[Planned]:
     """Return series of stops of all instances in turn."""
     times = [rng.uniform(1.0, until - 3.0) for _ in range(2)]
     return [Planned(at, STOPS_IN_TURN, rng.uniform(0.5, 1.5)) for at in times]
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -18,14 +18,14 @@
 
     @pytest.mark.parametrize("seed", [9051, 9066])
     def test_no_promise_is_broken_where_the_store_comes_back_from_a_copy(self, seed):
-        assert run(seed, seconds=8.0, instances=3, returns=True) == []
+        assert run(seed, seconds=8.0, instances=3, extras=["returns"]) == []
 
     # 20001: finds a connection that forgets what it carried.
     @pytest.mark.parametrize("seed", [20001])
     def test_no_promise_is_broken_where_bookings_are_shed_and_replies_come_twice(self, seed):
-        assert run(seed, seconds=8.0, instances=3, replies=True) == []
+        assert run(seed, seconds=8.0, instances=3, extras=["replies"]) == []
 
     # 21003: finds an instance that refuses nothing towards the end of its grace.
     @pytest.mark.parametrize("seed", [21003])
     def test_no_promise_is_broken_where_instances_stop_under_callers_in_a_loop(self, seed):
-        assert run(seed, seconds=8.0, instances=3, stops=True) == []
+        assert run(seed, seconds=8.0, instances=3, extras=["stops"]) == []
