One place each for set-ups, serving threads and lists that tell an era

- The own interface's client made a call, noted the era and decoded the answer three times over: `_read_list`.
- Stand-ins serve on a thread of the test in one place, https.py.

--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -88,6 +88,9 @@
         return InstanceList(version_of(self.era, self.revision), self.instances, self.searchers)
 
 
+L = TypeVar("L", _ListAnswer, _InstancesAnswer)
+
+
 class PlatformClient:
     """Calls the object API within deadlines and a budget, each call counted by kind.
 
@@ -144,9 +147,7 @@
 
     def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind."""
-        answer = self._call("list", "GET", f"/objects/{kind}", _ListAnswer)
-        self._note_era(answer.era)
-        return answer.decoded()
+        return self._read_list("list", f"/objects/{kind}", _ListAnswer).decoded()
 
     def watch(self, kind: str, after: int, wait: float | None = None) -> ObjectList:
         """Wait for objects newer than a revision; empty where none came in time.
@@ -158,17 +159,13 @@
         """
         wait = self._settings.watch_timeout if wait is None else wait
         path = f"/watch/{kind}?{_position(after)}&timeout={wait}"
-        answer = self._call("watch", "GET", path, _ListAnswer, patience=wait)
-        self._note_era(answer.era)
-        return answer.decoded()
+        return self._read_list("watch", path, _ListAnswer, wait).decoded()
 
     def instances(self, after: int) -> InstanceList:
         """Wait for the list of instances to be newer than a revision; -1 answers at once."""
         wait = self._settings.watch_timeout
         path = f"/instances?{_position(after)}&timeout={wait}"
-        answer = self._call("instances", "GET", path, _InstancesAnswer, patience=wait)
-        self._note_era(answer.era)
-        return answer.decoded()
+        return self._read_list("instances", path, _InstancesAnswer, wait).decoded()
 
     def may_retry(self, call: str) -> bool:
         """Take one retry from the budget; false where none is left."""
@@ -180,6 +177,12 @@
             self._metrics.count("platform_retries_refused", call)
         return allowed
 
+    def _read_list(self, call: str, path: str, kind: type[L], patience: float = 0.0) -> L:
+        """Return an answer that tells the platform's own era, and note that."""
+        answer = self._call(call, "GET", path, kind, patience=patience)
+        self._note_era(answer.era)
+        return answer
+
     def _call(
         self,
         call: str,
--- a/tests/standins/https.py
+++ b/tests/standins/https.py
@@ -61,6 +61,15 @@
                 return handler, "/".join(parts[size:])
         return None, ""
 
+    def __enter__(self) -> "StandInServer":
+        """Serve on a thread of this process."""
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.shutdown()
+        self.server_close()
+
     def run(self) -> None:
         """Print the ready line and serve for ever."""
         print(json.dumps({"ready": {"http": self.address}}), flush=True)
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 
 from tests.standins.backends import BackendStandIn, Crash, Seen
-from tests.support.platforms import PlatformInstance, PlatformSystem
+from tests.support.platforms import PlatformInstance, PlatformSystem, search_route
 from tests.support.processes import wait_for
 
 CRASHING = "crash"
+SHARDS = ["s-1", "s-2", "s-3", "s-4"]
 
 
 class CrashingSearchers:
@@ -63,6 +64,19 @@
         self.all.append(searcher)
 
 
+def start_two(system: PlatformSystem) -> list[PlatformInstance]:
+    return [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
+
+
+def start_search(system: PlatformSystem) -> tuple[CrashingSearchers, list[PlatformInstance]]:
+    """Start searchers of all shards and two instances, and wait until these serve searches."""
+    searchers = CrashingSearchers(system, SHARDS)
+    system.configure(1, search_route(SHARDS))
+    instances = start_two(system)
+    wait_served(instances, "/find/before")
+    return searchers, instances
+
+
 def send_crashing(
     searchers: CrashingSearchers, instances: list[PlatformInstance], path: str, times: int
 ) -> None:
--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -251,3 +251,15 @@
         """Start an instance whose settings were changed, and end it with the system."""
         self.instances.append(self._stack.enter_context(instance))
         return instance
+
+
+def two_domains(system: PlatformSystem) -> BackendStandIn:
+    """Start a searcher in each of two failure domains; return that in the instances' own one.
+
+    A request goes to one of them only: where the machine is busy, a late answer would be hedged
+    at the other one.
+    """
+    one = system.backend("desk", "i-1", zone="zone-a")
+    system.backend("desk", "i-2", zone="zone-b")
+    system.configure(1, forward_route("desk", attempts=1))
+    return one
--- a/tests/system/platform/test_crashes.py
+++ b/tests/system/platform/test_crashes.py
@@ -1,31 +1,24 @@
 """Requests that end each searcher that runs them, and come again."""
 
-from tests.support.crashes import CrashingSearchers, send_crashing, wait_served
-from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route, search_route
+from tests.support.crashes import (
+    SHARDS,
+    CrashingSearchers,
+    send_crashing,
+    start_search,
+    start_two,
+    wait_served,
+)
+from tests.support.platforms import PlatformInstance, forward_route, search_route
 from tests.support.processes import wait_for
 
 # Repeats of such a request that may still reach searchers after it has ended the third.
 MOST_RETRIES = 3
-SHARDS = ["s-1", "s-2", "s-3", "s-4"]
 
 
 def knows_quarantined(instance: PlatformInstance) -> bool:
     return "limpethollow_quarantined_requests 1" in instance.metrics()
 
 
-def start_two(system: PlatformSystem) -> list[PlatformInstance]:
-    return [system.instance("front-1"), system.instance("front-2", zone="zone-b")]
-
-
-def start_search(system: PlatformSystem) -> tuple[CrashingSearchers, list[PlatformInstance]]:
-    """Start searchers of all shards and two instances, and wait until these serve searches."""
-    searchers = CrashingSearchers(system, SHARDS)
-    system.configure(1, search_route(SHARDS))
-    instances = start_two(system)
-    wait_served(instances, "/find/before")
-    return searchers, instances
-
-
 def restart_all(instances: list[PlatformInstance]) -> None:
     """Kill all instances at once, and start them again."""
     for instance in instances:
