Base types for teams: keys, quotas, homes, permits of requests

Cause: two deployments bring teams with keys, quotas and home regions; none of this is decoded. Change: tenants and homes are decoded from the configuration, their bounds from the settings. A request gets a permit before it starts; access control admits every request and the quota grants every request until these parts are built.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
@@ -31,6 +31,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -57,6 +58,10 @@
         missing_parts: Number of shards missing from a search reply.
         load: The searcher's load report.
         decode_load: Decodes the load header; raises `BadRequest` if it is invalid.
+        tenant: Name of the team whose key the caller's request carries.
+        key: The caller's key, after its scheme.
+        key_scheme: Scheme of the key, in lower case.
+        cold_left: Milliseconds for which the searcher stays cold.
     """
 
     request_id: bytes
@@ -68,6 +73,10 @@
     missing_parts: bytes
     load: bytes
     decode_load: Callable[[bytes], LoadReport]
+    tenant: bytes = b"x-tenant"
+    key: bytes = b"authorization"
+    key_scheme: bytes = b"token"
+    cold_left: bytes = b"x-cold-ms"
 
 
 @dataclass(slots=True)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -2,14 +2,17 @@
 
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Request
+from limpethollow_node.engine.process.access import AccessControl
 from limpethollow_node.engine.process.admissioncontrol import AdmissionControl
 from limpethollow_node.engine.process.dispatch import Dispatch
+from limpethollow_node.engine.process.quotas import QuotaControl
 from limpethollow_node.engine.request.batches import BatchManager
 from limpethollow_node.engine.request.forwards import Forward
 from limpethollow_node.engine.request.outcomes import Outcome, OutcomeLog
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, STOPPING, Search
 from limpethollow_node.process import events
+from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.version.routes import (
     CurrentVersion,
     Route,
@@ -37,8 +40,10 @@
     """
 
     __slots__ = (
+        "_access",
         "_dispatch",
         "_admission_control",
+        "_quotas",
         "_running",
         "_turns",
         "desk",
@@ -48,6 +53,8 @@
 
     def __init__(self, dispatch: Dispatch, versions: CurrentVersion) -> None:
         self._dispatch = dispatch
+        self._access = AccessControl(versions)
+        self._quotas = QuotaControl()
         self._admission_control = AdmissionControl(dispatch)
         self._turns = WeightedRoundRobin()
         self.desk: BatchManager | None = None
@@ -86,10 +93,27 @@
         route = None
         try:
             route = self._find_route(exchange.request)
-            self._start(exchange, route)
+            permit = self._access.admit(exchange.request, route)
         except LimpethollowError as error:
-            exchange.respond(error_reply(error))
-            self._logger(exchange, route)(Outcome(error.status, error.code))
+            self._refuse(exchange, route, error)
+            return
+        self._quotas.acquire(
+            permit,
+            route,
+            lambda: self._start_admitted(exchange, route, permit),
+            lambda error: self._refuse(exchange, route, error),
+        )
+
+    def _start_admitted(self, exchange: Exchange, route: Route, permit: Permit) -> None:
+        try:
+            self._start(exchange, route, permit)
+        except LimpethollowError as error:
+            self._quotas.give_back(permit)
+            self._refuse(exchange, route, error)
+
+    def _refuse(self, exchange: Exchange, route: Route | None, error: LimpethollowError) -> None:
+        exchange.respond(error_reply(error))
+        self._logger(exchange, route)(Outcome(error.status, error.code))
 
     def _find_route(self, request: Request) -> Route:
         """Return the route of a request.
@@ -120,7 +144,7 @@
             )
         raise NoRoute("No route matches this host and path.")
 
-    def _start(self, exchange: Exchange, route: Route) -> None:
+    def _start(self, exchange: Exchange, route: Route, permit: Permit) -> None:
         """Start a search or a forward.
 
         Raises:
@@ -128,7 +152,7 @@
             Quarantined: Earlier attempts of the request crashed searchers.
             Overloaded: The route's searchers can't answer the request in time.
         """
-        outgoing = Outgoing.of(exchange, route, self._dispatch)
+        outgoing = Outgoing.of(exchange, route, self._dispatch, permit)
         log = self._logger(exchange, route)
         running: Search | Forward
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -13,6 +13,7 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_policy.process.timings import RouteTimings
 from limpethollow_policy.request.crash_guards import CrashGuard
+from limpethollow_policy.request.permits import UNRESTRICTED, Permit
 from limpethollow_policy.version.routes import Route
 from limpethollow_wire.exceptions import BadRequest
 
@@ -37,6 +38,7 @@
         timings: Timings of the route.
         is_head: Whether the method is HEAD.
         guard: Prevents the request from crashing one searcher after another.
+        permit: What the request is allowed to do.
     """
 
     head: bytes
@@ -49,15 +51,23 @@
     timings: RouteTimings
     is_head: bool
     guard: CrashGuard
+    permit: Permit
 
     @classmethod
-    def of(cls, exchange: Exchange, route: Route, dispatch: Dispatch) -> "Outgoing":
+    def of(
+        cls,
+        exchange: Exchange,
+        route: Route,
+        dispatch: Dispatch,
+        permit: Permit = UNRESTRICTED,
+    ) -> "Outgoing":
         """Prepare a caller's request for sending.
 
         Args:
             exchange: The request.
             route: Its route.
             dispatch: State shared by the process.
+            permit: What the request is allowed to do.
 
         Raises:
             BadRequest: The id is missing, or the time left is not a number.
@@ -89,6 +99,7 @@
             timings,
             request.method == b"HEAD",
             guard,
+            permit,
         )
 
     @property
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -16,6 +16,7 @@
     ServiceLimits,
     WeightedService,
 )
+from limpethollow_policy.version.tenants import Tenant, key_digest
 from limpethollow_wire.exceptions import BadRequest
 
 T = TypeVar("T")
@@ -90,6 +91,9 @@
     top_k: int = 0
     # Minimum share of the shards that an answer must cover; despite its name, not a version.
     min_version: float = 0.0
+    public: bool = False
+    priority: int = 0
+    allowed_regions: list[str] | None = None
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True, rename="camel"):
@@ -100,6 +104,15 @@
     cold_per_s: float = 0.0
 
 
+class _TenantSpec(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+    allowed_regions: list[str] | None = None
+
+
 class _LimitsSpec(msgspec.Struct, frozen=True, rename="camel"):
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 1024 * 1024
@@ -112,6 +125,7 @@
     routes: list[_RouteSpec]
     services: list[_ServiceSpec]
     limits: _LimitsSpec = _LimitsSpec()
+    tenants: list[_TenantSpec] | None = None
 
 
 class _QuarantineSpec(msgspec.Struct, frozen=True, rename="camel"):
@@ -166,6 +180,7 @@
             header_timeout=decoded.limits.header_timeout_ms / 1000,
             idle_timeout=decoded.limits.idle_timeout_ms / 1000,
         ),
+        tenants=tuple(_decode_tenant(tenant) for tenant in decoded.tenants or ()),
     )
 
 
@@ -238,6 +253,17 @@
     )
 
 
+def _decode_tenant(tenant: _TenantSpec) -> Tenant:
+    return Tenant(
+        name=tenant.name,
+        keys=tuple(key_digest(key.encode()) for key in tenant.api_keys),
+        priority=tenant.priority,
+        rate=max(0.0, tenant.rate_per_s or 0.0),
+        burst=max(0.0, tenant.burst or 0.0),
+        homes=tuple(tenant.allowed_regions or ()),
+    )
+
+
 def _decode_route(route: _RouteSpec) -> Route:
     targets: tuple[WeightedService, ...] = ()
     if route.traffic_split:
@@ -256,4 +282,7 @@
         shards=tuple(route.gather or ()),
         top=route.top_k,
         floor=route.min_version,
+        public=route.public,
+        priority=route.priority,
+        homes=tuple(route.allowed_regions or ()),
     )
--- a/packages/limpethollow-node/src/limpethollow_node/platform/headers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/headers.py
@@ -13,4 +13,8 @@
     missing_parts=b"x-limpethollow-missing-parts",
     load=b"x-limpethollow-server-load",
     decode_load=decode_load,
+    tenant=b"x-limpethollow-tenant",
+    key=b"authorization",
+    key_scheme=b"token",
+    cold_left=b"x-limpethollow-cold-ms",
 )
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -55,6 +55,11 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
     retry_budget_slack: float = 50
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
+    quota_window_s: float = 5
+    quota_excess: float = 0.0
+    quota_slack: float = 0.0
     ttl_max_s: float = msgspec.field(default=5, name="ttl_max_s")
 
 
@@ -87,6 +92,8 @@
         seeds: Addresses of a few instances to contact at the start.
         bootstrap: Whether the whole system starts for the first time.
         contracts: Contracts of the platform that are in force; empty if unspecified.
+        region: Region of the instance; empty if unspecified.
+        zones: Region of each failure domain.
     """
 
     node_name: str
@@ -100,6 +107,8 @@
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
     contracts: frozenset[str] = frozenset()
+    region: str = ""
+    zones: dict[str, str] = {}
 
     @property
     def follows_evacuations(self) -> bool:
--- /dev/null
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
@@ -0,0 +1,48 @@
+"""What a caller's request is allowed to do, as decided when it arrived."""
+
+from collections.abc import Callable
+
+from limpethollow_policy.version.tenants import Tenant
+
+
+def _always() -> bool:
+    return True
+
+
+class Permit:
+    """Allows one request to be sent to searchers, as long as `may_send` holds.
+
+    Args:
+        priority: Rank of the request, 0 first.
+        tenant: The team whose key the request carries; None for a request without a team.
+        digest: Digest of that key; empty without a team.
+        version: Number of the configuration version by which the request was admitted.
+        homes: Regions that may process the request; None for all.
+        may_send: Returns whether the request may be sent to a searcher now.
+    """
+
+    __slots__ = ("digest", "homes", "may_send", "priority", "tenant", "version")
+
+    def __init__(
+        self,
+        priority: int = 0,
+        tenant: Tenant | None = None,
+        digest: bytes = b"",
+        version: int = -1,
+        homes: frozenset[str] | None = None,
+        may_send: Callable[[], bool] = _always,
+    ) -> None:
+        self.priority = priority
+        self.tenant = tenant
+        self.digest = digest
+        self.version = version
+        self.homes = homes
+        self.may_send = may_send
+
+    @property
+    def tenant_name(self) -> str | None:
+        """Return the name of the request's team; None without one."""
+        return None if self.tenant is None else self.tenant.name
+
+
+UNRESTRICTED = Permit()
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from limpethollow_policy.version.tenants import Tenant, TenantTable
+
 
 @dataclass(slots=True, frozen=True)
 class WeightedService:
@@ -33,6 +35,9 @@
         shards: Services of a search route, each holding one shard; empty for a forwarding route.
         top: Number of records in a search's answer.
         floor: Minimum share of the shards, 0 to 1, that an answer must cover.
+        public: Whether requests need no key.
+        priority: Rank of its requests, 0 first.
+        homes: Regions that may process its requests; empty for all.
     """
 
     name: str
@@ -46,6 +51,9 @@
     shards: tuple[str, ...] = ()
     top: int = 0
     floor: float = 0.0
+    public: bool = False
+    priority: int = 0
+    homes: tuple[str, ...] = ()
 
     @property
     def min_parts(self) -> int:
@@ -99,12 +107,14 @@
         routes: All routes.
         services: Limits by service.
         limits: Limits on callers' requests.
+        tenants: The teams; without any, requests need no key.
     """
 
     number: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceLimits]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] = ()
 
     def service_names(self) -> frozenset[str]:
         """Return all services that any route sends requests to."""
@@ -156,11 +166,12 @@
     one was in use. Older versions are ignored; otherwise a removed route would reappear.
     """
 
-    __slots__ = ("_confirmed_at", "_current", "_table")
+    __slots__ = ("_confirmed_at", "_current", "_table", "_tenants")
 
     def __init__(self) -> None:
         self._current: RoutingVersion | None = None
         self._table = RouteTable(())
+        self._tenants = TenantTable()
         self._confirmed_at = float("-inf")
 
     @property
@@ -174,8 +185,14 @@
             return False
         self._current = version
         self._table = RouteTable(version.routes)
+        self._tenants = TenantTable(version.tenants)
         return True
 
+    @property
+    def tenants(self) -> TenantTable:
+        """Return the teams of the version in force; empty if there are none."""
+        return self._tenants
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route in force for a host and path, None if there is none."""
         return self._table.find(host, path)
--- a/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/exceptions.py
@@ -144,6 +144,13 @@
     remedy = "Send a key that is valid for this listener as 'Authorization: Bearer <key>'."
 
 
+@register_error("key_rejected", 401)
+class KeyRejected(Unauthorized):
+    """No team holds the key; the request was not run."""
+
+    remedy = "Send a valid key as 'Authorization: Token <key>', or ask the operator for one."
+
+
 @register_error("unknown_service", 404)
 class UnknownService(LimpethollowError, LookupError):
     """This instance has no active configuration for a service of this name."""
@@ -191,6 +198,30 @@
     remedy = "Retry after retry_after seconds."
 
 
+@register_error("quota_exceeded", 429)
+class QuotaExceeded(Overloaded):
+    """The team's requests exceed its quota; the request was not run."""
+
+    remedy = "Send fewer requests, or ask the operator for a higher quota."
+
+
+@register_error("quota_unknown", 503)
+class QuotaUnknown(Unavailable):
+    """The instance could not learn in time whether the quota allows the request; it was not run."""
+
+
+@register_error("lease_lapsed", 503)
+class LeaseLapsed(Unavailable):
+    """The instance can't rule out that the key was revoked; the request was not run."""
+
+    remedy = "Retry on another instance, or after retry_after seconds."
+
+
+@register_error("no_home", 503)
+class NoHome(Unavailable):
+    """No searcher in a region that may process the request is available; it was not run."""
+
+
 @register_error("quarantined", 503)
 class Quarantined(Unavailable):
     """Earlier attempts of the same request crashed searchers; this one was not run."""
