Keys of teams: admission, the team's header, fingerprints without keys

Cause: searchers must learn the team and never the key, and a valid key must not get 401 from an instance whose configuration is out of date. Change: AccessControl.admit parses the key, names its team and restricts the homes; 401 only while the version was confirmed within configApplyMs, else 503 with Retry-After. Outgoing drops the key's header where the version has teams, always drops the caller's own team header, and adds the team's. The fingerprint contains the team instead of the key. Unreadable store objects are logged without their content, which may be the keys. A delayed heartbeat confirms a version only for the time at which it was sent, since frames from before a suspension are read after it.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/messages.py
@@ -85,21 +85,25 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes = b""
     keep_alive: bool = True
+    _owner: bytes | None = field(default=None, init=False, repr=False, compare=False)
     _fingerprint: str | None = field(default=None, init=False, repr=False, compare=False)
 
     @property
     def fingerprint(self) -> str:
         """Return a digest of the request and its credentials that is the same for each retry.
 
-        Ids and deadlines are excluded because they differ between retries.
+        Ids and deadlines are excluded because they differ between retries. The credentials are the
+        owner if one was set with `set_owner`, and the authorization header otherwise.
         """
         if self._fingerprint is None:
             digest = blake2b(digest_size=_FINGERPRINT_BYTES)
             host = (self.header(b"host") or b"").lower()
-            credentials = self.header(b"authorization") or b""
+            credentials = self._owner
+            if credentials is None:
+                credentials = self.header(b"authorization") or b""
             for part in (self.method, host, self.target, credentials, self.body):
                 digest.update(b"%d:%b" % (len(part), part))
             self._fingerprint = digest.hexdigest()
@@ -110,6 +114,18 @@
         """Return the path of the target, without the query string."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    def set_owner(self, owner: str) -> None:
+        """Identify the request by the name of its team instead of its key.
+
+        Fingerprints are logged and sent to other instances, and a digest that includes a key would
+        allow guesses of the key to be checked.
+
+        Args:
+            owner: Name of the team; empty for a request without a team.
+        """
+        self._owner = owner.encode()
+        self._fingerprint = None
+
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with a name, given in lower case; None if none."""
         return find_header(self.headers, name)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -123,9 +123,14 @@
         self._on_version(version)
         return True
 
-    def confirm_version(self) -> None:
-        """Record that the active version is the store's newest one now."""
-        self._engine.versions.confirm(self._engine.now())
+    def confirm_version(self, delay: float = 0.0) -> None:
+        """Record that the active version was the store's newest one.
+
+        Args:
+            delay: Seconds for which the message that shows this was delayed. After a suspension,
+                messages from before it are read, and keys may have been added since.
+        """
+        self._engine.versions.confirm(self._engine.now() - delay)
 
     def confirm_searchers(self) -> None:
         """Record that the list of searchers is as new as the store's now."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -35,17 +35,18 @@
         versions: Holds the active version.
 
     Attributes:
+        access: Checks the keys of requests.
         desk: Sends batches of calls to instances near the searchers; set before the first request.
         refuses: Whether new requests are rejected because they might not finish before shutdown.
     """
 
     __slots__ = (
-        "_access",
         "_dispatch",
         "_admission_control",
         "_quotas",
         "_running",
         "_turns",
+        "access",
         "desk",
         "refuses",
         "versions",
@@ -53,7 +54,7 @@
 
     def __init__(self, dispatch: Dispatch, versions: CurrentVersion) -> None:
         self._dispatch = dispatch
-        self._access = AccessControl(versions)
+        self.access = AccessControl(versions, dispatch.names, dispatch.loop.time)
         self._quotas = QuotaControl()
         self._admission_control = AdmissionControl(dispatch)
         self._turns = WeightedRoundRobin()
@@ -91,9 +92,10 @@
     def handle(self, exchange: Exchange) -> None:
         """Handle a caller's request: it gets one response, or a log line if the caller has gone."""
         route = None
+        self.access.hide_key(exchange.request)
         try:
             route = self._find_route(exchange.request)
-            permit = self._access.admit(exchange.request, route)
+            permit = self.access.admit(exchange.request, route)
         except LimpethollowError as error:
             self._refuse(exchange, route, error)
             return
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -295,13 +295,13 @@
     def _on_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         link.ready = heartbeat.ready
         link.interval = heartbeat.interval
-        link.lag(heartbeat.sent_at)
+        lag = link.lag(heartbeat.sent_at)
         if link.name is None:
             return
         if heartbeat.follows and self._supports_eras(heartbeat.known):
             self._role.relay_message_received(link.name, link.heard_at, heartbeat.interval)
             if heartbeat.known.version == self._catalog.version_number:
-                self._catalog.confirm_version()
+                self._catalog.confirm_version(lag)
             if (
                 heartbeat.known.revision(heartbeat.known.searchers)
                 <= self._catalog.searchers.revision
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -84,8 +84,9 @@
         spent = timings.patience.spent(left, connect, route.timeout, way)
         way += dispatch.own_delay.allowance
         seconds = route.timeout if left is None else min(route.timeout, left)
-        own = frozenset({names.time_left, names.expected_searcher})
-        headers = end_to_end(request.headers, own)
+        headers = end_to_end(request.headers, _dropped_headers(names, permit))
+        if permit.tenant is not None:
+            headers.append((names.tenant, permit.tenant.name.encode()))
         if request.body or find_header(request.headers, b"content-length") is not None:
             headers.append((b"Content-Length", b"%d" % len(request.body)))
         return cls(
@@ -108,6 +109,14 @@
         return self.request_id.decode("latin-1")
 
 
+def _dropped_headers(names: HeaderNames, permit: Permit) -> frozenset[bytes]:
+    """Return the names of the caller's headers that searchers must not see."""
+    dropped = {names.time_left, names.expected_searcher, names.tenant}
+    if permit.drops_key:
+        dropped.add(names.key)
+    return frozenset(dropped)
+
+
 def _request_id(request: Request, names: HeaderNames) -> bytes:
     """Return the request id, which is required to match replies to requests."""
     request_id = request.header(names.request_id)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -10,6 +10,7 @@
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
 from limpethollow_node.engine.messages import Reply
+from limpethollow_node.engine.process.access import KeyBounds
 from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.engine import Engine
@@ -26,6 +27,7 @@
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
 from limpethollow_node.platform.settings import (
+    Bounds,
     Limits,
     PlatformSettings,
     SettingsFile,
@@ -93,6 +95,7 @@
             Fleet(settings.zone, self._rng), self._send_budget, HEADERS, self.metrics
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
+        self._engine.access.bounds = _key_bounds(bounds)
         self._roster = Roster(_own_instance(settings), self._on_instances_changed)
         self._catalog = Catalog(
             self._dispatch,
@@ -195,6 +198,7 @@
         )
         self._catalog.set_removal_delay(settings.removal_delay)
         self._list_ttl.longest = bounds.ttl_max_s
+        self._engine.access.bounds = _key_bounds(bounds)
         events.SETTINGS_RELOADED.log(bounds=str(bounds))
 
     def request_shutdown(self) -> None:
@@ -338,6 +342,10 @@
         events.UNEXPECTED_ERROR.log(where=job.__qualname__, error=repr(error), exc_info=True)
 
 
+def _key_bounds(bounds: Bounds) -> KeyBounds:
+    return KeyBounds(bounds.config_apply_ms / 1000)
+
+
 def _instance_strength(limits: Limits) -> float:
     return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -271,5 +271,6 @@
         try:
             objects.append(msgspec.json.decode(raw, type=StoredObject))
         except msgspec.MsgspecError as error:
-            events.OBJECT_UNREADABLE.log(error=str(error), start=bytes(raw[:120]).decode("latin-1"))
+            # The content is not logged, since a configuration contains the teams' keys.
+            events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw))
     return objects
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
@@ -3,12 +3,17 @@
 from collections.abc import Callable
 
 from limpethollow_policy.version.tenants import Tenant
+from limpethollow_wire.exceptions import LimpethollowError, Unavailable
 
 
 def _always() -> bool:
     return True
 
 
+def _unavailable() -> LimpethollowError:
+    return Unavailable("The request is no longer allowed.")
+
+
 class Permit:
     """Allows one request to be sent to searchers, as long as `may_send` holds.
 
@@ -19,9 +24,21 @@
         version: Number of the configuration version by which the request was admitted.
         homes: Regions that may process the request; None for all.
         may_send: Returns whether the request may be sent to a searcher now.
+        refusal: Returns the error for a request of which nothing has run when `may_send` fails.
+        drops_key: Whether the header with the key is removed before the request is sent to
+            searchers.
     """
 
-    __slots__ = ("digest", "homes", "may_send", "priority", "tenant", "version")
+    __slots__ = (
+        "digest",
+        "drops_key",
+        "homes",
+        "may_send",
+        "priority",
+        "refusal",
+        "tenant",
+        "version",
+    )
 
     def __init__(
         self,
@@ -31,6 +48,8 @@
         version: int = -1,
         homes: frozenset[str] | None = None,
         may_send: Callable[[], bool] = _always,
+        refusal: Callable[[], LimpethollowError] = _unavailable,
+        drops_key: bool = False,
     ) -> None:
         self.priority = priority
         self.tenant = tenant
@@ -38,6 +57,8 @@
         self.version = version
         self.homes = homes
         self.may_send = may_send
+        self.refusal = refusal
+        self.drops_key = drops_key
 
     @property
     def tenant_name(self) -> str | None:
