Lease of the keys: revoked keys stop within revokeMs

Cause: an instance that is cut off or suspended must not go on with a key that the operator removed. Change: KeyLease decides from the instance's own round trips; instances that watch the store read the configuration object once a second, others ask linked peers with LeaseAsk. Permits are checked at admission, before each attempt and when a call's bytes are written; a batch carries digest, team and version, and the carrier checks them against its own version and lease. Requests of which nothing can have run end at once when the lease lapses or the key is removed. Without teams or strictRevoke there is no read and no frame.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -167,6 +167,10 @@
         merge_window: Seconds for which results are collected into one frame; later ones are sent
             separately.
         sent_at: See `Heartbeat`.
+        digest: Digest of the key by which the request was admitted; empty if it needs none.
+        tenant: Name of the team that holds the key; empty without a key.
+        version: Number of the version by which the request was admitted; -1 if that version has
+            no teams, and from releases that don't send it.
     """
 
     number: int
@@ -178,6 +182,9 @@
     left: float
     merge_window: float
     sent_at: float
+    digest: bytes = b""
+    tenant: str = ""
+    version: int = -1
 
 
 class BatchParts(Frame, frozen=True, tag="parts"):
@@ -230,6 +237,30 @@
     reason: str
 
 
+class LeaseAsk(Frame, frozen=True, tag="lease_ask"):
+    """Asks how recently the receiver knew that its version is the store's newest.
+
+    Attributes:
+        number: Number that the answer repeats.
+    """
+
+    number: int
+
+
+class LeaseGrant(Frame, frozen=True, tag="lease_grant"):
+    """Answers a `LeaseAsk`.
+
+    Attributes:
+        number: Number of the ask.
+        version: Number of the version in force at the sender.
+        age: Seconds since the store had no newer version, when the answer was sent.
+    """
+
+    number: int
+    version: int
+    age: float
+
+
 class BatchCancel(Frame, frozen=True, tag="end"):
     """Cancels the remaining calls of a batch.
 
@@ -255,6 +286,8 @@
     | BatchParts
     | BatchFailure
     | BatchCancel
+    | LeaseAsk
+    | LeaseGrant
 )
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from limpethollow_node.engine.messages import HeaderNames
 from limpethollow_node.engine.process.pools import Call, Pool
@@ -17,6 +18,7 @@
     CallPaceEstimator,
     RouteTimings,
 )
+from limpethollow_policy.request.permits import UNRESTRICTED, Permit
 from limpethollow_policy.version.routes import Route, RoutingVersion
 
 # Fraction of a searcher's connections that all instances together use. The rest is reserved for
@@ -39,6 +41,8 @@
     Attributes:
         clock: Returns the monotonic time in seconds. `loop.time` does not advance while a callback
             runs, so it cannot measure how long this instance takes for its own work.
+        delegated_permit: Returns the permit of a request that another instance delegates, given the
+            digest of its key, its team's name and the number of its version.
     """
 
     __slots__ = (
@@ -50,6 +54,7 @@
         "_timings",
         "budget",
         "clock",
+        "delegated_permit",
         "fleet",
         "isolation",
         "loop",
@@ -69,6 +74,7 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.clock = time.monotonic
+        self.delegated_permit: Callable[[bytes, str, int], Permit] = lambda *_: UNRESTRICTED
         self.isolation = Isolation()
         self.own_delay = AnswerDelayEstimator()
         self.own_pace = CallPaceEstimator()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -54,7 +54,8 @@
 
     def __init__(self, dispatch: Dispatch, versions: CurrentVersion) -> None:
         self._dispatch = dispatch
-        self.access = AccessControl(versions, dispatch.names, dispatch.loop.time)
+        self.access = AccessControl(versions, dispatch.names, dispatch.loop.time, dispatch.metrics)
+        dispatch.delegated_permit = self.access.delegated
         self._quotas = QuotaControl()
         self._admission_control = AdmissionControl(dispatch)
         self._turns = WeightedRoundRobin()
@@ -70,6 +71,7 @@
         self._turns.forget()
         self._dispatch.use_version(version)
         self._admission_control.use_version(version)
+        self.end_forbidden()
         return True
 
     @property
@@ -173,6 +175,11 @@
         self._running.add(running)
         running.start()
 
+    def end_forbidden(self) -> None:
+        """Answer all requests that are no longer allowed and that no searcher may have run."""
+        for running in list(self._running):
+            running.end_if_forbidden()
+
     def end_retryable(self) -> None:
         """Answer all requests that callers may retry elsewhere; this instance is isolated."""
         for running in list(self._running):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/followers.py
@@ -81,6 +81,9 @@
         peers: The links to other instances.
         entry: This instance's entry in the store.
         first_start: Whether the whole system starts for the first time.
+
+    Attributes:
+        watches: Whether this instance watches the store, or tries to.
     """
 
     __slots__ = (
@@ -97,6 +100,7 @@
         "_role",
         "_roster",
         "_started_at",
+        "watches",
     )
 
     def __init__(
@@ -117,6 +121,7 @@
         self._first_start = first_start
         self._list_not_before: float | None = None
         self._started_at: float | None = None
+        self.watches = False
         self._health = health
         self._role = role
         self._roster = roster
@@ -141,6 +146,7 @@
         # first, at a tenth of the cost of a call; otherwise each of their three feeds would fail
         # and keep retrying.
         follow = wanted and (self._role.is_relay(live) or self._health.answers)
+        self.watches = follow
         for feed in self._feeds:
             feed.set_active(follow or feed in to_list)
         self._peers.follows = (
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -10,10 +10,13 @@
 from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS, PeerLink
 from limpethollow_node.engine.frames import (
     AnyFrame,
+    Ask,
     CrashUpdate,
     Frame,
     Heartbeat,
     Hello,
+    LeaseAsk,
+    LeaseGrant,
     Leaving,
     UnheardInstances,
     encode_frame,
@@ -48,6 +51,10 @@
     return register
 
 
+def _ignore(link: PeerLink, frame: AnyFrame) -> None:
+    """Ignore a frame that nothing handles."""
+
+
 class Peers:
     """Maintains the links, sends updates, and marks silent instances in the roster.
 
@@ -87,6 +94,7 @@
         self._heartbeats = Heartbeats(roster, catalog, self._links)
         self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
         self.on_link_lost: Callable[[PeerLink], None] = lambda link: None
+        self.on_lease_frame: Callable[[PeerLink, LeaseAsk | LeaseGrant], None] = _ignore
 
     @property
     def follows(self) -> bool:
@@ -187,6 +195,14 @@
         """
         return sum(now - link.heard_at < _ALL_SILENT_SECONDS for link in self._links.values())
 
+    def live_links(self, now: float) -> dict[str, PeerLink]:
+        """Return the links to instances that are not silent, by name."""
+        return {name: link for name, link in self._links.items() if not link.is_silent(now)}
+
+    def catch_up(self, link: PeerLink) -> None:
+        """Request from a linked instance all state that is newer than this instance's."""
+        link.send(Ask(self._catalog.known_up_to))
+
     def suspect(self, link: PeerLink, until: float) -> None:
         """Send an instance no batches until the given time, since it did not answer one."""
         if link.name is not None:
@@ -329,6 +345,14 @@
         if link.name is not None:
             self._failure_detector.take(link.name, silent)
 
+    @_handles(LeaseAsk)
+    def _on_lease_ask(self, link: PeerLink, ask: LeaseAsk) -> None:
+        self.on_lease_frame(link, ask)
+
+    @_handles(LeaseGrant)
+    def _on_lease_grant(self, link: PeerLink, grant: LeaseGrant) -> None:
+        self.on_lease_frame(link, grant)
+
     @_handles(Leaving)
     def _on_leaving(self, link: PeerLink, _: Leaving) -> None:
         if link.name is not None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -23,6 +23,14 @@
 RenderCall = Callable[[], bytes]
 
 
+class SendWithheld(ConnectionError):
+    """The request was no longer allowed when its bytes were to be sent; none was."""
+
+
+def _always() -> bool:
+    return True
+
+
 class ConnectionAge(Enum):
     """How recently a call's connection must have been opened or used.
 
@@ -49,6 +57,8 @@
         head: Whether the method is HEAD.
         request_id: Id that the reply echoes, unchanged when a request is sent again; None if the
             server echoes none.
+        may_send: Returns whether the request is still allowed; asked when its bytes are sent, which
+            may be long after the call was made.
     """
 
     __slots__ = (
@@ -58,6 +68,7 @@
         "_request_id",
         "age",
         "head",
+        "may_send",
         "on_failed",
         "on_reply",
         "render",
@@ -73,8 +84,10 @@
         age: ConnectionAge = ConnectionAge.ANY,
         head: bool,
         request_id: bytes | None = None,
+        may_send: Callable[[], bool] = _always,
     ) -> None:
         self._request_id = request_id
+        self.may_send = may_send
         self.render = render
         self.on_reply = on_reply
         self.on_failed = on_failed
@@ -101,6 +114,10 @@
         self._connection = connection
         connection.send(self.render(), self._on_reply, self._on_error, head=self.head)
 
+    def withhold(self) -> None:
+        """Fail the call, of which no byte was sent, because it is no longer allowed."""
+        self.on_failed(SendWithheld("The request is no longer allowed."))
+
     def cancel(self) -> None:
         """Discard the reply, and close the connection so that the searcher stops its work.
 
@@ -195,6 +212,10 @@
 
     def send(self, call: Call) -> None:
         """Send a call on an idle connection, or as soon as one is open or idle."""
+        if not call.may_send():
+            # Later, so that the caller of this method has returned when the outcome is handled.
+            self._loop.call_soon(call.withhold)
+            return
         connection = self._take_idle(call)
         if connection is not None:
             call.write_to(connection)
@@ -294,11 +315,18 @@
             self.send(self._waiting.popleft())
 
     def _next_for(self, connection: ClientConnection) -> Call | None:
-        """Remove and return the first waiting call that may use a connection."""
-        call = next((call for call in self._waiting if call.may_use(connection)), None)
-        if call is not None:
+        """Remove and return the first waiting call that may use a connection.
+
+        Those before it that are no longer allowed are removed, too, and fail.
+        """
+        for call in tuple(self._waiting):
+            if not call.may_use(connection):
+                continue
             self._waiting.remove(call)
-        return call
+            if call.may_send():
+                return call
+            self._loop.call_soon(call.withhold)
+        return None
 
     def _take_idle(self, call: Call) -> ClientConnection | None:
         """Remove and return the most recently used idle connection that suits a call."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
@@ -22,6 +22,8 @@
 _MAY_HAVE_RUN = "may_have_run"
 # Reason for no retry: the request crashed every searcher that it was sent to.
 _QUARANTINED = "quarantined"
+# Reason for no send: the request's key or the lease of the keys no longer allows it.
+_NOT_PERMITTED = "not_permitted"
 # Reason to wait before a retry: the request may crash searchers, and its trial runs elsewhere.
 _ON_TRIAL_ELSEWHERE = "on_trial_elsewhere"
 
@@ -124,6 +126,8 @@
         """
         if replica is None:
             self._finish(Verdict.NOT_SENT, "no_searcher")
+        elif not self.outgoing.permit.may_send():
+            self._finish(Verdict.NOT_SENT, _NOT_PERMITTED)
         elif self.outgoing.guard.may_send():
             self._launch(replica)
         else:
@@ -133,7 +137,7 @@
         """Call a second searcher because the first is late; return whether both are in flight."""
         if self.done or not self.outgoing.route.idempotent or not self._in_flight:
             return False
-        if not self.outgoing.guard.may_send():
+        if not self.outgoing.guard.may_send() or not self.outgoing.permit.may_send():
             return False
         other = self._choose_other()
         if other is None:
@@ -269,6 +273,8 @@
             return _MAY_HAVE_RUN
         if guard.is_quarantined:
             return _QUARANTINED
+        if not self.outgoing.permit.may_send():
+            return _NOT_PERMITTED
         if other is None:
             return "no_searcher"
         if not self._may_send():
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
@@ -34,6 +34,9 @@
         link: Link to the instance that sent the batch.
         batch: The batch.
         done: Called once all calls have completed.
+
+    Attributes:
+        permit: What the request may do by this instance's own version and lease.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "_parts",
         "_flush_timer",
         "_merge_timer",
+        "permit",
     )
 
     def __init__(
@@ -57,6 +61,7 @@
         self._dispatch = dispatch
         self._link = link
         self._batch = batch
+        self.permit = dispatch.delegated_permit(batch.digest, batch.tenant, batch.version)
         self._done = done
         self._calls: dict[str, _Call] = {}
         self._parts = PartSet(batch.top)
@@ -77,6 +82,9 @@
         loop = self._dispatch.loop
         self._merge_timer = loop.call_later(self._batch.merge_window, self._end_merging)
         for call in self._batch.calls:
+            if not self.permit.may_send():
+                self._send_failure(call.shard, Verdict.NOT_SENT, 0, "not_permitted_there")
+                continue
             replica = self._dispatch.fleet.get(call.searcher)
             if replica is None:
                 self._send_failure(call.shard, Verdict.NOT_SENT, 0, "searcher_not_known_there")
@@ -190,6 +198,7 @@
             self._failed,
             head=False,
             request_id=worked.request_id,
+            may_send=worked.permit.may_send,
         )
 
     def drop(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -98,7 +98,7 @@
                 self._desk.suspect(sent)
 
     def _send_batch(self, link: PeerLink, sends: list[Send]) -> None:
-        outgoing = self._outgoing
+        outgoing, permit = self._outgoing, self._outgoing.permit
         now = self._dispatch.loop.time()
         calls = [BatchCall(send.service, send.replica.searcher.id) for send in sends]
 
@@ -113,6 +113,9 @@
                 outgoing.deadline - now,
                 outgoing.timings.hedge_delay * _MERGE_FRACTION,
                 now,
+                b"" if outgoing.route.public else permit.digest,
+                "" if outgoing.route.public else permit.tenant_name or "",
+                permit.version if permit.drops_key else -1,
             )
 
         sent = self._desk.send(link, frame, self._on_parts, self._on_call_failed)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -71,6 +71,13 @@
             )
             self._fail(error, "isolated")
 
+    def end_if_forbidden(self) -> None:
+        """Fail the request if it is no longer allowed and no searcher may have run it."""
+        permit = self._outgoing.permit
+        if not permit.may_send() and not self._tries.may_have_run:
+            self._tries.abandon()
+            self._fail_forbidden()
+
     def finish_for_shutdown(self) -> None:
         """Fail the request because this instance stops; it may have run only if it was sent."""
         kind = NoUsableReply if self._tries.may_have_run else Unavailable
@@ -92,6 +99,8 @@
                 "The searcher sent no usable reply.", retry_after=_RETRY_WHEN_FULL
             )
             self._fail(error, tries.reason)
+        elif not self._outgoing.permit.may_send():
+            self._fail_forbidden()
         elif tries.verdict is Verdict.NOT_RUN:
             if tries.is_refused_at_capacity:
                 self._admission.full()
@@ -116,6 +125,10 @@
         self._exchange.respond(error_reply(error))
         self._report(error.status, reason)
 
+    def _fail_forbidden(self) -> None:
+        error = self._outgoing.permit.refusal()
+        self._fail(error, error.code)
+
     def _deadline_passed(self) -> None:
         self._tries.abandon()
         self._fail(AnswerLate("The searcher did not reply before the deadline."), "deadline")
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -127,6 +127,11 @@
         )
         self._fail(error, "isolated")
 
+    def end_if_forbidden(self) -> None:
+        """Fail the search if it is no longer allowed and no searcher may have run a part of it."""
+        if not self._outgoing.permit.may_send() and not self._may_have_run:
+            self._fail_forbidden()
+
     def finish_for_shutdown(self) -> None:
         """Reply with the available parts because this instance stops; fail below the floor."""
         if len(self._parts) >= self._min_parts:
@@ -221,18 +226,29 @@
     def _give_up(self) -> None:
         """Fail now instead of at the deadline, because too many shards can no longer answer."""
         self._admission.over(len(self._parts))
-        if any(tries.may_have_run for tries in self._tries):
+        if self._may_have_run:
             # A quarantined request would be refused when retried.
             retry_after = None if self._outgoing.guard.is_quarantined else _RETRY_AFTER
             error: LimpethollowError = NoUsableReply(
                 "Too many shards sent no usable reply.", retry_after=retry_after
             )
+        elif not self._outgoing.permit.may_send():
+            self._fail_forbidden()
+            return
         else:
             error = Unavailable(
                 "Too many shards have no reachable searcher.", retry_after=_RETRY_AFTER
             )
         self._fail(error, "floor_out_of_reach")
 
+    @property
+    def _may_have_run(self) -> bool:
+        return len(self._parts) > 0 or any(tries.may_have_run for tries in self._tries)
+
+    def _fail_forbidden(self) -> None:
+        error = self._outgoing.permit.refusal()
+        self._fail(error, error.code)
+
     def _answer(self, reason: str) -> None:
         begun = self._dispatch.clock()
         self._admission.over(len(self._parts))
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -104,6 +104,7 @@
             age=self._connection_age(),
             head=outgoing.is_head,
             request_id=outgoing.request_id,
+            may_send=outgoing.permit.may_send,
         )
         self.call = call
         self._owner.dispatch.send(self.replica, call)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -15,6 +15,7 @@
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.process.followers import StoreFollower
+from limpethollow_node.engine.process.leasing import LeaseKeeper
 from limpethollow_node.engine.process.lifecycle import Lifecycle
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
@@ -23,6 +24,7 @@
 from limpethollow_node.platform.directory import DirectoryHandler, ReadinessHandler
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
+from limpethollow_node.platform.leasereads import LeaseReads
 from limpethollow_node.platform.membership import KIND, Membership
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
@@ -95,7 +97,7 @@
             Fleet(settings.zone, self._rng), self._send_budget, HEADERS, self.metrics
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
-        self._engine.access.bounds = _key_bounds(bounds)
+        self._set_key_bounds(bounds)
         self._roster = Roster(_own_instance(settings), self._on_instances_changed)
         self._catalog = Catalog(
             self._dispatch,
@@ -159,6 +161,16 @@
             self._membership,
             first_start=settings.bootstrap,
         )
+        self._lease_keeper = LeaseKeeper(
+            self._engine,
+            self._catalog,
+            self._roster,
+            self._peers,
+            lambda: self._follower.watches,
+        )
+        self._lease_reads = LeaseReads(
+            self._store, self._catalog, self._engine.access, self._lease_keeper, self._peers.tell
+        )
         self._services: frozenset[str] = frozenset()
         self._register_state_gauges()
 
@@ -198,9 +210,14 @@
         )
         self._catalog.set_removal_delay(settings.removal_delay)
         self._list_ttl.longest = bounds.ttl_max_s
-        self._engine.access.bounds = _key_bounds(bounds)
+        self._set_key_bounds(bounds)
         events.SETTINGS_RELOADED.log(bounds=str(bounds))
 
+    def _set_key_bounds(self, bounds: Bounds) -> None:
+        access = self._engine.access
+        access.bounds = KeyBounds(bounds.config_apply_ms / 1000, bounds.strict_revoke)
+        access.lease.duration = bounds.revoke_ms / 1000
+
     def request_shutdown(self) -> None:
         """Start the graceful shutdown."""
         self._lifecycle.request_shutdown()
@@ -210,6 +227,8 @@
         loop = asyncio.get_running_loop()
         self.metrics.gauge("own_delay_seconds", lambda: self._dispatch.own_delay.allowance)
         self.metrics.gauge("admitted_rate", lambda: self._engine.admitted_rate)
+        access = self._engine.access
+        self.metrics.gauge("lease_age_seconds", lambda: access.lease.stated_age(access.uptime()))
         self.metrics.gauge("store_era", lambda: self._store.era)
         self.metrics.gauge("ready", lambda: self._lifecycle.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
@@ -256,6 +275,8 @@
             self._store_check.run(),
             self._peers.run(),
             self._quarantine_keeper.run(),
+            self._lease_keeper.run(),
+            self._lease_reads.run(),
             self._tick(),
             *joining,
         ]
@@ -342,10 +363,6 @@
         events.UNEXPECTED_ERROR.log(where=job.__qualname__, error=repr(error), exc_info=True)
 
 
-def _key_bounds(bounds: Bounds) -> KeyBounds:
-    return KeyBounds(bounds.config_apply_ms / 1000)
-
-
 def _instance_strength(limits: Limits) -> float:
     return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -20,7 +20,7 @@
 # Additional timeout of a watch, because a slow store also answers watches late.
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
-_CONNECTIONS = 6
+_CONNECTIONS = 7
 _JSON = (b"Content-Type", b"application/json")
 # Header with the store's era: how often the store was restored from an older copy.
 _ERA_HEADER = b"store-era"
@@ -161,6 +161,20 @@
         except NotFound:
             return
 
+    async def read(self, kind: str, name: str, timeout: float) -> StoredObject:
+        """Read the newest state of an object.
+
+        Args:
+            kind: The object's kind.
+            name: The object's name.
+            timeout: Seconds after which the store counts as unavailable.
+
+        Raises:
+            NotFound: No object has this name.
+        """
+        found, _ = await self._get("read", f"/objects/{kind}/{name}", StoredObject, timeout)
+        return found
+
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -132,6 +132,14 @@
 REQUEST_ENDED = _event(520, logging.INFO, "a caller's request ended")
 REQUEST_SUSPECTED = _event(522, logging.WARNING, "request is suspected of crashing its searchers")
 SUSPICION_ENDED = _event(523, logging.INFO, "request is no longer suspected or quarantined")
+LEASE_LAPSED = _event(
+    530, logging.WARNING, "lease of the keys lapsed; requests that need a key are refused"
+)
+LEASE_RENEWED = _event(531, logging.INFO, "lease of the keys holds again")
+LEASE_READ_FAILED = _event(
+    532, logging.WARNING, "configuration could not be read to renew the lease of the keys"
+)
+LEASE_READ_RECOVERED = _event(533, logging.INFO, "configuration can be read again for the lease")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "outcome of a booking is unknown")
 BOOKING_RESOLVED = _event(
     510, logging.INFO, "outcome of a booking resolved by querying its searchers"
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -20,6 +20,7 @@
     CallPaceEstimator,
     RouteTimings,
 )
+from limpethollow_policy.request.permits import UNRESTRICTED
 from limpethollow_policy.version.routes import Route, RoutingVersion
 
 
@@ -75,6 +76,7 @@
         self.fleet = Fleet("a", Random(1))
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
+        self.delegated_permit = lambda *_: UNRESTRICTED
         self.metrics = Metrics()
         self.quarantines = Quarantines(self.metrics, self.loop.time)
         self.played: list[tuple[Replica, Call]] = []
--- a/tests/unit/engine/test_access.py
+++ b/tests/unit/engine/test_access.py
@@ -9,6 +9,7 @@
 from limpethollow_node.engine.process.engine import Engine
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.platform.headers import HEADERS
+from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.version.routes import CallerLimits, CurrentVersion, RoutingVersion
 from limpethollow_policy.version.tenants import Tenant, key_digest
 from limpethollow_wire.exceptions import BadRequest, KeyRejected, Unavailable
@@ -39,7 +40,7 @@
         self.versions = CurrentVersion()
         self.versions.offer(version(1, *tenants))
         self.versions.confirm(0.0)
-        self.access = AccessControl(self.versions, HEADERS, lambda: self.now)
+        self.access = AccessControl(self.versions, HEADERS, lambda: self.now, Metrics())
 
     def admit(self, request: Request, **fields):
         return self.access.admit(request, route(**fields))
