--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -35,17 +35,18 @@
         versions: Holds the active version.
 
     Attributes:
+        access: Checks the keys of requests.
         desk: Sends batches of calls to instances near the searchers; set before the first request.
         refuses: Whether new requests are rejected because they might not finish before shutdown.
     """
 
     __slots__ = (
-        "_access",
         "_dispatch",
         "_admission_control",
         "_quotas",
         "_running",
         "_turns",
+        "access",
         "desk",
         "refuses",
         "versions",
@@ -53,7 +54,8 @@
 
     def __init__(self, dispatch: Dispatch, versions: CurrentVersion) -> None:
         self._dispatch = dispatch
-        self._access = AccessControl(versions)
+        self.access = AccessControl(versions, dispatch.names, dispatch.loop.time, dispatch.metrics)
+        dispatch.delegated_permit = self.access.delegated
         self._quotas = QuotaControl()
         self._admission_control = AdmissionControl(dispatch)
         self._turns = WeightedRoundRobin()
@@ -69,6 +71,7 @@
         self._turns.forget()
         self._dispatch.use_version(version)
         self._admission_control.use_version(version)
+        self.end_forbidden()
         return True
 
     @property
@@ -91,9 +94,10 @@
     def handle(self, exchange: Exchange) -> None:
         """Handle a caller's request: it gets one response, or a log line if the caller has gone."""
         route = None
+        self.access.hide_key(exchange.request)
         try:
             route = self._find_route(exchange.request)
-            permit = self._access.admit(exchange.request, route)
+            permit = self.access.admit(exchange.request, route)
         except LimpethollowError as error:
             self._refuse(exchange, route, error)
             return
@@ -171,6 +175,11 @@
         self._running.add(running)
         running.start()
 
+    def end_forbidden(self) -> None:
+        """Answer all requests that are no longer allowed and that no searcher may have run."""
+        for running in list(self._running):
+            running.end_if_forbidden()
+
     def end_retryable(self) -> None:
         """Answer all requests that callers may retry elsewhere; this instance is isolated."""
         for running in list(self._running):
