--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -39,6 +39,7 @@
         dialled: Whether this instance opened the connection.
 
     Attributes:
+        follows: Whether the other instance reported that it follows the store.
         interval: Seconds between two heartbeats from the other instance.
         heartbeat_due: Monotonic time in seconds at which this instance sends its next heartbeat.
         name: Name of the other instance; None until its first frame arrives.
@@ -54,6 +55,7 @@
         "_socket",
         "heartbeat_due",
         "dialled",
+        "follows",
         "heard_at",
         "incarnation",
         "interval",
@@ -81,6 +83,7 @@
         self.name: str | None = None
         self.incarnation = 0
         self.ready = False
+        self.follows = False
         self.heard_at = now
         self.interval = HEARTBEAT_SECONDS
         self.heartbeat_due = now
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -240,6 +240,34 @@
     number: int
 
 
+class QuotaAsk(Frame, frozen=True, tag="quota"):
+    """Asks a holder for tokens of a team's quota.
+
+    Attributes:
+        number: Number that the sender assigned to the request.
+        tenant: Name of the team.
+        tokens: Tokens wanted.
+    """
+
+    number: int
+    tenant: str
+    tokens: float
+
+
+class QuotaGrant(Frame, frozen=True, tag="lent"):
+    """Tokens that the sender took out of its bucket for the receiver.
+
+    Attributes:
+        number: Number of the `QuotaAsk`.
+        tokens: Tokens lent, possibly none.
+        wait: Seconds until the sender has the next ones, if it lent fewer than wanted.
+    """
+
+    number: int
+    tokens: float
+    wait: float
+
+
 AnyFrame = (
     Hello
     | Heartbeat
@@ -255,6 +283,8 @@
     | BatchParts
     | BatchFailure
     | BatchCancel
+    | QuotaAsk
+    | QuotaGrant
 )
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -1,5 +1,7 @@
 """Entry point of the request path: handles callers' requests, each with exactly one response."""
 
+from collections.abc import Callable
+
 from limpethollow_node.engine.connection.callers import Exchange, error_reply
 from limpethollow_node.engine.messages import Request
 from limpethollow_node.engine.process.access import AccessControl
@@ -25,6 +27,7 @@
 # route that other instances serve, so a missing route must not be reported as nonexistent.
 VERSION_STALE_SECONDS = 13.0
 _RETRY_WITHOUT_VERSION = 0.5
+_ISOLATED = "This instance can reach no peer and no searcher; retry on another instance."
 
 
 class Engine:
@@ -36,6 +39,7 @@
 
     Attributes:
         desk: Sends batches of calls to instances near the searchers; set before the first request.
+        quotas: Applies the teams' quotas.
         refuses: Whether new requests are rejected because they might not finish before shutdown.
     """
 
@@ -43,10 +47,11 @@
         "_access",
         "_dispatch",
         "_admission_control",
-        "_quotas",
         "_running",
         "_turns",
+        "_waiting",
         "desk",
+        "quotas",
         "refuses",
         "versions",
     )
@@ -54,7 +59,8 @@
     def __init__(self, dispatch: Dispatch, versions: CurrentVersion) -> None:
         self._dispatch = dispatch
         self._access = AccessControl(versions)
-        self._quotas = QuotaControl()
+        self.quotas = QuotaControl(dispatch)
+        self._waiting: dict[Exchange, tuple[Route, Callable[[], None]]] = {}
         self._admission_control = AdmissionControl(dispatch)
         self._turns = WeightedRoundRobin()
         self.desk: BatchManager | None = None
@@ -69,6 +75,7 @@
         self._turns.forget()
         self._dispatch.use_version(version)
         self._admission_control.use_version(version)
+        self.quotas.use_version(version)
         return True
 
     @property
@@ -81,8 +88,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is in progress."""
-        return bool(self._running)
+        """Return whether a request is in progress or waits for its quota."""
+        return bool(self._running or self._waiting)
 
     def now(self) -> float:
         """Return the monotonic time, in seconds, from which ages are computed."""
@@ -97,21 +104,40 @@
         except LimpethollowError as error:
             self._refuse(exchange, route, error)
             return
-        self._quotas.acquire(
+        cancel = self.quotas.acquire(
             permit,
             route,
             lambda: self._start_admitted(exchange, route, permit),
             lambda error: self._refuse(exchange, route, error),
         )
+        if cancel is not None:
+            self._waiting[exchange] = route, cancel
+            exchange.on_disconnect = lambda: self._on_disconnect(exchange)
 
     def _start_admitted(self, exchange: Exchange, route: Route, permit: Permit) -> None:
+        self._waiting.pop(exchange, None)
+        exchange.on_disconnect = None
         try:
             self._start(exchange, route, permit)
         except LimpethollowError as error:
-            self._quotas.give_back(permit)
+            self.quotas.give_back(permit)
+            self._refuse(exchange, route, error)
+
+    def _on_disconnect(self, exchange: Exchange) -> None:
+        """Give up the place of a request that waits for its quota."""
+        route, cancel = self._waiting.pop(exchange)
+        cancel()
+        self._logger(exchange, route)(Outcome(0, "caller_gone"))
+
+    def _refuse_waiting(self, error: LimpethollowError) -> None:
+        """Refuse all requests that wait for their quotas."""
+        waiting, self._waiting = self._waiting, {}
+        for exchange, (route, cancel) in waiting.items():
+            cancel()
             self._refuse(exchange, route, error)
 
     def _refuse(self, exchange: Exchange, route: Route | None, error: LimpethollowError) -> None:
+        self._waiting.pop(exchange, None)
         exchange.respond(error_reply(error))
         self._logger(exchange, route)(Outcome(error.status, error.code))
 
@@ -125,10 +151,7 @@
         if self.refuses:
             raise Unavailable(STOPPING, retry_after=RETRY_ELSEWHERE)
         if self._dispatch.isolation.is_isolated:
-            raise Unavailable(
-                "This instance can reach no peer and no searcher; retry on another instance.",
-                retry_after=RETRY_ELSEWHERE,
-            )
+            raise Unavailable(_ISOLATED, retry_after=RETRY_ELSEWHERE)
         if self.versions.current is None:
             raise Unavailable(
                 "No configuration has been loaded yet.", retry_after=_RETRY_WITHOUT_VERSION
@@ -159,6 +182,8 @@
         def on_ended(outcome: Outcome) -> None:
             self._running.discard(running)
             self._dispatch.quarantines.ended(outgoing.guard)
+            if permit.quota_until and not running.may_have_run:
+                self.quotas.give_back(permit)
             log(outcome)
 
         if route.shards:
@@ -173,11 +198,13 @@
 
     def end_retryable(self) -> None:
         """Answer all requests that callers may retry elsewhere; this instance is isolated."""
+        self._refuse_waiting(Unavailable(_ISOLATED, retry_after=RETRY_ELSEWHERE))
         for running in list(self._running):
             running.cut_off()
 
     def end_all(self) -> None:
         """Answer all requests in progress; this instance is stopping."""
+        self._refuse_waiting(Unavailable(STOPPING, retry_after=RETRY_ELSEWHERE))
         for running in list(self._running):
             running.finish_for_shutdown()
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from functools import partial
 from random import Random
 
 from websockets.asyncio.connection import Connection
@@ -15,6 +16,8 @@
     Heartbeat,
     Hello,
     Leaving,
+    QuotaAsk,
+    QuotaGrant,
     UnheardInstances,
     encode_frame,
 )
@@ -87,6 +90,11 @@
         self._heartbeats = Heartbeats(roster, catalog, self._links)
         self.on_batch_frame: Callable[[PeerLink, AnyFrame], None] = lambda link, frame: None
         self.on_link_lost: Callable[[PeerLink], None] = lambda link: None
+        self.links_to_holders = False
+        self.on_quota_frame: Callable[[PeerLink, QuotaAsk | QuotaGrant], None] = (
+            lambda link, frame: None
+        )
+        self.on_holder_lost: Callable[[str], None] = lambda name: None
 
     @property
     def follows(self) -> bool:
@@ -114,10 +122,13 @@
         """Open missing links; also called as soon as instances are listed."""
         own = self._roster.own
         known = {instance.name: instance for instance in self._roster.known}
-        for name in link_targets(own, list(known.values())) - self._links.keys():
+        targets = partial(
+            link_targets, known=list(known.values()), with_holders=self.links_to_holders
+        )
+        for name in targets(own) - self._links.keys():
             other = known[name]
             # If both instances want the link, only the one with the smaller name dials.
-            if own.name < name or own.name not in link_targets(other, list(known.values())):
+            if own.name < name or own.name not in targets(other):
                 self._dialler.dial(other.peer_address)
         if len(known) == 1 and not self._links:
             port = own.peer_address.rpartition(":")[2]
@@ -179,6 +190,16 @@
         first = self._rotation % len(found)
         return [*found[first:], *found[:first]][:count]
 
+    def hears_store_list(self, now: float) -> bool:
+        """Return whether this instance, or one with the same list that it hears, has the store's.
+
+        A peer says with each heartbeat whether it follows the store.
+        """
+        if self.follows:
+            return True
+        same = set(self.with_same_instances(now))
+        return any(link.follows and name in same for name, link in self._links.items())
+
     def count_heard_peers(self, now: float) -> int:
         """Return the number of instances from which a frame arrived recently.
 
@@ -187,6 +208,24 @@
         """
         return sum(now - link.heard_at < _ALL_SILENT_SECONDS for link in self._links.values())
 
+    def send_to(self, name: str, frame: Frame, now: float) -> bool:
+        """Send a frame to a linked instance; return whether it is linked and not silent."""
+        link = self._links.get(name)
+        if link is None or link.is_silent(now):
+            return False
+        link.send(frame)
+        return True
+
+    def with_same_instances(self, now: float) -> list[str]:
+        """Return the heard instances whose list of instances has the revision of this one's."""
+        own = self._catalog.known
+        return [
+            name
+            for name, link in self._links.items()
+            if not link.is_silent(now)
+            and (link.source.known.era, link.source.known.instances) == (own.era, own.instances)
+        ]
+
     def suspect(self, link: PeerLink, until: float) -> None:
         """Send an instance no batches until the given time, since it did not answer one."""
         if link.name is not None:
@@ -248,6 +287,7 @@
         self._role.relay_stopped(link.name, now)
         events.PEER_LOST.log(peer=link.name)
         self.on_link_lost(link)
+        self.on_holder_lost(link.name)
         self._failure_detector.judge(
             self._failure_detector.heard(now), self._dialler.refused_addresses, now
         )
@@ -295,6 +335,7 @@
     def _on_heartbeat(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         link.ready = heartbeat.ready
         link.interval = heartbeat.interval
+        link.follows = heartbeat.follows
         link.lag(heartbeat.sent_at)
         if link.name is None:
             return
@@ -320,6 +361,14 @@
         """
         return known.era > 0 or self._catalog.known.era == 0
 
+    @_handles(QuotaAsk)
+    def _on_quota_ask(self, link: PeerLink, ask: QuotaAsk) -> None:
+        self.on_quota_frame(link, ask)
+
+    @_handles(QuotaGrant)
+    def _on_quota_grant(self, link: PeerLink, grant: QuotaGrant) -> None:
+        self.on_quota_frame(link, grant)
+
     @_handles(CrashUpdate)
     def _on_crash_reports(self, link: PeerLink, news: CrashUpdate) -> None:
         self._crash_reports.take(link, news)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
@@ -325,6 +325,8 @@
     def _drop_sends(self) -> None:
         dropped, self._in_flight = self._in_flight, []
         for send in dropped:
+            if not send.is_sent:
+                self._possible_runs -= 1
             send.drop()
             self.outgoing.guard.ended(send.replica.searcher.run)
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -61,6 +61,11 @@
             self._timers.append(loop.call_at(late_at, self._hedge))
         self._tries.start()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a searcher may have run the request."""
+        return self._tries.may_have_run
+
     def cut_off(self) -> None:
         """Fail the request if it is idempotent, because this instance is isolated."""
         if self._outgoing.route.idempotent:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -119,6 +119,11 @@
             hedge_at = left_at + self._outgoing.timings.hedge_delay + (left_at - begun)
             self._timers.append(loop.call_at(hedge_at, self._hedge))
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a searcher may have run one of the calls."""
+        return any(tries.may_have_run for tries in self._tries)
+
     def cut_off(self) -> None:
         """Fail the search because this instance is isolated; the caller may retry it."""
         error = NoUsableReply(
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -26,6 +26,7 @@
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
 from limpethollow_node.platform.settings import (
+    Bounds,
     Limits,
     PlatformSettings,
     SettingsFile,
@@ -43,6 +44,7 @@
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.lifetimes import ListLifetime
 from limpethollow_policy.process.placements import Instance, instances_for_caller
+from limpethollow_policy.process.quotas import QuotaBounds
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.slackclaims import SlackClaim
 from limpethollow_policy.process.topology import WatchRole
@@ -112,6 +114,13 @@
             settings.seed_hosts,
         )
         self._engine.desk = BatchManager(self._dispatch, self._peers)
+        self._engine.quotas.join(
+            self._roster,
+            self._peers,
+            lambda: self._catalog.instances.items.values(),
+            _quota_bounds(bounds),
+            first_start=settings.bootstrap,
+        )
         self._list_ttl = ListLifetime(bounds.ttl_max_s)
         self._servers: list[CallerServer] = []
         self._front = self._add_server(self._engine.handle)
@@ -194,6 +203,7 @@
             asyncio.get_running_loop().time(),
         )
         self._catalog.set_removal_delay(settings.removal_delay)
+        self._engine.quotas.set_bounds(_quota_bounds(bounds))
         self._list_ttl.longest = bounds.ttl_max_s
         events.SETTINGS_RELOADED.log(bounds=str(bounds))
 
@@ -207,6 +217,7 @@
         self.metrics.gauge("own_delay_seconds", lambda: self._dispatch.own_delay.allowance)
         self.metrics.gauge("admitted_rate", lambda: self._engine.admitted_rate)
         self.metrics.gauge("store_era", lambda: self._store.era)
+        self.metrics.gauge("quota_part", lambda: self._engine.quotas.part)
         self.metrics.gauge("ready", lambda: self._lifecycle.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
         self.metrics.gauge("quarantined_requests", lambda: self._dispatch.quarantines.count)
@@ -294,6 +305,7 @@
         self._lifecycle.tick(now)
         self._slack_claim.heard(len(self._roster) - 1, self._peers.count_heard_peers(now), now)
         self._follower.tick(now)
+        self._engine.quotas.tick()
         for server in self._servers:
             server.sweep(now)
         collect_between_requests(busy=self._engine.is_busy)
@@ -314,6 +326,7 @@
     def _on_instances_changed(self) -> None:
         self._slack_claim.listed(self._roster.is_listed, asyncio.get_running_loop().time())
         self._dispatch.share_among(self._roster.share_divisor)
+        self._engine.quotas.instances_changed()
 
     def _addresses_for_caller(self, domain: str) -> list[str]:
         searchers = self._dispatch.fleet.domains(self._services)
@@ -342,6 +355,10 @@
     return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
 
 
+def _quota_bounds(bounds: Bounds) -> QuotaBounds:
+    return QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+
+
 def _own_instance(settings: PlatformSettings) -> Instance:
     first, _ = settings.internal_port_range
     return Instance(
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -132,6 +132,11 @@
 REQUEST_ENDED = _event(520, logging.INFO, "a caller's request ended")
 REQUEST_SUSPECTED = _event(522, logging.WARNING, "request is suspected of crashing its searchers")
 SUSPICION_ENDED = _event(523, logging.INFO, "request is no longer suspected or quarantined")
+QUOTA_EXCEEDED = _event(540, logging.INFO, "requests of a team refused above its quota")
+QUOTA_UNKNOWN = _event(
+    541, logging.WARNING, "requests of a team refused because no holder of its quota answered"
+)
+QUOTA_PART_CHANGED = _event(542, logging.INFO, "part of the quotas held here changed")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "outcome of a booking is unknown")
 BOOKING_RESOLVED = _event(
     510, logging.INFO, "outcome of a booking resolved by querying its searchers"
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/topology.py
@@ -13,6 +13,8 @@
 # domain. The leading instances, which make calls for each other, also link to this many in every
 # other failure domain: with the relay there, that gives calls a second path.
 LINKS_IN_DOMAIN, LINKS_PER_OTHER_DOMAIN = 2, 1
+# Holders of the teams' quotas in each failure domain.
+HOLDERS_PER_DOMAIN = 2
 # Seconds between two heartbeats on a link.
 HEARTBEAT_SECONDS = 0.5
 # The interval on links between failure domains that carry no calls. With 195 instances, heartbeats
@@ -48,14 +50,37 @@
     return frozenset(relays)
 
 
-def link_targets(own: Instance, known: Collection[Instance]) -> frozenset[str]:
-    """Return the names of the instances that this instance keeps a link to."""
+def holders_among(known: Collection[Instance]) -> frozenset[str]:
+    """Return the names of the instances that keep the tokens of the teams' quotas.
+
+    These are the relay and the next one by rank in each failure domain: a few, so that each part
+    is more than a fraction of a token, and two, so that the loss of one leaves a holder there.
+    """
+    holders = set()
+    for members in by_domain(leading_instances(known)).values():
+        members.sort(key=lambda instance: _rendezvous_hash("relay", instance.name))
+        holders.update(instance.name for instance in members[-HOLDERS_PER_DOMAIN:])
+    return frozenset(holders)
+
+
+def link_targets(
+    own: Instance, known: Collection[Instance], *, with_holders: bool = False
+) -> frozenset[str]:
+    """Return the names of the instances that this instance keeps a link to.
+
+    Args:
+        own: This instance.
+        known: All listed instances.
+        with_holders: Whether leading instances link to all holders of quotas.
+    """
     others = [instance for instance in known if instance.name != own.name]
     if len(others) < FULL_MESH_SIZE:
         return frozenset(instance.name for instance in others)
     wanted = set(relays_among(known))
     leading = leading_instances(known)
     far = LINKS_PER_OTHER_DOMAIN if own in leading else 0
+    if with_holders and own in leading:
+        wanted |= holders_among(known)
     others = [i for i in leading if i.name not in wanted and i.name != own.name]
     for domain, members in by_domain(others).items():
         count = LINKS_IN_DOMAIN if domain == own.failure_domain else far
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
@@ -19,9 +19,13 @@
         version: Number of the configuration version by which the request was admitted.
         homes: Regions that may process the request; None for all.
         may_send: Returns whether the request may be sent to a searcher now.
+
+    Attributes:
+        quota_until: Time in seconds of CLOCK_BOOTTIME until which the request's token can be
+            returned; 0 if it has none.
     """
 
-    __slots__ = ("digest", "homes", "may_send", "priority", "tenant", "version")
+    __slots__ = ("digest", "homes", "may_send", "priority", "quota_until", "tenant", "version")
 
     def __init__(
         self,
@@ -38,6 +42,7 @@
         self.version = version
         self.homes = homes
         self.may_send = may_send
+        self.quota_until = 0.0
 
     @property
     def tenant_name(self) -> str | None:
