--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -260,12 +260,14 @@
     Attributes:
         number: Number of the `QuotaAsk`.
         tokens: Tokens lent, possibly none.
-        wait: Seconds until the sender has the next ones, if it lent fewer than wanted.
+        wait: Seconds until the sender has the next one, if it lent fewer than wanted.
+        left: Tokens that it still has.
     """
 
     number: int
     tokens: float
     wait: float
+    left: float = 0.0
 
 
 AnyFrame = (
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -12,7 +12,7 @@
 from limpethollow_node.process import events
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.quotaholders import LOAN_SECONDS, HolderRole
-from limpethollow_policy.process.quotas import PENDING_SECONDS, QuotaBounds, Quotas
+from limpethollow_policy.process.quotas import PENDING_SECONDS, Loan, QuotaBounds, Quotas
 from limpethollow_policy.process.topology import holders_among
 from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.version.routes import Route, RoutingVersion
@@ -391,12 +391,13 @@
         if isinstance(frame, QuotaAsk):
             if now >= self._look_at:
                 self._look(now)
-            tokens, wait = self._quotas.lend(frame.tenant, frame.tokens, now)
-            if tokens > 0:
+            loan = self._quotas.lend(frame.tenant, frame.tokens, now)
+            if loan.tokens > 0:
                 self._dispatch.metrics.count("quota_loans", frame.tenant)
-            link.send(QuotaGrant(frame.number, tokens, wait))
+            link.send(QuotaGrant(frame.number, loan.tokens, loan.wait, loan.left))
             return
-        team = self._quotas.granted(frame.number, frame.tokens, frame.wait, now)
+        loan = Loan(frame.tokens, frame.wait, frame.left)
+        team = self._quotas.granted(frame.number, loan, now)
         if team is not None:
             if frame.tokens > 0:
                 self._refused_until.pop(team, None)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
@@ -29,6 +29,12 @@
 # An instance with at least this many requests in the last loan time asks for half as many tokens
 # in advance. With fewer, the tokens would often expire unused.
 _MIN_EXPECTED = 4
+# Fractions of tokens are asked for only where a bucket holds fewer tokens than this. Else they are
+# a small part of it, and where many instances compete for them, most expire before they make up a
+# token: a team with 50 a second that sent 500 was served 23 a second with fractions, 51 without.
+_SMALL_DEPTH = 2.0
+# An ask for less than one token is one for a fraction.
+_LARGEST_FRACTION = 0.999
 # Rounding errors of sums of fractions of tokens.
 _EPSILON = 1e-9
 
@@ -120,6 +126,21 @@
     tokens: float
 
 
+@dataclass(slots=True, frozen=True)
+class Loan:
+    """A holder's answer to an ask.
+
+    Attributes:
+        tokens: Tokens lent, possibly none.
+        wait: Seconds until the holder has the next one, if it lent fewer than wanted.
+        left: Tokens that it still has.
+    """
+
+    tokens: float
+    wait: float
+    left: float = 0.0
+
+
 class _SentAsk:
     __slots__ = ("at", "holder", "tenant", "tokens")
 
@@ -136,23 +157,30 @@
     Attributes:
         free_at: Time in seconds from which it may be asked.
         is_empty: Whether it is not asked before that because it had no tokens.
+        left: Fraction of a token that it still had.
     """
 
-    __slots__ = ("_allowance", "_asked_at", "free_at", "is_empty")
+    __slots__ = ("_allowance", "_asked_at", "free_at", "is_empty", "left")
 
     def __init__(self) -> None:
         self._allowance = ASKS_AT_ONCE
         self._asked_at = float("-inf")
         self.free_at = float("-inf")
         self.is_empty = False
+        self.left = 0.0
 
     def may_ask(self, now: float) -> bool:
         """Return whether the holder may have tokens and has not been asked too often."""
         return now >= self.free_at and self._allowed(now) >= 1
 
+    def may_ask_fraction(self, now: float) -> bool:
+        """Return whether the holder is paused with a fraction of a token left."""
+        return self.left > 0 and now < self.free_at and self._allowed(now) >= 1
+
     def asked(self, now: float) -> None:
         """Record an ask."""
         self._allowance, self._asked_at = self._allowed(now) - 1, now
+        self.left = 0.0
 
     def pause(self, until: float, *, is_empty: bool) -> None:
         """Ask the holder no more until a given time."""
@@ -347,29 +375,26 @@
         self._borrower(team).add(1.0, expires)
         return True
 
-    def lend(self, team: str, tokens: float, now: float) -> tuple[float, float]:
+    def lend(self, team: str, tokens: float, now: float) -> Loan:
         """Take tokens out of the bucket here for another instance.
 
         Args:
             team: Name of the team.
-            tokens: Tokens wanted.
+            tokens: Tokens wanted; a fraction of one only if it is less than one.
             now: Current time in seconds.
-
-        Returns:
-            The tokens lent, and the seconds until the next ones come if they are fewer than wanted.
         """
         bucket = self._bucket(team, now) if self._part > 0 else None
         if bucket is None:
-            return 0.0, _NO_HOLDER_WAIT
+            return Loan(0.0, _NO_HOLDER_WAIT, 0.0)
         if not (0 < tokens < math.inf):
-            return 0.0, _MIN_WAIT
-        if bucket.depth >= 1:
-            # Whole tokens: fractions at many instances would expire without making up one.
-            lent = float(min(math.floor(bucket.level + _EPSILON), math.ceil(tokens)))
+            return Loan(0.0, _MIN_WAIT, 0.0)
+        if tokens < 1:
+            lent = min(bucket.level, tokens)
         else:
-            lent = min(bucket.level, tokens) if 2 * bucket.level >= bucket.depth else 0.0
+            # Whole tokens: fractions would expire at instances that don't find the rest.
+            lent = float(min(math.floor(bucket.level), math.ceil(tokens)))
         bucket.level -= lent
-        return lent, 0.0 if lent >= tokens else bucket.wait(now)
+        return Loan(lent, 0.0 if lent >= tokens else bucket.wait(now), bucket.level)
 
     def arrived(self, team: str, now: float) -> None:
         """Count a request, from which the tokens to ask for in advance are estimated."""
@@ -390,22 +415,26 @@
         missing = waiting - borrower.valid_tokens(now) - coming
         if missing <= _EPSILON:
             return None
-        holder = self._next_holder(borrower, now)
+        holder, tokens = self._next_holder(borrower, now), missing + borrower.advance_tokens
+        if holder is None and self._has_small_buckets(team):
+            holder, tokens = self._next_fraction(borrower, missing, now)
+        elif holder is not None:
+            # Less than one would ask for a fraction.
+            tokens = max(1.0, tokens)
         if holder is None:
             return None
         borrower.holders[holder].asked(now)
         self._number += 1
-        sent = _SentAsk(holder, team, missing + borrower.advance_tokens, now)
+        sent = _SentAsk(holder, team, tokens, now)
         borrower.pending[self._number] = self._asks[self._number] = sent
         return Ask(holder, self._number, team, sent.tokens)
 
-    def granted(self, number: int, tokens: float, wait: float, now: float) -> str | None:
+    def granted(self, number: int, loan: Loan, now: float) -> str | None:
         """Take in an answer; late, repeated and unknown ones have no effect.
 
         Args:
             number: Number of the ask.
-            tokens: Tokens lent.
-            wait: Seconds until the holder has the next ones.
+            loan: What the holder lent.
             now: Current time in seconds.
 
         Returns:
@@ -415,12 +444,13 @@
         if found is None:
             return None
         borrower, sent = found
-        if tokens < sent.tokens:
-            pause = min(max(wait, _MIN_WAIT), _MAX_WAIT) if wait == wait else _MAX_WAIT
-            borrower.holders[sent.holder].pause(now + pause, is_empty=True)
+        if loan.tokens < sent.tokens:
+            state = borrower.holders[sent.holder]
+            state.pause(now + min(max(loan.wait, _MIN_WAIT), _MAX_WAIT), is_empty=True)
+            state.left = min(loan.left, 1.0) if sent.tokens >= 1 else 0.0
         expires = sent.at + LOAN_SECONDS
-        if tokens > 0 and now < expires:
-            borrower.add(min(tokens, math.ceil(sent.tokens)), expires)
+        if loan.tokens > 0 and now < expires:
+            borrower.add(min(loan.tokens, math.ceil(sent.tokens)), expires)
         return sent.tenant
 
     def failed(self, number: int, now: float) -> None:
@@ -487,6 +517,26 @@
                 return name
         return None
 
+    def _has_small_buckets(self, team: str) -> bool:
+        size = self._sizes.get(team)
+        return size is not None and size[0] < _SMALL_DEPTH * len(self._role.holders)
+
+    def _next_fraction(
+        self, borrower: _Borrower, missing: float, now: float
+    ) -> tuple[str | None, float]:
+        """Return a holder and the fraction of a token to ask it for, None if they don't add up.
+
+        While holders only lent whole tokens, half a token lay unused at each of 8 holders, and a
+        team with 4 requests a second, within its limit, was refused 1.2 % of them.
+        """
+        needed = missing % 1 or 1.0
+        states = borrower.holders
+        found = [n for n in self._others() if n in states and states[n].may_ask_fraction(now)]
+        if not found or sum(states[name].left for name in found) < needed - _EPSILON:
+            return None, 0.0
+        name = max(found, key=lambda n: (states[n].left, n))
+        return name, min(needed, states[name].left, _LARGEST_FRACTION)
+
     def _drop_unanswered(self, borrower: _Borrower, now: float) -> None:
         for number, sent in list(borrower.pending.items()):
             if now - sent.at >= LOAN_SECONDS:
