--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -142,6 +142,7 @@
 
     def confirmed(self, now: float) -> None:
         """Record that the store's list is this instance's one."""
+        self.look(now)
         if now >= self._deaf_until:
             self._confirmed_at = now
             self._update(now)
--- a/tests/unit/engine/test_peers.py
+++ b/tests/unit/engine/test_peers.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from limpethollow_node.engine.frames import Heartbeat
+from limpethollow_node.engine.frames import Heartbeat, QuotaAsk, QuotaGrant
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.engine.process.roster import Roster
@@ -146,3 +146,34 @@
         for number in range(1, 16, 2):
             strong.peers.suspect(strong.links[f"i-{number:02}"], until=10.0)
         assert strong.peers.near("b", 1, 0.0)[0].name not in {f"i-{n:02}" for n in range(16)}
+
+
+class TestQuotas:
+    """Quotas need to know who has the same list of instances, and whether it is the store's."""
+
+    def test_frames_reach_the_quotas_and_go_to_linked_instances_only(self):
+        play = Play(own=0)
+        got = []
+        play.peers.on_quota_frame = lambda link, frame: got.append(frame)
+        ask, grant = QuotaAsk(1, "t", 1.0), QuotaGrant(1, 1.0, 0.0)
+        link = play.links["i-01"]
+        play.peers._on_frame(link, ask)
+        play.peers._on_frame(link, grant)
+        assert got == [ask, grant]
+        sent = []
+        link.send = sent.append
+        assert play.peers.send_to("i-01", ask, 0.0)
+        assert sent == [ask]
+        assert not play.peers.send_to("i-99", ask, 0.0)
+
+    def test_only_a_follower_with_the_same_list_confirms_it(self):
+        play = Play(own=0)
+        for link in play.links.values():
+            link.follows = False
+        assert not play.peers.hears_store_list(0.0)
+        behind = play.links["i-01"]
+        behind.follows = True
+        assert play.peers.hears_store_list(0.0)
+        behind.source.known = KnownState(instances=7)
+        assert "i-01" not in play.peers.with_same_instances(0.0)
+        assert not play.peers.hears_store_list(0.0)
