--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -140,6 +140,11 @@
     532, logging.WARNING, "configuration could not be read to renew the lease of the keys"
 )
 LEASE_READ_RECOVERED = _event(533, logging.INFO, "configuration can be read again for the lease")
+QUOTA_EXCEEDED = _event(540, logging.INFO, "requests of a team refused above its quota")
+QUOTA_UNKNOWN = _event(
+    541, logging.WARNING, "requests of a team refused because no holder of its quota answered"
+)
+QUOTA_PART_CHANGED = _event(542, logging.INFO, "part of the quotas held here changed")
 BOOKING_UNKNOWN = _event(501, logging.WARNING, "outcome of a booking is unknown")
 BOOKING_RESOLVED = _event(
     510, logging.INFO, "outcome of a booking resolved by querying its searchers"
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
@@ -27,6 +27,10 @@
         refusal: Returns the error for a request of which nothing has run when `may_send` fails.
         drops_key: Whether the header with the key is removed before the request is sent to
             searchers.
+
+    Attributes:
+        quota_until: Time in seconds of CLOCK_BOOTTIME until which the request's token can be
+            returned; 0 if it has none.
     """
 
     __slots__ = (
@@ -35,6 +39,7 @@
         "homes",
         "may_send",
         "priority",
+        "quota_until",
         "refusal",
         "tenant",
         "version",
@@ -59,6 +64,7 @@
         self.may_send = may_send
         self.refusal = refusal
         self.drops_key = drops_key
+        self.quota_until = 0.0
 
     @property
     def tenant_name(self) -> str | None:
