--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -17,10 +17,19 @@
 # Number of distinct `Keep-Alive` values whose parsed timeout is cached.
 _TIMEOUT_CACHE_SIZE = 64
 
+# A request up to this size fits into the socket's send buffer, which is empty before each request.
+# Of a longer one, the end is held back until the rest has left this process.
+_HELD_BACK_ABOVE = 8 * 1024
+_HELD_BACK_BYTES = 64
+
 OnReply = Callable[[Reply], None]
 OnBroken = Callable[[Exception], None]
 
 
+def _always() -> bool:
+    return True
+
+
 class BrokenConnection(ConnectionError):
     """The connection closed, or invalid data arrived, before a complete reply was read."""
 
@@ -57,6 +66,8 @@
         "_reply_started",
         "_transport",
         "_ends_with_connection",
+        "_held_back",
+        "_may_send",
         "carried",
         "idle_since",
         "idle_timeout",
@@ -81,6 +92,8 @@
         self._ends_with_connection = False
         self._broken = False
         self._reply_started = False
+        self._held_back = b""
+        self._may_send = _always
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
         self.carried = CarriedRequests()
@@ -97,7 +110,15 @@
             and not transport.is_closing()
         )
 
-    def send(self, data: bytes, on_reply: OnReply, on_broken: OnBroken, *, head: bool) -> None:
+    def send(
+        self,
+        data: bytes,
+        on_reply: OnReply,
+        on_broken: OnBroken,
+        *,
+        head: bool,
+        may_send: Callable[[], bool] = _always,
+    ) -> None:
         """Send a complete request.
 
         Args:
@@ -105,13 +126,22 @@
             on_reply: Called with the complete reply.
             on_broken: Called with the error if no complete reply arrives.
             head: Whether the method is HEAD; replies to it have no body.
+            may_send: Returns whether the request is still allowed. It is asked again before the end
+                of a long request is written, which may be after a suspension of the machine.
         """
         self._on_reply = on_reply
         self._on_broken = on_broken
         self._is_head = head
         self._reply_started = False
         self.was_used = True
-        self._transport.write(data)
+        if len(data) <= _HELD_BACK_ABOVE:
+            self._transport.write(data)
+            return
+        self._may_send, self._held_back = may_send, data[-_HELD_BACK_BYTES:]
+        self._transport.set_write_buffer_limits(high=0)
+        self._transport.write(memoryview(data)[:-_HELD_BACK_BYTES])
+        if not self._transport.get_write_buffer_size():
+            self._write_end()
 
     def close(self) -> None:
         """Close the connection without calling back for the current request."""
@@ -127,6 +157,11 @@
         self._transport = transport
         enable_keepalive(transport.get_extra_info("socket"))
 
+    def resume_writing(self) -> None:
+        """Write the end of a long request once the rest has left this process."""
+        if self._held_back and not self._broken:
+            self._write_end()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._on_reply is None:
@@ -199,12 +234,19 @@
             self._broken = True
         self._deliver()
 
+    def _write_end(self) -> None:
+        end, self._held_back = self._held_back, b""
+        if self._may_send():
+            self._transport.write(end)
+        else:
+            self._fail(BrokenConnection("The request was no longer allowed while it was sent."))
+
     def _deliver(self) -> None:
         reply = Reply(self._parser.get_status_code(), self._headers, b"".join(self._body))
         on_reply, self._on_reply, self._on_broken = self._on_reply, None, None
         self._body = []
         self.idle_timeout = _keep_alive_timeout(reply.header(b"keep-alive"))
-        if self._transport.get_write_buffer_size():
+        if self._held_back or self._transport.get_write_buffer_size():
             # The server replied before it had read the whole request, so it would parse the rest of
             # the body as the next request.
             self._broken = True
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -112,7 +112,13 @@
         """Send the request."""
         self.sent = True
         self._connection = connection
-        connection.send(self.render(), self._on_reply, self._on_error, head=self.head)
+        connection.send(
+            self.render(),
+            self._on_reply,
+            self._on_error,
+            head=self.head,
+            may_send=self.may_send,
+        )
 
     def withhold(self) -> None:
         """Fail the call, of which no byte was sent, because it is no longer allowed."""
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -202,7 +202,7 @@
         self.carried = CarriedRequests()
         self.was_used = False
 
-    def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
+    def send(self, data: bytes, on_reply, on_broken, *, head: bool, may_send=None) -> None:
         """Take a request's bytes."""
         self._on_reply = on_reply
         target = data.split(b" ", 2)[1].decode()
