--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -162,10 +162,14 @@
         port = self.settings["internalPortRange"][1]
         return _http.request("GET", f"http://127.0.0.1:{port}/metrics").data.decode()
 
-    def addresses(self, zone: str = "zone-a") -> list[str]:
+    def addresses(self, zone: str = "zone-a", region: str = "region") -> list[str]:
         """Return what callers are told to use."""
-        url = f"http://127.0.0.1:{self.directory}/resolve?name={HOST}&region=region&zone={zone}"
-        return json.loads(_http.request("GET", url, timeout=1.0).data)["addrs"]
+        return json.loads(self.resolve(zone, region).data)["addrs"]
+
+    def resolve(self, zone: str, region: str) -> urllib3.BaseHTTPResponse:
+        """Ask the directory which instances callers should use."""
+        url = f"http://127.0.0.1:{self.directory}/resolve?name={HOST}&region={region}&zone={zone}"
+        return _http.request("GET", url, timeout=1.0)
 
     def ask(
         self,
--- a/tests/support/searches.py
+++ b/tests/support/searches.py
@@ -10,6 +10,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import Search
 from limpethollow_policy.process.searchers import Replica
+from limpethollow_policy.request.permits import UNRESTRICTED, Permit
 from tests.support.virtual import VirtualDispatch, reply_of, request, route
 
 
@@ -46,6 +47,7 @@
         shards: How many shards.
         slack: Slack of the budget of repeated sends.
         prepare: Called with the dispatch before the search starts.
+        permit: What the search is allowed to do.
         **fields: Fields of the route.
     """
 
@@ -54,6 +56,7 @@
         shards: int = 4,
         slack: float = 56.0,
         prepare: Callable[[VirtualDispatch], None] = lambda dispatch: None,
+        permit: Permit = UNRESTRICTED,
         **fields,
     ) -> None:
         self.dispatch = VirtualDispatch(slack)
@@ -68,7 +71,7 @@
         self.exchange = VirtualExchange(taken, self.now)
         self.outcomes: list[Outcome] = []
         found = route(shards=names, top=5, floor=0.25, **fields)
-        outgoing = Outgoing.of(self.exchange, found, self.dispatch)
+        outgoing = Outgoing.of(self.exchange, found, self.dispatch, permit)
         self.hedge_delay = outgoing.timings.hedge_delay
         self.guard = outgoing.guard
         admission = AdmissionControl(self.dispatch).admit_search(outgoing)
