Homes: hosts whose routes have different homes; older frames; zones that are reloaded

The directory prefers instances that suit all routes of a host, since a query states no path and the union of the homes sends requests to another route's home. Tests of admission, of frames without the new fields and of a reloaded zones table.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -358,7 +358,10 @@
         if not chosen:
             self.metrics.count("directory_without_home")
             events.NO_INSTANCE_IN_HOMES.log(
-                host=query.host, homes=sorted(homes), region=query.region, zone=query.zone
+                host=query.host,
+                homes=sorted({home for each in homes for home in each}),
+                region=query.region,
+                zone=query.zone,
             )
             raise NoHome(
                 "No instance is known in a region that may process requests to this host.",
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/fleets.py
@@ -197,7 +197,10 @@
 
         It may be blocked, unreachable or full at the moment.
         """
-        return any(replica.is_in_service for replica in self._permitted(service, allowed))
+        return any(
+            replica.searcher.failure_domain in allowed and replica.is_in_service
+            for replica in self.of(service)
+        )
 
     def queue_depth(
         self,
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/homes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/homes.py
@@ -58,35 +58,43 @@
     known: Collection[Instance],
     caller_region: str,
     caller_domain: str,
-    homes: AbstractSet[str],
+    homes: Collection[frozenset[str]],
     searchers: Mapping[str, int],
     regions: Regions,
 ) -> list[Instance]:
     """Return the instances that a caller of a host with homes should use.
 
     Only instances in the homes or in the caller's region are returned, because the body of a
-    request may reach no other instance. If none of these is live, the known ones are returned
-    anyway: they may be back before the caller tries them, or only this instance can't reach them,
-    and a caller that fails to connect has sent its body nowhere.
+    request may reach no other instance. A query does not state the path, so if the routes have
+    different homes, instances that suit all of them are preferred: those in a home of every route
+    or in the caller's region. If none of the instances is live, all known ones are returned: they
+    may be back before the caller tries them, or only this instance can't reach them, and a caller
+    that fails to connect has sent its body nowhere.
 
     Args:
         live: Instances that are ready and not leaving.
         known: All known instances.
         caller_region: The caller's region; derived from its failure domain if empty.
         caller_domain: The caller's failure domain.
-        homes: Homes of the host's routes.
+        homes: Homes of each of the host's routes that has homes, at least one.
         searchers: Number of usable searchers by failure domain.
         regions: The regions of the failure domains.
 
     Returns:
         The instances; empty if none is known in these regions.
     """
-    permitted = {*homes, caller_region or regions.region_of(caller_domain)}
-    in_homes = {d: n for d, n in searchers.items() if regions.region_of(d) in homes}
-
-    def within(instances: Collection[Instance]) -> list[Instance]:
-        found = ((i, regions.region_of(i.failure_domain)) for i in instances)
-        return [i for i, region in found if region is not None and region in permitted]
-
-    usual = within(known)
-    return instances_for_caller(within(live) or usual, caller_domain, in_homes, usual)
+    own = frozenset({caller_region or regions.region_of(caller_domain)}) - {None}
+    any_home = frozenset().union(*homes)
+    in_homes = {d: n for d, n in searchers.items() if regions.region_of(d) in any_home}
+    for permitted in (frozenset.intersection(*homes) | own, any_home | own):
+        near = _instances_in(permitted, live, regions)
+        if near:
+            usual = _instances_in(permitted, known, regions)
+            return instances_for_caller(near, caller_domain, in_homes, usual)
+    return instances_for_caller(_instances_in(any_home | own, known, regions), caller_domain, {})
+
+
+def _instances_in(
+    permitted: AbstractSet[str], instances: Collection[Instance], regions: Regions
+) -> list[Instance]:
+    return [i for i in instances if regions.region_of(i.failure_domain) in permitted]
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
@@ -138,12 +138,12 @@
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
         self._homes = {
-            host: frozenset(home for route in found.values() for home in route.homes)
+            host: frozenset(frozenset(route.homes) for route in found.values() if route.homes)
             for host, found in self._by_host.items()
         }
 
-    def homes_of(self, host: str) -> frozenset[str]:
-        """Return the homes of all routes of a host; empty if none of them has homes."""
+    def homes_of(self, host: str) -> frozenset[frozenset[str]]:
+        """Return the homes of each route of a host that has homes; empty if none has."""
         return self._homes.get(host.partition(":")[0].lower(), frozenset())
 
     def find(self, host: str, path: str) -> Route | None:
@@ -205,8 +205,8 @@
         """Return the route in force for a host and path, None if there is none."""
         return self._table.find(host, path)
 
-    def homes_of(self, host: str) -> frozenset[str]:
-        """Return the homes of all routes in force for a host; empty if none of them has homes."""
+    def homes_of(self, host: str) -> frozenset[frozenset[str]]:
+        """Return the homes of each route in force for a host that has homes; empty if none has."""
         return self._table.homes_of(host)
 
     def confirm(self, now: float) -> None:
--- a/tests/system/platform/test_homes.py
+++ b/tests/system/platform/test_homes.py
@@ -103,6 +103,16 @@
         wait_for(lambda: instance.ask("/get/x").status == 200, "a new searcher is used")
         assert not near.seen
 
+    def test_a_failure_domain_that_moves_to_another_region_is_used_no_more(self, system):
+        """Guards against `zones` that take effect only when every instance has restarted."""
+        system.backend("desk", "i-2", zone="zone-b")
+        system.configure(1, forward_route("desk", allowedRegions=["south"]))
+        instance = regional_instance(system, "front-1", "zone-a")
+        assert instance.ask("/get/x").status == 200
+        instance.settings["zones"] = {**ZONES, "zone-b": "north"}
+        instance.settings_path.write_text(json.dumps(instance.settings))
+        wait_for(lambda: instance.ask("/get/x").status == 503, "the new table is in use")
+
     def test_a_home_that_nothing_belongs_to_is_logged_and_refused(self, system):
         near = system.backend("desk", "i-1", zone="zone-a")
         system.configure(1, forward_route("desk", allowedRegions=["soth"]))
--- a/tests/unit/engine/test_coldstatements.py
+++ b/tests/unit/engine/test_coldstatements.py
@@ -25,6 +25,7 @@
 from limpethollow_policy.process.searchers import Searcher
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_policy.version.routes import ServiceLimits
+from limpethollow_wire.codecs import from_cbor, to_cbor
 from tests.support.searches import VirtualExchange
 from tests.support.virtual import VirtualDispatch, request, route
 from tests.unit.engine.test_batchworks import RecordingLink
@@ -190,9 +191,14 @@
 
     def test_frames_of_releases_without_it_are_read(self):
         """Guards against a rolling update in which results of older instances are refused."""
-        parts = encode_frame(BatchParts(1, {"s": b"p"}, [5], b"", [None]))
-        assert decode_frame(parts).cold_ms == {}
-        assert decode_frame(encode_frame(BatchFailure(1, "s", "not_run", 0, "x"))).cold_ms is None
+        parts = BatchParts(1, {"s": b"p"}, [5], b"", [None], {"s": 1})
+        failure = BatchFailure(1, "s", "not_run", 0, "x", 1)
+        batch = Batch(1, b"", b"", b"r1", [], 5, 1.0, 0.02, 100.0, homes=["north"])
+        older = [
+            decode_frame(to_cbor(from_cbor(encode_frame(each))[:-1]))
+            for each in (parts, failure, batch)
+        ]
+        assert [older[0].cold_ms, older[1].cold_ms, older[2].homes] == [{}, None, None]
 
 
 class TestLimits:
--- a/tests/unit/engine/test_homes.py
+++ b/tests/unit/engine/test_homes.py
@@ -24,6 +24,7 @@
 from limpethollow_policy.process.homes import Regions
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.searchers import Searcher
+from limpethollow_policy.process.shedding import LoadShedder
 from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.request.verdicts import Verdict
 from limpethollow_policy.version.routes import (
@@ -252,6 +253,20 @@
         assert HomesPlay(forward(), dispatch).ask()[0] == 0
         assert len(dispatch.played) == 1
 
+    def test_admission_looks_at_the_queues_at_home_only(self, monkeypatch):
+        """Guards against a request that is refused, or admitted, for the load of other regions."""
+        depths: list[float | None] = []
+        monkeypatch.setattr(
+            LoadShedder,
+            "wait",
+            lambda self, now, *, in_time, queue_depth: depths.append(queue_depth) or 0.0,
+        )
+        dispatch = dispatch_with("s", "a", "c")
+        dispatch.fleet.get("s-a").reported(LoadReport(1, 2, 2), dispatch.loop.time())
+        dispatch.fleet.get("s-c").reported(LoadReport(2, 80, 2), dispatch.loop.time())
+        HomesPlay(forward("north"), dispatch).ask()
+        assert depths == [dispatch.fleet.get("s-a").load.queue_depth]
+
     def test_each_of_several_homes_will_do(self):
         dispatch = dispatch_with("s", "c")
         assert HomesPlay(forward("north", "south"), dispatch).ask()[0] == 0
@@ -337,7 +352,7 @@
 
 
 class TestHostsWithHomes:
-    def test_the_homes_of_a_host_are_those_of_all_its_routes(self):
+    def test_the_homes_of_a_host_are_those_of_each_of_its_routes(self):
         routes = (
             route(name="one", prefix="/1/", homes=("north",)),
             route(name="two", prefix="/2/", homes=("south",)),
@@ -347,7 +362,7 @@
         versions = CurrentVersion()
         assert versions.homes_of("h") == frozenset()
         versions.offer(RoutingVersion(1, routes, {}, CallerLimits()))
-        assert versions.homes_of("H:8080") == {"north", "south"}
+        assert versions.homes_of("H:8080") == {NORTH, SOUTH}
         assert versions.homes_of("other") == versions.homes_of("") == frozenset()
 
 
--- a/tests/unit/platform/test_directory.py
+++ b/tests/unit/platform/test_directory.py
@@ -12,7 +12,7 @@
 from tests.support.searches import VirtualExchange
 
 REGIONS = Regions({"n-1": "north", "n-2": "north", "s-1": "south", "e-1": "east"})
-HOMES = frozenset({"south"})
+HOMES = [frozenset({"south"})]
 
 
 def instance(name: str, domain: str, strength: float = 1.0) -> Instance:
@@ -51,6 +51,17 @@
     def test_none_is_named_where_none_is_known(self):
         assert named([EAST, LOST], known=[EAST, LOST]) == set()
 
+    def test_routes_with_different_homes_share_what_suits_all_of_them(self):
+        """Guards against a request that reaches an instance in the home of another route only."""
+        homes = [frozenset({"north", "east"}), frozenset({"south", "east"})]
+        assert named(ALL, homes=homes, region="west", zone="w-1") == {"east-1"}
+        alike = [instance("north-1", "n-1"), instance("south-1", "s-1"), instance("east-1", "e-1")]
+        assert named(alike, homes=homes, known=alike) == {"north-1", "east-1"}
+
+    def test_without_one_that_suits_all_each_home_will_do(self):
+        homes = [frozenset({"north"}), frozenset({"south"})]
+        assert named(ALL, homes=homes, region="west", zone="w-1") == {"north-1", "south-1"}
+
     @pytest.mark.parametrize("region", ["", "unlisted", "west"])
     def test_an_unlisted_failure_domain_is_in_no_region(self, region):
         """Guards against an unknown caller's region that matches an unknown instance's."""
