--- a/tests/system/platform/test_searchers.py
+++ b/tests/system/platform/test_searchers.py
@@ -350,3 +350,17 @@
 
 def _once_then_hang(me, seen):
     return me.success(seen) if len(me.seen) == 1 else Hang()
+
+
+class TestColdStatements:
+    def test_a_reply_states_that_its_searcher_is_cold(self, system):
+        """Guards against a header of the platform that is read under another name."""
+        header = "X-Limpethollow-Cold-Ms: 60000"
+        system.backend("desk", "i-1", answer=lambda me, seen: me.success(seen, header))
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        for _ in range(3):
+            assert instance.ask("/get/x").status == 200
+        stated = [(e["searcher"], e["cold_ms"]) for e in instance.events(554)]
+        assert stated == [("i-1", 60000)]
+        assert "limpethollow_searchers_stated_cold" in instance.metrics()
