--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/replychecks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/replychecks.py
@@ -9,7 +9,7 @@
 from limpethollow_policy.request.verdicts import Verdict, classify_reply
 from limpethollow_wire.exceptions import BadRequest
 
-# 999,999 s; a searcher's warm-up takes seconds.
+# A warm-up takes seconds; a longer number, of over 11 days, is an error of the searcher.
 _MAX_COLD_DIGITS = 9
 
 
