--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -171,6 +171,7 @@
         tenant: Name of the team that holds the key; empty without a key.
         version: Number of the version by which the request was admitted; -1 if that version has
             no teams, and from releases that don't send it.
+        homes: Regions that may process the request; None for all.
     """
 
     number: int
@@ -185,6 +186,7 @@
     digest: bytes = b""
     tenant: str = ""
     version: int = -1
+    homes: list[str] | None = None
 
 
 class BatchParts(Frame, frozen=True, tag="parts"):
@@ -197,6 +199,7 @@
         records: The top records of all these parts, encoded as one body.
         loads: Load reports of the searchers, in the order of `proofs`; None for a searcher that
             sent none.
+        cold_ms: Milliseconds for which searchers stay cold, by shard, if their replies state it.
     """
 
     number: int
@@ -204,6 +207,7 @@
     milliseconds: list[int]
     records: bytes
     loads: list[LoadReport | None]
+    cold_ms: dict[str, int] = {}
 
     def __post_init__(self) -> None:
         """Reject lists of different lengths, with which a shard would be dropped silently."""
@@ -228,6 +232,8 @@
         verdict: Value of the call's `Verdict`.
         status: Status of the searcher's reply; 0 if there was none.
         reason: Cause of the failure.
+        cold_ms: Milliseconds for which the searcher stays cold; None if its reply does not state
+            them.
     """
 
     number: int
@@ -235,6 +241,7 @@
     verdict: str
     status: int
     reason: str
+    cold_ms: int | None = None
 
 
 class LeaseAsk(Frame, frozen=True, tag="lease_ask"):
