Callers of a starting instance wait for its first lease

Cause: an instance listened as soon as it had a configuration and refused requests with keys until its first read of the store. Change: the wait before listening, 0.25 s at most, also covers the lease. Before any configuration a refused request's fingerprint leaves out its key. Tests for delayed heartbeats and for batches of releases without teams.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
@@ -80,9 +80,14 @@
         """Return whether keys are used only while the lease holds."""
         return self.bounds.strict_revoke and bool(self._versions.tenants)
 
+    @property
+    def may_use_keys(self) -> bool:
+        """Return whether requests with a known key can be admitted now."""
+        return not self.needs_lease or self.lease.holds(self.uptime())
+
     def hide_key(self, request: Request) -> None:
         """Exclude the key of a refused request from its fingerprint, which is logged."""
-        if self._versions.tenants:
+        if self._versions.current is None or self._versions.tenants:
             request.set_owner("")
 
     def admit(self, request: Request, route: Route) -> Permit:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
@@ -15,8 +15,8 @@
 from limpethollow_policy.process.stalls import StallDetector
 
 # Callers that connect to a starting process wait in the listener's backlog at most this long for
-# the first configuration, which takes 10 ms from a responsive store or peer. Without one they are
-# rejected after that.
+# the first configuration, which takes 10 ms from a responsive store or peer, and for the first
+# lease of the keys. Without them they are rejected after that.
 FIRST_CONFIGURATION_SECONDS = 0.25
 # Phases of a graceful shutdown, as fractions of the time until the platform kills the process.
 # Until the first, all requests are accepted: callers cache directory entries for up to three times
@@ -91,6 +91,10 @@
             and len(self._dispatch.fleet) > 0
         )
 
+    @property
+    def _is_ready_for_keys(self) -> bool:
+        return self.is_ready and self._engine.access.may_use_keys
+
     def request_shutdown(self) -> None:
         """Request the graceful shutdown; further calls have no effect."""
         if not self._shutdown_requested.is_set():
@@ -109,7 +113,7 @@
         """
         loop = asyncio.get_running_loop()
         last = loop.time() + FIRST_CONFIGURATION_SECONDS
-        while not self.is_ready and loop.time() < last:
+        while not self._is_ready_for_keys and loop.time() < last:
             await asyncio.sleep(_POLL_SECONDS)
         for server, listener in doors:
             await server.serve(listener)
--- a/tests/unit/engine/test_frames.py
+++ b/tests/unit/engine/test_frames.py
@@ -88,6 +88,12 @@
         frame = decode_frame(to_cbor(["beat", True, True, known, 5.0, 0.5]))
         assert frame.known == KnownState(1, 2, 3, era=0)
 
+    def test_a_batch_without_a_version_is_one_of_a_release_without_teams(self):
+        """Guards against a batch of an older release that passes for one without a key."""
+        fields = ["batch", 1, b"h", b"", b"r1", [], 5, 1.0, 0.02, 3.0]
+        frame = decode_frame(to_cbor(fields))
+        assert (frame.digest, frame.tenant, frame.version) == (b"", "", -1)
+
     def test_fields_that_a_later_release_adds_are_passed_over(self):
         frame = decode_frame(to_cbor(["instances", 5, 7, [], [], 2, "later"]))
         assert frame == InstanceUpdate(5, 7, [], [], era=2)
--- a/tests/unit/engine/test_peers.py
+++ b/tests/unit/engine/test_peers.py
@@ -9,6 +9,7 @@
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import KnownState, Source
+from limpethollow_policy.process.objectcaches import ObjectCache
 from limpethollow_policy.process.placements import Instance
 from limpethollow_policy.process.topology import (
     HEARTBEAT_SECONDS,
@@ -34,6 +35,18 @@
 
 class FakeCatalog:
     known = KnownState()
+    known_up_to = KnownState(1, 0, 0)
+    version_number = 1
+
+    def __init__(self) -> None:
+        self.searchers = ObjectCache(lambda item: None, lambda name: None)
+        self.delays: list[float] = []
+
+    def confirm_version(self, delay: float) -> None:
+        self.delays.append(delay)
+
+    def confirm_searchers(self) -> None:
+        """Take no note of it."""
 
 
 class FakeLink:
@@ -65,10 +78,11 @@
         all_instances = fleet()
         self.roster = Roster(all_instances[own], lambda: None)
         self.roster.ready = True
+        self.catalog = FakeCatalog()
         role = WatchRole(all_instances[own].name, Random(1))
         self.peers = Peers(
             self.roster,
-            FakeCatalog(),
+            self.catalog,
             role,
             Random(1),
             Metrics(),
@@ -146,3 +160,17 @@
         for number in range(1, 16, 2):
             strong.peers.suspect(strong.links[f"i-{number:02}"], until=10.0)
         assert strong.peers.near("b", 1, 0.0)[0].name not in {f"i-{n:02}" for n in range(16)}
+
+
+class TestConfirmations:
+    def test_a_heartbeat_that_waited_confirms_the_version_at_the_time_it_was_sent(self):
+        """Guards against a wrong 401 after a suspension: heartbeats from before it are read then.
+
+        A key that was added meanwhile is not in the version that they confirm.
+        """
+        play = Play(0)
+        link = play.links["i-01"]
+        link.lag = lambda sent_at: 6.5
+        link.heard_at = link.interval = 0.0
+        play.peers._on_frame(link, Heartbeat(True, True, KnownState(1, 0, 0), 0.0, 0.5))
+        assert play.catalog.delays == [6.5]
