--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -32,6 +32,7 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import KnownState
+from limpethollow_policy.process.revisions import Revision
 from limpethollow_policy.process.topology import HEARTBEAT_SECONDS, WatchRole, link_targets
 from limpethollow_wire.exceptions import LimpethollowError
 
@@ -191,14 +192,14 @@
         return [*found[first:], *found[:first]][:count]
 
     def hears_store_list(self, now: float) -> bool:
-        """Return whether this instance, or one with the same list that it hears, has the store's.
+        """Return whether this instance has the store's list of instances now.
 
-        A peer says with each heartbeat whether it follows the store.
+        It follows the store, or hears an instance that does and knows no later list.
         """
-        if self.follows:
-            return True
-        same = set(self.with_same_instances(now))
-        return any(link.follows and name in same for name, link in self._links.items())
+        own = self._catalog.instances.revision
+        return self.follows or any(
+            link.follows and _instances_revision(link) <= own for link in self._heard(now)
+        )
 
     def count_heard_peers(self, now: float) -> int:
         """Return the number of instances from which a frame arrived recently.
@@ -216,15 +217,18 @@
         link.send(frame)
         return True
 
-    def with_same_instances(self, now: float) -> list[str]:
-        """Return the heard instances whose list of instances has the revision of this one's."""
-        own = self._catalog.known
-        return [
-            name
-            for name, link in self._links.items()
-            if not link.is_silent(now)
-            and (link.source.known.era, link.source.known.instances) == (own.era, own.instances)
-        ]
+    def without_newer_instances(self, now: float) -> list[str]:
+        """Return the heard instances that know no later list of instances than this one."""
+        own = self._catalog.instances.revision
+        return [link.name for link in self._heard(now) if _instances_revision(link) <= own]
+
+    def with_own_instances(self, now: float) -> list[str]:
+        """Return the heard instances that have applied the last change of this one's list."""
+        own = self._catalog.instances.changed_at
+        return [link.name for link in self._heard(now) if _instances_revision(link) >= own]
+
+    def _heard(self, now: float) -> list[PeerLink]:
+        return [link for link in self._links.values() if not link.is_silent(now)]
 
     def suspect(self, link: PeerLink, until: float) -> None:
         """Send an instance no batches until the given time, since it did not answer one."""
@@ -383,3 +387,9 @@
         if link.name is not None:
             link.ready = False
             self._roster.set_leaving(link.name, link.incarnation)
+
+
+def _instances_revision(link: PeerLink) -> Revision:
+    """Return the revision of the last change of a peer's list of instances."""
+    known = link.source.known
+    return known.revision(known.instances)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -50,8 +50,11 @@
     def send_to(self, name: str, frame: Frame, now: float) -> bool:
         """Send a frame to an instance; return whether it is linked."""
 
-    def with_same_instances(self, now: float) -> Collection[str]:
-        """Return the heard instances that have the same list of instances."""
+    def without_newer_instances(self, now: float) -> Collection[str]:
+        """Return the heard instances that know no later list of instances than this one."""
+
+    def with_own_instances(self, now: float) -> Collection[str]:
+        """Return the heard instances that have applied the last change of this one's list."""
 
     def hears_store_list(self, now: float) -> bool:
         """Return whether this instance's list is known to be the store's."""
@@ -366,7 +369,11 @@
             self._is_list_changed = False
             self._read_list(now)
         linked_at = self._dispatch.loop.time()
-        self._role.heard(self._links.with_same_instances(linked_at), now)
+        self._role.heard(
+            self._links.without_newer_instances(linked_at),
+            self._links.with_own_instances(linked_at),
+            now,
+        )
         if self._role.holders and self._links.hears_store_list(linked_at):
             self._role.confirmed(now)
         if self._quotas.look(now):
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -127,14 +127,20 @@
             self._add_change(before | holders, names, len(before), now, starts=starts)
         self._update(now)
 
-    def heard(self, names: Collection[str], now: float) -> None:
-        """Record which other instances are heard now and reported the same list as this one's."""
+    def heard(self, names: Collection[str], applied: Collection[str], now: float) -> None:
+        """Record which other instances are heard now.
+
+        Args:
+            names: Heard instances that know no later list than this instance's.
+            applied: Heard instances that have applied the last change of this instance's list.
+            now: Current time in seconds.
+        """
         self.look(now)
         if now < self._deaf_until:
             return
         for change in self._changes:
             if change.unheard:
-                change.unheard.difference_update(names)
+                change.unheard.difference_update(applied)
                 if not change.unheard:
                     change.due = min(change.due, now + self._window + LOAN_SECONDS)
         if self._holders is not None and self._holders - {self._own} <= set(names):
