Quotas: go through all links only while reports are awaited

Cause: a relay with hundreds of links compared all their revisions four times a second, also without limits. Change: the links are compared only with limits, and while a change of the holders or a confirmation is missing.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -1,7 +1,7 @@
 """Links to other instances: failure detection, heartbeats and the routing of frames."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from random import Random
 
@@ -227,8 +227,8 @@
         own = self._catalog.instances.changed_at
         return [link.name for link in self._heard(now) if _instances_revision(link) >= own]
 
-    def _heard(self, now: float) -> list[PeerLink]:
-        return [link for link in self._links.values() if not link.is_silent(now)]
+    def _heard(self, now: float) -> Iterator[PeerLink]:
+        return (link for link in self._links.values() if not link.is_silent(now))
 
     def suspect(self, link: PeerLink, until: float) -> None:
         """Send an instance no batches until the given time, since it did not answer one."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -369,13 +369,16 @@
             self._is_list_changed = False
             self._read_list(now)
         linked_at = self._dispatch.loop.time()
-        self._role.heard(
-            self._links.without_newer_instances(linked_at),
-            self._links.with_own_instances(linked_at),
-            now,
-        )
-        if self._role.holders and self._links.hears_store_list(linked_at):
+        is_confirmed = bool(self._role.holders) and self._links.hears_store_list(linked_at)
+        if is_confirmed:
             self._role.confirmed(now)
+        # Going through all links is needed only then; a relay has hundreds of them.
+        if self._quotas.has_limits and (self._role.awaits_reports or not is_confirmed):
+            self._role.heard(
+                self._links.without_newer_instances(linked_at),
+                self._links.with_own_instances(linked_at),
+                now,
+            )
         if self._quotas.look(now):
             self._refused_until.clear()
             if self._quotas.has_limits:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -87,6 +87,11 @@
         """Return the names of the holders in this instance's list."""
         return self._holders or frozenset()
 
+    @property
+    def awaits_reports(self) -> bool:
+        """Return whether other holders have not reported a change of the list yet."""
+        return any(change.unheard for change in self._changes)
+
     @property
     def part(self) -> float:
         """Return the part of each quota that the buckets here hold, as of the last look."""
--- a/tests/unit/engine/test_quotacontrol.py
+++ b/tests/unit/engine/test_quotacontrol.py
@@ -181,6 +181,27 @@
         assert any(not set(HOLDERS) <= link_targets(own, INSTANCES) for own in INSTANCES)
 
 
+class TestChanges:
+    def test_changed_bounds_change_the_bucket(self):
+        """The settings may be reloaded while the process runs."""
+        play = Play(own=HOLDERS[0])
+        play.quotas.set_bounds(QuotaBounds(5.0, 0.1, 2000.0))
+        play.loop.now += 2.0
+        play.quotas.tick()
+        link = FakeLink()
+        play.links.on_quota_frame(link, QuotaAsk(1, "team", 1000.0))
+        assert link.sent[0].tokens > 100
+
+    def test_a_version_without_limits_ends_them(self):
+        play = Play()
+        assert play.links.links_to_holders
+        play.engine.use_version(RoutingVersion(2, (ROUTE,), {}, CallerLimits()))
+        assert not play.links.links_to_holders
+        play.request()
+        assert len(play.calls) == 1
+        assert play.links.sent == []
+
+
 class TestWaits:
     """Each wait ends with one answer, and frees its place."""
 
