Quotas: without the store, a holder stops where two listed instances are silent

All holders were in the half cut off from the store; they heard each other and went on lending, while the other half had removed them and had new holders. Change: hearing all other holders confirms the list only while at most one listed instance is silent; one alone removes nobody, since it must hear a peer for that.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -377,6 +377,8 @@
             self._role.heard(
                 self._links.without_newer_instances(linked_at),
                 self._links.with_own_instances(linked_at),
+                len(self._roster)
+                - len({i.name for i in self._roster.live} | {self._roster.own.name}),
                 now,
             )
         if self._quotas.look(now):
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -15,6 +15,10 @@
 # before, so for `_SETTLE_SECONDS` nothing that it reads confirms its list.
 _SUSPENSION_SECONDS = 5.0
 _SETTLE_SECONDS = 3.0
+# Instances that reach the store and hear at least one other remove those that they don't hear. So a
+# holder that does not hear more than this many may have been removed by them, even if it hears all
+# other holders: these may all be cut off with it.
+_MAX_SILENT = 1
 # Until this many seconds after the first start of the whole system, no caller sends requests, and
 # the list of instances is being filled.
 FIRST_START_SECONDS = 6.0
@@ -132,12 +136,15 @@
             self._add_change(before | holders, names, len(before), now, starts=starts)
         self._update(now)
 
-    def heard(self, names: Collection[str], applied: Collection[str], now: float) -> None:
+    def heard(
+        self, names: Collection[str], applied: Collection[str], silent: int, now: float
+    ) -> None:
         """Record which other instances are heard now.
 
         Args:
             names: Heard instances that know no later list than this instance's.
             applied: Heard instances that have applied the last change of this instance's list.
+            silent: Number of listed instances that nobody heard here hears.
             now: Current time in seconds.
         """
         self.look(now)
@@ -148,7 +155,9 @@
                 change.unheard.difference_update(applied)
                 if not change.unheard:
                     change.due = min(change.due, now + self._window + LOAN_SECONDS)
-        if self._holders is not None and self._holders - {self._own} <= set(names):
+        if self._holders is None or silent > _MAX_SILENT:
+            return
+        if self._holders - {self._own} <= set(names):
             self.confirmed(now)
 
     def confirmed(self, now: float) -> None:
--- a/tests/support/quotas.py
+++ b/tests/support/quotas.py
@@ -49,7 +49,7 @@
         self.list_at = float("-inf")
         self.limit_at = float("-inf")
         self.entries: dict[str, float] = {}
-        self.heard: tuple[list[str], list[str]] = ([], [])
+        self.heard: tuple[list[str], list[str], int] = ([], [], 0)
         # The revision that a process reports for its list: that of the last change that it saw, or
         # that of its first list, which is later than the last change.
         self.changed_at = float("-inf")
@@ -101,6 +101,7 @@
             self.heard = (
                 [p.name for p in heard if p.list_at <= self.list_at],
                 [p.name for p in heard if p.changed_at >= self.changed_at],
+                len(self.entries.keys() - {p.name for p in heard} - {self.name}),
             )
             self.role.heard(*self.heard, world.now)
         self.quotas.look(world.now)
--- a/tests/unit/engine/test_quotaholders.py
+++ b/tests/unit/engine/test_quotaholders.py
@@ -53,10 +53,10 @@
         found = role("d")
         found.listed(ABC, "abc", 100.0, established=True)
         found.listed(frozenset("bcd"), "abcd", 101.0, established=True)
-        found.heard(["b", "c"], ["b", "c"], 102.0)
+        found.heard(["b", "c"], ["b", "c"], 0, 102.0)
         now = pass_time(found, 10.0, 102.0)
         assert found.part == 0
-        found.heard(["a", "b", "c"], ["a", "b", "c"], now)
+        found.heard(["a", "b", "c"], ["a", "b", "c"], 0, now)
         pass_time(found, WAIT - 0.25, now)
         assert found.part == 0
         pass_time(found, WAIT + 0.25, now)
@@ -78,10 +78,10 @@
         found = established()
         found.listed(frozenset("abcd"), "abcd", 101.0, established=True)
         assert found.part == pytest.approx(1 / 4)
-        found.heard("bcd", "bcd", 101.0)
+        found.heard("bcd", "bcd", 0, 101.0)
         now = pass_time(found, WAIT + 0.5, 101.0)
         found.listed(frozenset("ab"), "ab", now, established=True)
-        found.heard("b", "b", now)
+        found.heard("b", "b", 0, now)
         assert found.part == pytest.approx(1 / 4)
         pass_time(found, WAIT + 0.5, now)
         assert found.part == pytest.approx(1 / 2)
@@ -94,7 +94,7 @@
         assert found.part == 0
         found.confirmed(now)
         assert found.part == 0
-        found.heard("bc", "bc", now)
+        found.heard("bc", "bc", 0, now)
         pass_time(found, WAIT + 0.5, now)
         assert found.part > 0
 
@@ -104,18 +104,26 @@
         now = 100.0
         for _ in range(200):
             now += 0.25
-            found.heard("bc", "bc", now)
+            found.heard("bc", "bc", 0, now)
         assert found.part == pytest.approx(1 / 3)
 
+    def test_without_the_store_it_stops_where_two_instances_are_silent(self):
+        """All holders may be cut off together; the others remove them and become holders."""
+        for silent, part in ((1, 1 / 3), (2, 0.0)):
+            found = established()
+            for step in range(1, 100):
+                found.heard("bc", "bc", silent, 100.0 + step / 4)
+            assert found.part == pytest.approx(part)
+
     def test_what_a_suspended_process_reads_first_confirms_nothing(self):
         """Its socket buffers hold heartbeats from before the suspension."""
         found = established()
         found.confirmed(130.0)
-        found.heard("bc", "bc", 130.1)
+        found.heard("bc", "bc", 0, 130.1)
         assert found.part == 0
         now = pass_time(found, 4.0, 130.1)
         assert found.part == 0
-        found.heard("bc", "bc", now)
+        found.heard("bc", "bc", 0, now)
         pass_time(found, WAIT + 0.5, now)
         assert found.part > 0
 
--- a/tests/unit/engine/test_quotas.py
+++ b/tests/unit/engine/test_quotas.py
@@ -161,6 +161,14 @@
     def test_no_window_has_more_requests(self):
         run_state_machine_as_test(QuotaMachine, settings=MACHINE)
 
+    def test_all_holders_cut_off_from_the_store_together(self):
+        """They heard each other and went on, while the others had removed and replaced them."""
+        world = World(20, 1, 3, QuotaBounds(5.0, 0.0, 20.0), (8.0, 0.0))
+        world.run(8.0, {})
+        half = sorted(world.holders_of(world.lists[-1][1])) + world.names[:8]
+        world.sides, world.cut_from_store = dict.fromkeys(half, True), True
+        world.run(90.0, dict.fromkeys(world.names, 5.0))
+
     @pytest.mark.parametrize("machine", [LendsForFreeMachine, StartsFullMachine])
     def test_a_fault_in_the_rule_is_found(self, machine):
         """A check that passes whatever the rule does would guard nothing."""
