--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -50,8 +50,11 @@
     def send_to(self, name: str, frame: Frame, now: float) -> bool:
         """Send a frame to an instance; return whether it is linked."""
 
-    def with_same_instances(self, now: float) -> Collection[str]:
-        """Return the heard instances that have the same list of instances."""
+    def without_newer_instances(self, now: float) -> Collection[str]:
+        """Return the heard instances that know no later list of instances than this one."""
+
+    def with_own_instances(self, now: float) -> Collection[str]:
+        """Return the heard instances that have applied the last change of this one's list."""
 
     def hears_store_list(self, now: float) -> bool:
         """Return whether this instance's list is known to be the store's."""
@@ -366,9 +369,18 @@
             self._is_list_changed = False
             self._read_list(now)
         linked_at = self._dispatch.loop.time()
-        self._role.heard(self._links.with_same_instances(linked_at), now)
-        if self._role.holders and self._links.hears_store_list(linked_at):
+        is_confirmed = bool(self._role.holders) and self._links.hears_store_list(linked_at)
+        if is_confirmed:
             self._role.confirmed(now)
+        # Going through all links is needed only then; a relay has hundreds of them.
+        if self._quotas.has_limits and (self._role.awaits_reports or not is_confirmed):
+            self._role.heard(
+                self._links.without_newer_instances(linked_at),
+                self._links.with_own_instances(linked_at),
+                len(self._roster)
+                - len({i.name for i in self._roster.live} | {self._roster.own.name}),
+                now,
+            )
         if self._quotas.look(now):
             self._refused_until.clear()
             if self._quotas.has_limits:
