--- a/tests/unit/engine/test_peers.py
+++ b/tests/unit/engine/test_peers.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self.searchers = ObjectCache(lambda item: None, lambda name: None)
+        self.instances = ObjectCache(lambda item: None, lambda name: None)
         self.delays: list[float] = []
 
     def confirm_version(self, delay: float) -> None:
@@ -49,9 +50,6 @@
     def confirm_searchers(self) -> None:
         """Take no note of it."""
 
-    def __init__(self) -> None:
-        self.instances = ObjectCache(lambda item: None, lambda name: None)
-
 
 class FakeLink:
     """A link on which the other end was just heard."""
