Limit the size of replies that never end

A faulty searcher or store that sent bytes without end filled the memory of an instance until the request's deadline: heads, chunk lines, trailers and interim replies had no limit in bytes, bodies one of 16 MB each, and a list of body pieces took 50 bytes for a chunk of two. Buffers of a closed connection were kept until the next full garbage collection.

Heads (16 KiB), framing (128 KiB) and bodies (1.5 MiB of searchers, 8 MiB of the store) are limited as their bytes arrive. A reply over a limit, or incomplete at the deadline, closes its connection, releases the memory and counts as a failure of the searcher (event 420, replies_cut_off). A link whose peer never completes its first frame is closed after 5 s, and an opening handshake after 1 s on both sides.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -7,11 +7,18 @@
 import httptools
 
 from limpethollow_node.engine.connection.carried import CarriedRequests
+from limpethollow_node.engine.connection.replylimits import (
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADERS,
+    PIECE_BYTES,
+    SEARCHER_LIMITS,
+    ReplyLimit,
+    ReplyLimits,
+)
 from limpethollow_node.engine.connection.sockets import enable_keepalive
 from limpethollow_node.engine.messages import Headers, Reply
 
-# Larger replies are rejected, so that one server can't exhaust the instance's memory.
-MAX_REPLY_BYTES = 16 * 1024 * 1024
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Number of distinct `Keep-Alive` values whose parsed timeout is cached.
@@ -29,17 +36,31 @@
     """The connection closed before the first byte of the reply arrived."""
 
 
+class ReplyCutOff(BrokenConnection):
+    """The reply exceeded a limit and the connection was closed.
+
+    Attributes:
+        limit: The limit.
+    """
+
+    def __init__(self, limit: ReplyLimit) -> None:
+        super().__init__(f"The reply exceeded the limit on its {limit.value}.")
+        self.limit = limit
+
+
 class ClientConnection(asyncio.Protocol):
     """Sends a request, reads the complete reply, and reports whether the connection is reusable.
 
     Args:
         on_idle: Called with this connection when it is ready for another request.
         on_closed: Called with this connection once it is closed.
+        limits: Limits on replies; on exceeding one, the connection is closed.
 
     Attributes:
         idle_since: Monotonic time in seconds since which no request is in flight.
         idle_timeout: Idle seconds after which the server closes it; None if it didn't say.
         carried: The requests already answered on it.
+        reply_started: Whether a byte of the reply to the last request has arrived.
         was_used: Whether a request was ever sent on it.
     """
 
@@ -48,18 +69,21 @@
         "_body_bytes",
         "_broken",
         "_headers",
+        "_in_head",
         "_is_head",
+        "_limits",
         "_on_broken",
         "_on_closed",
         "_on_idle",
         "_on_reply",
         "_parser",
-        "_reply_started",
         "_transport",
         "_ends_with_connection",
+        "_wire_bytes",
         "carried",
         "idle_since",
         "idle_timeout",
+        "reply_started",
         "was_used",
     )
 
@@ -67,20 +91,25 @@
         self,
         on_idle: Callable[["ClientConnection"], None],
         on_closed: Callable[["ClientConnection"], None],
+        limits: ReplyLimits = SEARCHER_LIMITS,
     ) -> None:
         self._on_idle = on_idle
         self._on_closed = on_closed
+        self._limits = limits
         self._transport: asyncio.Transport | None = None
         self._on_reply: OnReply | None = None
         self._on_broken: OnBroken | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # A list of the pieces would take 50 bytes of memory for a chunk of two bytes.
+        self._body: bytes | bytearray = b""
         self._body_bytes = 0
+        self._in_head = True
+        self._wire_bytes = 0
         self._is_head = False
         self._ends_with_connection = False
         self._broken = False
-        self._reply_started = False
+        self.reply_started = False
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
         self.carried = CarriedRequests()
@@ -109,7 +138,9 @@
         self._on_reply = on_reply
         self._on_broken = on_broken
         self._is_head = head
-        self._reply_started = False
+        self._in_head = True
+        self._wire_bytes = 0
+        self.reply_started = False
         self.was_used = True
         self._transport.write(data)
 
@@ -117,6 +148,7 @@
         """Close the connection without calling back for the current request."""
         self._on_reply = self._on_broken = None
         self._broken = True
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
 
@@ -129,16 +161,44 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        if len(data) <= PIECE_BYTES:
+            self._receive(data)
+            return
+        for start in range(0, len(data), PIECE_BYTES):
+            if self._broken:
+                return
+            self._receive(data[start : start + PIECE_BYTES])
+
+    def _receive(self, data: bytes) -> None:
         if self._on_reply is None:
             # No request is in flight: this is a duplicate reply, or bytes after a complete one.
             # Later data could be mistaken for a reply, so the connection is not reused.
             self._fail(BrokenConnection("The server sent data without a request in flight."))
             return
-        self._reply_started = True
+        self.reply_started = True
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(BrokenConnection(f"The server sent an invalid HTTP reply ({error})."))
+            return
+        if self._on_reply is not None:
+            self._wire_bytes += len(data)
+            self._check_limits()
+
+    def _check_limits(self) -> None:
+        """Check an incomplete reply after a piece of it.
+
+        The parser reports a header or a chunk line once it is complete, so bytes are counted as
+        they arrive.
+        """
+        if self._in_head:
+            if self._wire_bytes > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
+                self._fail(ReplyCutOff(ReplyLimit.HEAD))
+        elif (
+            self._wire_bytes - self._body_bytes > MAX_FRAMING_BYTES
+            or len(self._headers) > MAX_HEADERS
+        ):
+            self._fail(ReplyCutOff(ReplyLimit.FRAMING))
 
     def eof_received(self) -> bool:
         """Complete a reply that is delimited by the end of the connection."""
@@ -149,11 +209,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight, if any."""
-        if self._reply_started:
+        if self.reply_started:
             self._fail(BrokenConnection(f"The connection closed in the middle of a reply ({exc})."))
         else:
             self._fail(LostConnection(f"The connection closed before a reply ({exc})."))
         self._on_closed(self)
+        # The parser refers to this object; without it, the memory is released immediately.
+        self._parser = None
 
     # Called by the parser.
 
@@ -163,7 +225,7 @@
             self._broken = True
             return
         self._headers = []
-        self._body = []
+        self._body = b""
         self._body_bytes = 0
         self._ends_with_connection = False
 
@@ -176,20 +238,36 @@
         status = self._parser.get_status_code()
         if status < 200 or self._on_reply is None:
             return
+        self._in_head = False
         if self._is_head:
             # The parser would wait for a body that is never sent, so the connection is not reused.
             self._broken = True
             self._deliver()
             return
-        framed = any(name.lower() in _FRAMING_HEADERS for name, _ in self._headers)
-        self._ends_with_connection = not framed and status not in _STATUSES_WITHOUT_BODY
+        if status in _STATUSES_WITHOUT_BODY:
+            return
+        self._ends_with_connection = True
+        for name, value in self._headers:
+            lower = name.lower()
+            if lower in _FRAMING_HEADERS:
+                self._ends_with_connection = False
+                if lower == b"content-length" and int(value or 0) > self._limits.body_bytes:
+                    self._fail(ReplyCutOff(ReplyLimit.BODY))
+                    return
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
-        self._body.append(body)
+        if self._on_reply is None:
+            return
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_REPLY_BYTES:
-            self._fail(BrokenConnection(f"The reply is larger than {MAX_REPLY_BYTES} bytes."))
+        if self._body_bytes > self._limits.body_bytes:
+            self._fail(ReplyCutOff(ReplyLimit.BODY))
+        elif not self._body:
+            self._body = body
+        else:
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver a complete reply; interim ones (1xx) are skipped."""
@@ -200,9 +278,9 @@
         self._deliver()
 
     def _deliver(self) -> None:
-        reply = Reply(self._parser.get_status_code(), self._headers, b"".join(self._body))
+        reply = Reply(self._parser.get_status_code(), self._headers, bytes(self._body))
         on_reply, self._on_reply, self._on_broken = self._on_reply, None, None
-        self._body = []
+        self._release_memory()
         self.idle_timeout = _keep_alive_timeout(reply.header(b"keep-alive"))
         if self._transport.get_write_buffer_size():
             # The server replied before it had read the whole request, so it would parse the rest of
@@ -222,11 +300,16 @@
     def _fail(self, error: BrokenConnection) -> None:
         self._broken = True
         on_broken, self._on_reply, self._on_broken = self._on_broken, None, None
+        self._release_memory()
         if self._transport is not None:
             self._transport.abort()
         if on_broken is not None:
             on_broken(error)
 
+    def _release_memory(self) -> None:
+        self._headers = []
+        self._body = b""
+
 
 @lru_cache(_TIMEOUT_CACHE_SIZE)
 def _keep_alive_timeout(value: bytes | None) -> float | None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -18,6 +18,9 @@
 _MAX_QUEUED_FRAMES = 512
 # Tolerates two missing heartbeats plus some scheduling delay of a busy instance.
 _SILENCE_INTERVALS = 2.6
+# Bounds the memory that a peer can occupy with a first frame that it never completes: until a frame
+# has named the peer, no heartbeats are expected of it. The hello is sent as soon as a link is open.
+_FIRST_FRAME_SECONDS = 5.0
 # Websocket options of every link. Compression is off because frames are small, and the library's
 # pings are off because heartbeats already show liveness and carry more data.
 LINK_OPTIONS = {
@@ -131,6 +134,7 @@
         """
         writer = asyncio.create_task(self._write())
         loop = asyncio.get_running_loop()
+        first_frame_timer = loop.call_later(_FIRST_FRAME_SECONDS, self._close_unnamed)
         try:
             async for data in self._socket:
                 self.heard_at = loop.time()
@@ -138,6 +142,7 @@
         except (ConnectionClosed, OSError):
             return
         finally:
+            first_frame_timer.cancel()
             writer.cancel()
             self.close()
 
@@ -145,6 +150,10 @@
         """Abort the connection."""
         self._socket.transport.abort()
 
+    def _close_unnamed(self) -> None:
+        if self.name is None:
+            self.close()
+
     async def _write(self) -> None:
         with contextlib.suppress(ConnectionClosed, OSError):
             while True:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/httpclients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/httpclients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import Headers, Reply, render_headers
 from limpethollow_node.engine.process.pools import Call, Pool
 
@@ -16,13 +17,16 @@
     Args:
         address: Host and port.
         connections: Maximum number of concurrent requests.
+        limits: Limits on replies.
     """
 
     __slots__ = ("_host", "_pool")
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, limits: ReplyLimits = SEARCHER_LIMITS
+    ) -> None:
         self._host = address.encode()
-        self._pool = Pool(address, connections, lambda _: None)
+        self._pool = Pool(address, connections, lambda _: None, limits=limits)
 
     async def ask(
         self,
@@ -43,6 +47,7 @@
             body: The request body.
 
         Raises:
+            ReplyCutOff: The response exceeded a limit.
             OSError: No complete response arrived in time; the server may have executed the request.
         """
         lines = [(b"Host", self._host), *(headers or [])]
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -35,6 +35,9 @@
 # An isolated instance has heard no peer for this long, in seconds: two heartbeats of near peers.
 _ALL_SILENT_SECONDS = 1.3
 
+# A peer's handshake takes two round trips; this is two heartbeats, as for the dialling instance.
+_HANDSHAKE_SECONDS = 1.0
+
 _HANDLERS: dict[type[Frame], str] = {}
 
 
@@ -99,7 +102,9 @@
 
     async def serve(self, host: str, port: int) -> None:
         """Start accepting links; returns once the listener is bound."""
-        self._server = await serve(self._on_accepted, host, port, **LINK_OPTIONS)
+        self._server = await serve(
+            self._on_accepted, host, port, open_timeout=_HANDSHAKE_SECONDS, **LINK_OPTIONS
+        )
 
     async def run(self) -> None:
         """Maintain the links and send heartbeats until cancelled."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from limpethollow_node.engine.connection.clients import ClientConnection
+from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import Reply
 
 # A connect takes a round trip and a handshake of about 6 ms. An unreachable searcher never answers;
@@ -85,6 +86,11 @@
         self._connection: ClientConnection | None = None
         self._reply_connection: ClientConnection | None = None
 
+    @property
+    def is_in_reply(self) -> bool:
+        """Return whether a part of the reply has arrived, but not all of it."""
+        return self._connection is not None and self._connection.reply_started
+
     def set_pool(self, pool: "Pool") -> None:
         """Record the pool in which the call waits for a connection."""
         self._pool = pool
@@ -148,12 +154,14 @@
             be retried after a reset.
         on_unreachable: Called with the error when a connection can't be opened.
         on_alive: Called when the searcher accepted a connection or replied.
+        limits: Limits on replies.
     """
 
     __slots__ = (
         "_closed",
         "_host",
         "_idle",
+        "_limits",
         "_loop",
         "_on_alive",
         "_on_unreachable",
@@ -170,7 +178,9 @@
         share: float,
         on_unreachable: Callable[[Exception], None],
         on_alive: Callable[[], None] = lambda: None,
+        limits: ReplyLimits = SEARCHER_LIMITS,
     ) -> None:
+        self._limits = limits
         self._on_alive = on_alive
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
@@ -251,7 +261,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._on_idle, self._on_closed),
+                    lambda: ClientConnection(self._on_idle, self._on_closed, self._limits),
                     self._host,
                     self._port,
                 )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
@@ -3,7 +3,9 @@
 import itertools
 from collections.abc import Callable
 
+from limpethollow_node.engine.connection.clients import ReplyCutOff
 from limpethollow_node.engine.connection.peerlinks import PeerLink
+from limpethollow_node.engine.connection.replylimits import report_exceeded
 from limpethollow_node.engine.frames import Batch, BatchFailure, BatchParts
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
@@ -120,7 +122,9 @@
 
     def call_failed(self, shard: str, error: Exception, *, sent: bool) -> None:
         """Handle a call that failed without a reply."""
-        del self._calls[shard]
+        call = self._calls.pop(shard)
+        if isinstance(error, ReplyCutOff):
+            report_exceeded(self._dispatch.metrics, call.replica.searcher.id, error.limit)
         self._send_failure(shard, verdict_on_failure(error, sent=sent), 0, repr(error))
         self._check_completion()
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -140,6 +140,9 @@
 
     __slots__ = ("_sent", "_shard", "sent")
 
+    # The other instance receives the reply.
+    is_in_reply = False
+
     def __init__(self, sent: SentBatch, shard: str) -> None:
         self._sent = sent
         self._shard = shard
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -3,6 +3,8 @@
 import itertools
 from typing import Protocol
 
+from limpethollow_node.engine.connection.clients import ReplyCutOff
+from limpethollow_node.engine.connection.replylimits import ReplyLimit, report_exceeded
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.process.pools import Call, ConnectionAge
@@ -60,9 +62,11 @@
 
     Attributes:
         sent: Whether it has been sent by this instance.
+        is_in_reply: Whether this instance has received a part of the reply, but not all of it.
     """
 
     sent: bool
+    is_in_reply: bool
 
     def cancel(self) -> None:
         """Cancel the call."""
@@ -164,6 +168,9 @@
         replica.observe_lower_bound(_ABANDONED_AGE_FACTOR * seconds / outgoing.timings.usual, now)
         if self.is_sent and 0 <= now - outgoing.deadline < _MAX_TIMER_DELAY:
             replica.window.late(seconds, len(replica.in_flight), now)
+            if self.call.is_in_reply:
+                replica.failed(now)
+                report_exceeded(self._owner.dispatch.metrics, replica.searcher.id, ReplyLimit.TIME)
         if self.call is not None:
             self.call.cancel()
 
@@ -192,6 +199,8 @@
         self._owner.ended(self, verdict, reply, f"status_{reply.status}")
 
     def _failed(self, error: Exception) -> None:
+        if isinstance(error, ReplyCutOff):
+            report_exceeded(self._owner.dispatch.metrics, self.replica.searcher.id, error.limit)
         verdict = verdict_on_failure(error, sent=self.is_sent)
         self._record(verdict, 0, self._age())
         self._owner.ended(self, verdict, None, repr(error))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from limpethollow_node.engine.connection.clients import ReplyCutOff
+from limpethollow_node.engine.connection.replylimits import STORE_LIMITS, report_exceeded
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.httpclients import HttpClient
 from limpethollow_node.platform.codec import StoredObject
@@ -98,7 +100,7 @@
     def __init__(
         self, address: str, metrics: Metrics, on_restored: Callable[[], None] = lambda: None
     ) -> None:
-        self._client = HttpClient(address, _CONNECTIONS)
+        self._client = HttpClient(address, _CONNECTIONS, STORE_LIMITS)
         self._metrics = metrics
         self._on_restored = on_restored
         self.era = UNKNOWN_ERA
@@ -217,6 +219,8 @@
             )
         except OSError as error:
             self._metrics.count("platform_failures", call)
+            if isinstance(error, ReplyCutOff):
+                report_exceeded(self._metrics, "store", error.limit)
             raise Unavailable(f"The store did not answer a {call} call ({error!r}).") from None
         era = self._note_era(call, reply)
         _check_status(call, reply)
--- a/tests/standins/backends.py
+++ b/tests/standins/backends.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from tests.standins.endless import send_endless
+
 PROOF = "X-Limpethollow-Server-Stamp"
 REQUEST_ID = "X-Limpethollow-Request-Id"
 NOT_RUN = "X-Limpethollow-Not-Executed"
@@ -59,6 +61,15 @@
     """End the searcher: all its connections and its listener close."""
 
 
+@dataclass(slots=True, frozen=True)
+class Endless:
+    """Send some bytes and then others again and again, until the connection is closed."""
+
+    start: bytes
+    block: bytes
+    pause: float = 0.0
+
+
 class Doubled:
     """Send a reply, and a copy of it later or with the next request, whichever is first."""
 
@@ -67,7 +78,7 @@
         self.after = after
 
 
-Answer = bytes | Hang | Cut | Reset | Crash | Doubled
+Answer = bytes | Hang | Cut | Reset | Crash | Doubled | Endless
 
 
 @dataclass
@@ -199,6 +210,9 @@
             return False
         if isinstance(answer, Cut):
             return False
+        if isinstance(answer, Endless):
+            send_endless(connection, answer.start, answer.block, answer.pause)
+            return False
         if isinstance(answer, Crash):
             self.crash()
             return False
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -201,6 +201,7 @@
         self.request_id = b""
         self.carried = CarriedRequests()
         self.was_used = False
+        self.reply_started = False
 
     def send(self, data: bytes, on_reply, on_broken, *, head: bool) -> None:
         """Take a request's bytes."""
