--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,8 +12,9 @@
 from tempfile import mkdtemp
 
 from soak.callers import Caller, CrashingCaller, Outcome
-from soak.faults import EXTRA_PLANS, STOPS, Planned, act, plan
+from soak.faults import EXTRA_PLANS, STOPS, TEAMS, Planned, act, plan
 from soak.promises import RECOVER_SECONDS, Seen, broken
+from soak.teams import NOISY, NOISY_CALLERS, KeyRing
 from soak.world import World
 
 _CALLERS = 6
@@ -64,13 +65,20 @@
         faults += EXTRA_PLANS[name].faults(seed, seconds)
     faults.sort(key=lambda planned: planned.at)
     outcomes: list[Outcome] = []
-    with World(folder, instances) as world:
+    keys = KeyRing.of_three() if TEAMS in extras else None
+    teams = [None] * _CALLERS if keys is None else _teams_of_callers(keys)
+    with World(folder, instances, keys) as world:
         callers = [
-            Caller(f"c{n}", world, Random(seed + n), outcomes, pauses=STOPS not in extras)
-            for n in range(_CALLERS)
+            Caller(
+                f"c{n}", world, Random(seed + n), outcomes, pauses=STOPS not in extras, team=team
+            )
+            for n, team in enumerate(teams)
         ]
         if crashing:
-            callers.append(CrashingCaller("crash", world, Random(seed), outcomes))
+            crashing_team = None if keys is None else NOISY
+            callers.append(
+                CrashingCaller("crash", world, Random(seed), outcomes, team=crashing_team)
+            )
         for caller in callers:
             caller.start()
         _inject(faults, world, rng)
@@ -87,6 +95,10 @@
     return found
 
 
+def _teams_of_callers(keys: KeyRing) -> list[str]:
+    return [name for name in keys.teams for _ in range(NOISY_CALLERS if name == NOISY else 1)]
+
+
 def _inject(faults: list[Planned], world: World, rng: Random) -> None:
     begun = time.monotonic()
     threads = []
@@ -108,6 +120,8 @@
     if found:
         for planned in faults:
             print(f"    {planned.at:5.1f} s  {planned.name}, {planned.seconds:.1f} s")
+        for name, count in Counter(line.partition(":")[0] for line in found).items():
+            print(f"  {count} times: {name}")
         for line in found[:20]:
             print(f"  BROKEN {line}")
         print(f"  {len(found)} in all; logs are kept in {folder}", flush=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,6 +44,7 @@
         headers: The answer's headers, names in lower case.
         body: The answer's body.
         kept: Whether the connection had carried a request before.
+        key: The key that it carried; None where no key is needed.
     """
 
     request: str
@@ -56,6 +57,7 @@
     headers: dict[str, str]
     body: bytes
     kept: bool
+    key: str | None = None
 
 
 class Caller(threading.Thread):
@@ -68,6 +70,7 @@
         outcomes: Takes each outcome.
         pauses: Whether it waits a moment between an answer and its next request; where there is
             no answer it always does.
+        team: The team whose keys it sends; None where no key is needed.
     """
 
     def __init__(
@@ -78,8 +81,10 @@
         outcomes: list[Outcome],
         *,
         pauses: bool = True,
+        team: str | None = None,
     ) -> None:
         super().__init__(daemon=True)
+        self._team = team
         self._pauses = pauses
         self._name = name
         self._world = world
@@ -131,11 +136,14 @@
         path = kind.value or f"{self._rng.choice(self._world.routes)[0]}x"
         kept = index in self._connections
         connection = self._connections.pop(index, None) or self._connect(index)
+        key = None if self._team is None else self._world.keys.choose(self._team, self._rng)
         begun = time.monotonic()
         status, headers, body = None, {}, b""
         try:
             method = "POST" if kind is Kind.BOOKING else "GET"
             sent = {"Host": HOST, **request_header(request, DEADLINE_SECONDS)}
+            if key is not None:
+                sent["Authorization"] = f"Token {key}"
             connection.request(method, path, b"bay" if method == "POST" else None, sent)
             reply = connection.getresponse()
             body = reply.read()
@@ -148,7 +156,7 @@
         except (OSError, http.client.HTTPException):
             connection.close()
         ended = time.monotonic()
-        return Outcome(request, kind, path, index, begun, ended, status, headers, body, kept)
+        return Outcome(request, kind, path, index, begun, ended, status, headers, body, kept, key)
 
     def _connect(self, index: int) -> http.client.HTTPConnection:
         port = self._world.instances[index].process.front
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,8 @@
 STORE_RETURNS = "store back from a copy"
 SECOND_REPLIES = "bookings shed, replies sent twice"
 STOPS_IN_TURN = "instances stopped in turn"
+TEAMS = "teams"
+KEY_REPLACED = "key replaced"
 # What others than instances wrote is written again this long after the store's return.
 _REWRITE_SECONDS = 1.0
 # A busy machine may take this much longer to run a process that stops in time.
@@ -124,6 +126,13 @@
     return [Planned(at, STOPS_IN_TURN, rng.uniform(0.5, 1.5)) for at in times]
 
 
+@extra_plan(TEAMS, "let callers be of three teams with keys and quotas, and replace keys, too")
+def _plan_teams(rng: Random, until: float) -> list[Planned]:
+    """Return some replacements of keys, the first early enough for its bound to pass."""
+    times = [0.5, *(rng.uniform(1.0, until) for _ in range(2))]
+    return [Planned(at, KEY_REPLACED, 0.0) for at in times]
+
+
 def act(planned: Planned, world: World, rng: Random) -> None:
     """Carry out a planned fault."""
     _FAULTS[planned.name](world, rng, planned.seconds)
@@ -267,6 +276,11 @@
     world.configure()
 
 
+@fault(KEY_REPLACED, drawn=False)
+def _replace_key(world: World, rng: Random, seconds: float) -> None:
+    world.keys.replace(rng.choice(sorted(world.keys.teams)), world.configure)
+
+
 @fault("searcher drained")
 def _drain(world: World, rng: Random, seconds: float) -> None:
     searcher = rng.choice(world.searchers)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,10 +1,12 @@
 """The promises that the soak checks, each registered, from what callers and searchers saw."""
 
+from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from soak.callers import DEADLINE_SECONDS, Kind, Outcome
+from soak.teams import NOISY
 from soak.world import DESK, SHARDS, TOP, Run, World, desk_body, records_of
 
 # A machine that runs soaks is busy; what users' bounds call half a second gets a whole one here.
@@ -20,6 +22,8 @@
 _LOST_TO_CRASHING, _CRASHING_REPEATS = 3, 3
 # Share of requests that are served at the end, when all faults are over for this long.
 _RECOVERED_SHARE, RECOVER_SECONDS = 0.9, 3.0
+# Between the send of a request and the moment at which a searcher's thread has read it.
+_READ_SECONDS = 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -181,13 +185,83 @@
     calm = [
         outcome
         for outcome in seen.outcomes
-        if outcome.begun > seen.faults_over + RECOVER_SECONDS and outcome.kind is not Kind.CRASHING
+        if outcome.begun > seen.faults_over + RECOVER_SECONDS
+        and outcome.kind is not Kind.CRASHING
+        and _is_entitled(seen, outcome)
     ]
     served = sum(outcome.status == 200 for outcome in calm)
     if not calm or served < _RECOVERED_SHARE * len(calm):
         yield f"{served} of {len(calm)} requests were served"
 
 
+@promise("a searcher never sees a key")
+def _hidden(seen: Seen) -> Iterator[str]:
+    for run in seen.runs:
+        if run.has_key:
+            yield f"{run.searcher} saw the key of {run.request}"
+
+
+@promise("a searcher is told the team of the caller's key")
+def _named(seen: Seen) -> Iterator[str]:
+    keys = seen.world.keys
+    if keys is None:
+        return
+    teams = {o.request: keys.keys[o.key].team for o in seen.outcomes if o.key is not None}
+    for run in seen.runs:
+        if run.request in teams and run.team != teams[run.request]:
+            yield f"{run.searcher} was told {run.team} for {run.request} of {teams[run.request]}"
+
+
+@promise("a removed key is not served after its bound")
+def _revoked(seen: Seen) -> Iterator[str]:
+    keys = seen.world.keys
+    if keys is None:
+        return
+    sent = {o.request: keys.keys[o.key] for o in seen.outcomes if o.key is not None}
+    for run in seen.runs:
+        key = sent.get(run.request)
+        if key is not None and run.at > key.removed_at + keys.bounds.revoke + _READ_SECONDS:
+            yield f"{run.request} ran {run.at - key.removed_at:.2f} s after its key was removed"
+
+
+@promise("a good key is not refused as unknown")
+def _known(seen: Seen) -> Iterator[str]:
+    keys = seen.world.keys
+    refused = [o for o in seen.outcomes if o.status == 401 and o.key is not None]
+    for outcome in refused:
+        if keys.is_good(outcome.key, outcome.begun, outcome.ended):
+            yield f"{outcome.request} got 401"
+
+
+@promise("no window has more requests of a team than its quota allows")
+def _within_quota(seen: Seen) -> Iterator[str]:
+    keys = seen.world.keys
+    if keys is None:
+        return
+    teams = {o.request: keys.keys[o.key].team for o in seen.outcomes if o.key is not None}
+    first_runs: dict[str, float] = {}
+    for run in seen.runs:
+        if run.request in teams:
+            first_runs[run.request] = min(run.at, first_runs.get(run.request, run.at))
+    for name, team in keys.teams.items():
+        times = sorted(at for request, at in first_runs.items() if teams[request] == name)
+        most = max(
+            (bisect_left(times, at + keys.bounds.window) - n for n, at in enumerate(times)),
+            default=0,
+        )
+        if most > team.allowed(keys.bounds):
+            yield f"{most} of {name} in a window; {team.allowed(keys.bounds):.0f} are allowed"
+
+
+def _is_entitled(seen: Seen, outcome: Outcome) -> bool:
+    """Return whether a request should be served when nothing is disturbed."""
+    keys = seen.world.keys
+    if keys is None or outcome.key is None:
+        return True
+    over_quota = outcome.status == 429 and keys.keys[outcome.key].team == NOISY
+    return not over_quota and keys.is_good(outcome.key, outcome.begun, outcome.ended)
+
+
 def _proof(outcome: Outcome) -> tuple[str, str, str]:
     searcher, request, status = outcome.headers["x-limpethollow-server-stamp"].rsplit(".", 2)
     return searcher, request, status
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from random import Random
 
+from soak.teams import KEY_MARK, KeyRing
 from tests.standins.backends import (
     RECORD_BYTES,
     REQUEST_ID,
@@ -65,6 +66,9 @@
     service: str
     searcher: str
     at: float
+    # The team that the searcher was told, and whether a key was in any part of the request.
+    team: str | None = None
+    has_key: bool = False
 
 
 def records_of(shard: str, request: str) -> list[bytes]:
@@ -114,7 +118,7 @@
             return self._double(backend, seen)
         if mood is Mood.REFUSES:
             return backend.refusal(seen)
-        self._runs.append(Run(seen.id, backend.service, backend.name, time.monotonic()))
+        self._runs.append(_run(backend, seen))
         time.sleep(SLOW_WORK if mood is Mood.SLOW else USUAL_WORK)
         if seen.target.endswith(CRASHING):
             return Crash()
@@ -134,7 +138,7 @@
         if self._rng.random() < _SHED_SHARE:
             reply = backend.refusal(seen)
         else:
-            self._runs.append(Run(seen.id, backend.service, backend.name, time.monotonic()))
+            self._runs.append(_run(backend, seen))
             time.sleep(USUAL_WORK)
             reply = backend.success(seen, body=self._body(seen))
         if self._rng.random() < _DOUBLED_SHARE:
@@ -147,6 +151,18 @@
         return b"".join(reversed(records_of(self.backend.service, seen.id)))
 
 
+def _run(backend: BackendStandIn, seen: Seen) -> Run:
+    parts = (seen.target, *seen.headers.values(), seen.body.decode("latin-1"))
+    return Run(
+        seen.id,
+        backend.service,
+        backend.name,
+        time.monotonic(),
+        seen.headers.get("x-limpethollow-tenant"),
+        any(KEY_MARK in part for part in parts),
+    )
+
+
 def desk_body(searcher: str, request: str) -> bytes:
     """Return what a desk's searcher answers to a booking."""
     return f"{searcher} booked {request}".encode()
@@ -215,9 +231,11 @@
     Args:
         folder: Where settings and logs go.
         instances: How many instances.
+        keys: Keys of the teams that callers belong to; None where no key is needed.
     """
 
-    def __init__(self, folder: Path, instances: int) -> None:
+    def __init__(self, folder: Path, instances: int, keys: KeyRing | None = None) -> None:
+        self.keys = keys
         self._folder = folder
         self._count = instances
         self._stack = ExitStack()
@@ -229,6 +247,8 @@
         self.drained: dict[str, float] = {}
         self.routes: list[tuple[str, float]] = []
         self._version = 0
+        # A version that is written late must not bring back a key that another one removed.
+        self._writing = threading.Lock()
 
     def __enter__(self) -> "World":
         self._stack.enter_context(self.store)
@@ -247,18 +267,8 @@
 
     def configure(self) -> None:
         """Write the next version; each adds a route to the desk."""
-        self._version += 1
-        prefix = f"/extra-{self._version}/"
-        routes = [
-            search_route(SHARDS, topK=TOP, timeoutMs=1500, sloMs=200),
-            forward_route(DESK, type="unsafe", timeoutMs=1500),
-            *(
-                forward_route(DESK, name=f"extra-{number}", pathPrefix=f"/extra-{number}/")
-                for number in range(1, self._version + 1)
-            ),
-        ]
-        self.store.put("config", "main", configuration(self._version, *routes))
-        self.routes.append((prefix, time.monotonic()))
+        with self._writing:
+            self._write_version()
 
     def restart_ended(self) -> None:
         """Start the searchers again that have ended, a moment later."""
@@ -279,6 +289,23 @@
         self.store.put("servers", searcher.backend.name, searcher.entry(state="draining"))
         self.drained[searcher.backend.name] = time.monotonic()
 
+    def _write_version(self) -> None:
+        self._version += 1
+        prefix = f"/extra-{self._version}/"
+        routes = [
+            search_route(SHARDS, topK=TOP, timeoutMs=1500, sloMs=200),
+            forward_route(DESK, type="unsafe", timeoutMs=1500),
+            *(
+                forward_route(DESK, name=f"extra-{number}", pathPrefix=f"/extra-{number}/")
+                for number in range(1, self._version + 1)
+            ),
+        ]
+        version = configuration(self._version, *routes)
+        if self.keys is not None:
+            version["tenants"] = self.keys.to_configuration()
+        self.store.put("config", "main", version)
+        self.routes.append((prefix, time.monotonic()))
+
     def _start_searcher(self, service: str, number: int) -> None:
         zone = ZONES[(hash_of(service) + number) % len(ZONES)]
         searcher = SoakSearcher(service, f"{service}-s{number}", zone, self.runs)
@@ -292,6 +319,8 @@
         zone = ZONES[number % len(ZONES)]
         process = PlatformInstance(f"front-{number}", proxy.entry_address, self._folder, zone)
         process.settings["bounds"] = {"drainMs": 3000, "graceS": 4, "configApplyMs": 3000}
+        if self.keys is not None:
+            process.settings["bounds"] |= self.keys.bounds.to_settings()
         self._stack.enter_context(process)
         self.instances.append(SoakInstance(process, proxy))
 
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -52,7 +52,13 @@
     """Return the broken promises, but for that of recovery, which needs calm requests."""
     rough = world.pop("rough", Disturbed())
     instance = SimpleNamespace(rough=rough, stopped=Disturbed(), zone="zone-a")
-    calm = {"instances": [instance], "store_rough": Disturbed(), "drained": {}, "routes": []}
+    calm = {
+        "instances": [instance],
+        "store_rough": Disturbed(),
+        "drained": {},
+        "routes": [],
+        "keys": None,
+    }
     found = SimpleNamespace(**{**calm, **world})
     lines = broken(Seen(found, outcomes, runs or [], 0.0))
     return [line for line in lines if not line.startswith("requests are served again")]
@@ -118,6 +124,7 @@
             store_rough=Disturbed(),
             drained={},
             routes=[],
+            keys=None,
         )
         failed = [booking(f"b{n}", 100.0 + n, status=502) for n in range(20)]
         assert len(broken(Seen(world, failed, [], 100.0))) == 1
