Own interface: end calls whose head or trailer never ends

Each byte of a head or trailer started the socket's timeout anew, and http.client reads any number of trailers and interim replies, so a search could hold its thread and connection without end. Only bookings were aborted after their time.

A timer that is not the earliest no longer wakes the timers' thread.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
@@ -153,12 +153,8 @@
             CallFailed: There is no reply that can be used; only `REFUSED` and `SHED` prove that
                 it was not run.
         """
-        open_call = _OpenCall()
-        # Nobody cancels a booking, and a searcher that sends its reply a byte at a time would
-        # start the read timeout anew with each byte.
-        self._timers.call_at(time.monotonic() + booking.timeout + _OVERTIME, open_call.abort)
         return self._token_reply(
-            "/book", booking, booking.token, booking.timeout, open_call, control=False
+            "/book", booking, booking.token, booking.timeout, _OpenCall(), control=False
         )
 
     def look_up(self, token: str, *, void: bool) -> SearcherBookingReply:
@@ -196,6 +192,9 @@
         control: bool,
     ) -> T:
         deadline = time.monotonic() + max(seconds, _SMALLEST_TIMEOUT)
+        # Each byte of a head or a trailer starts the socket's timeout anew, and `http.client` reads
+        # any number of interim replies and trailers.
+        self._timers.call_at(deadline + _OVERTIME, call.abort)
         try:
             lease = self._pool.lease(deadline, control=control)
         except NoConnection:
@@ -203,7 +202,12 @@
         with lease:
             call.lease = lease
             _open(lease, call, deadline)
-            response, data = _exchange(lease, path, to_json(body), deadline)
+            try:
+                response, data = _exchange(lease, path, to_json(body), deadline)
+            except CallFailed:
+                if lease.aborted and time.monotonic() >= deadline:
+                    raise CallFailed(Failure.TIMEOUT) from None
+                raise
             reply = _read(response, data, kind) if response.status == 200 else None
             if reply is not None and not echoes(reply):
                 raise CallFailed(Failure.MISMATCHED)
--- a/packages/limpethollow-node/src/limpethollow_node/process/timers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/timers.py
@@ -43,8 +43,10 @@
             callback: The function to call.
         """
         with self._condition:
-            heapq.heappush(self._heap, (when, next(self._sequence_numbers), callback))
-            self._condition.notify()
+            entry = (when, next(self._sequence_numbers), callback)
+            heapq.heappush(self._heap, entry)
+            if self._heap[0] is entry:
+                self._condition.notify()
 
     def _run(self) -> None:
         while True:
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -107,7 +107,9 @@
         connection.sendall(start)
         sent += len(start)
         while time.monotonic() < give_up:
-            if pause and select.select([connection], [], [], pause)[0]:
+            readable = pause and select.select([connection], [], [], pause)[0]
+            # What is read is the rest of a request, or the end of the connection.
+            if readable and not connection.recv(_BLOCK_BYTES):
                 return sent
             connection.sendall(block)
             sent += len(block)
