--- a/tests/unit/engine/test_peers.py
+++ b/tests/unit/engine/test_peers.py
@@ -199,6 +199,8 @@
         assert play.peers.hears_store_list(0.0)
         follower.source.known = KnownState(instances=10)
         assert not play.peers.hears_store_list(0.0)
+        assert "i-01" not in play.peers.without_newer_instances(0.0)
+        assert play.peers.with_own_instances(0.0) == ["i-01"]
 
 
 class TestConfirmations:
@@ -213,5 +215,3 @@
         link.heard_at = link.interval = 0.0
         play.peers._on_frame(link, Heartbeat(True, True, KnownState(1, 0, 0), 0.0, 0.5))
         assert play.catalog.delays == [6.5]
-        assert "i-01" not in play.peers.without_newer_instances(0.0)
-        assert play.peers.with_own_instances(0.0) == ["i-01"]
