--- a/tests/unit/engine/test_homes.py
+++ b/tests/unit/engine/test_homes.py
@@ -227,7 +227,7 @@
     def test_no_common_home_of_route_and_team_refuses(self, monkeypatch):
         play = HomesPlay(forward("north"), dispatch_with("s", "a", "c"))
         permit = Permit(homes=frozenset())
-        monkeypatch.setattr(type(play.engine._access), "admit", lambda *_: permit)
+        monkeypatch.setattr(type(play.engine.access), "admit", lambda *_: permit)
         assert play.ask()[:2] == (503, "no_home")
         assert not play.dispatch.played
 
