--- a/tests/unit/engine/test_quotas.py
+++ b/tests/unit/engine/test_quotas.py
@@ -18,6 +18,7 @@
     max_examples=40,
     stateful_step_count=25,
     deadline=None,
+    derandomize=True,
     suppress_health_check=list(HealthCheck),
 )
 
