Fixes after the review of keys, quotas and reply limits

Two tests take their bound from the new limits (0.6 of 200 MB as before). Tenant names must be printable.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -90,6 +90,7 @@
         "_ends_with_connection",
         "_held_back",
         "_may_send",
+        "_shared_bytes",
         "_wire_bytes",
         "carried",
         "idle_since",
@@ -115,6 +116,7 @@
         # A list of the pieces would take 50 bytes of memory for a chunk of two bytes.
         self._body: bytes | bytearray = b""
         self._body_bytes = 0
+        self._shared_bytes = 0
         self._in_head = True
         self._wire_bytes = 0
         self._is_head = False
@@ -172,7 +174,8 @@
         self._transport.set_write_buffer_limits(high=0)
         self._transport.write(memoryview(data)[:-_HELD_BACK_BYTES])
         if not self._transport.get_write_buffer_size():
-            self._write_end()
+            # Later, so that the caller of this method has returned if the request fails.
+            asyncio.get_running_loop().call_soon(self.resume_writing)
 
     def close(self) -> None:
         """Close the connection without calling back for the current request."""
@@ -295,7 +298,7 @@
         if self._on_reply is None:
             return
         self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
+        if self._body_bytes > self._limits.own_bytes and not self._take_shared():
             self._fail(ReplyCutOff(ReplyLimit.BODY))
         elif not self._body:
             self._body = body
@@ -348,7 +351,17 @@
         if on_broken is not None:
             on_broken(error)
 
+    def _take_shared(self) -> bool:
+        """Take memory for the body beyond the reply's own part; return whether there is enough."""
+        needed = self._body_bytes - self._limits.own_bytes - self._shared_bytes
+        if self._body_bytes > self._limits.body_bytes or not self._limits.shared.take(needed):
+            return False
+        self._shared_bytes += needed
+        return True
+
     def _release_memory(self) -> None:
+        self._limits.shared.free(self._shared_bytes)
+        self._shared_bytes = 0
         self._headers = []
         self._body = b""
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/replylimits.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/replylimits.py
@@ -35,23 +35,68 @@
     TIME = "time"
 
 
+class SharedBytes:
+    """Memory that all replies that are being read may use together, beyond a part of their own.
+
+    Args:
+        limit: Bytes for all of them.
+    """
+
+    __slots__ = ("_limit", "_used")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._used = 0
+
+    @property
+    def limit(self) -> int:
+        """Return the bytes for all replies."""
+        return self._limit
+
+    @property
+    def used(self) -> int:
+        """Return the bytes in use."""
+        return self._used
+
+    def take(self, count: int) -> bool:
+        """Take bytes for a reply; return False if too few are left."""
+        if self._used + count > self._limit:
+            return False
+        self._used += count
+        return True
+
+    def free(self, count: int) -> None:
+        """Return bytes that a reply no longer uses."""
+        self._used -= count
+
+
 @dataclass(slots=True, frozen=True)
 class ReplyLimits:
     """Limits on one server's replies.
 
     Attributes:
         body_bytes: Largest accepted body.
+        own_bytes: Bytes of a body that are accepted whatever other replies use.
+        shared: Bytes beyond that for all replies together.
     """
 
     body_bytes: int
+    own_bytes: int
+    shared: SharedBytes
 
 
-# Valid replies have up to 1 MB. 40 bodies of this size, in buffers that are an eighth larger, take
-# 71 MB of an instance's 200 MB.
-SEARCHER_LIMITS = ReplyLimits(body_bytes=3 * 512 * 1024)
+# Most valid replies have up to 1 MB, and single ones up to 16 MiB. 40 endless bodies, in buffers
+# that are an eighth larger, take 71 MB of an instance's 200 MB, and the shared bytes 19 MB.
+SEARCHER_LIMITS = ReplyLimits(
+    body_bytes=16 * 1024 * 1024,
+    own_bytes=3 * 512 * 1024,
+    shared=SharedBytes(16 * 1024 * 1024),
+)
 # A watch answer may contain several objects of up to 1 MB each. The six connections to the store
 # together hold at most 54 MB.
-STORE_LIMITS = ReplyLimits(body_bytes=8 * 1024 * 1024)
+STORE_LIMITS = ReplyLimits(
+    body_bytes=8 * 1024 * 1024, own_bytes=8 * 1024 * 1024, shared=SharedBytes(0)
+)
 
 
 def report_exceeded(metrics: Metrics, server: str, limit: ReplyLimit) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/frames.py
@@ -172,6 +172,7 @@
         version: Number of the version by which the request was admitted; -1 if that version has
             no teams, and from releases that don't send it.
         homes: Regions that may process the request; None for all.
+        public: Whether the request's route needs no key.
     """
 
     number: int
@@ -187,6 +188,7 @@
     tenant: str = ""
     version: int = -1
     homes: list[str] | None = None
+    public: bool = False
 
 
 class BatchParts(Frame, frozen=True, tag="parts"):
@@ -300,12 +302,14 @@
         tokens: Tokens lent, possibly none.
         wait: Seconds until the sender has the next one, if it lent fewer than wanted.
         left: Tokens that it still has.
+        holds: Whether the sender holds a part of the team's quota.
     """
 
     number: int
     tokens: float
     wait: float
     left: float = 0.0
+    holds: bool = True
 
 
 AnyFrame = (
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
@@ -140,18 +140,18 @@
             drops_key=True,
         )
 
-    def delegated(self, digest: bytes, name: str, version: int) -> Permit:
+    def delegated(self, digest: bytes, name: str, version: int, *, public: bool) -> Permit:
         """Return the permit of a request that another instance delegates.
 
         Args:
             digest: Digest of the key; empty if the request needs none.
             name: Name of the team that holds the key; empty without a key.
             version: Number of the version by which it was admitted; -1 if that one has no teams.
+            public: Whether its route needs no key.
         """
         if digest:
-            return Permit(
-                digest=digest, version=version, may_send=partial(self._may_send, digest, name)
-            )
+            may_send = self._is_holder if public else self._may_send
+            return Permit(digest=digest, version=version, may_send=partial(may_send, digest, name))
         if version < 0:
             return Permit(may_send=self._has_no_teams)
         return Permit(version=version)
@@ -201,7 +201,7 @@
 
         Its headers may contain a key, which must not reach a searcher once there are teams.
         """
-        return not self._versions.tenants
+        return not self._versions.has_teams
 
     def _age(self) -> float:
         """Return the seconds since the version was known to be the newest."""
@@ -231,7 +231,7 @@
         """Return the error for a request that was admitted and is no longer allowed."""
         if not self._lease_holds():
             return self._lapsed()
-        if self._versions.tenants.holder(digest) is None:
+        if self._versions.has_teams and self._versions.tenants.holder(digest) is None:
             return self._unknown_key(has_key=True)
         return _changed()
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -83,7 +83,7 @@
         self.regions = regions or Regions()
         self.loop = asyncio.get_running_loop()
         self.clock = time.monotonic
-        self.delegated_permit: Callable[[bytes, str, int], Permit] = lambda *_: UNRESTRICTED
+        self.delegated_permit: Callable[..., Permit] = lambda *_, **__: UNRESTRICTED
         self.isolation = Isolation()
         self.own_delay = AnswerDelayEstimator()
         self.own_pace = CallPaceEstimator()
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -21,7 +21,13 @@
     RoutingVersion,
     WeightedRoundRobin,
 )
-from limpethollow_wire.exceptions import LimpethollowError, NoHome, NoRoute, Unavailable
+from limpethollow_wire.exceptions import (
+    InternalError,
+    LimpethollowError,
+    NoHome,
+    NoRoute,
+    Unavailable,
+)
 
 # A version that was last confirmed to be the newest longer ago than this, in seconds, may lack a
 # route that other instances serve, so a missing route must not be reported as nonexistent.
@@ -79,8 +85,9 @@
         self._turns.forget()
         self._dispatch.use_version(version)
         self._admission_control.use_version(version)
-        self.end_forbidden()
+        # The end of a request may start the next one on its connection, which needs the new quotas.
         self.quotas.use_version(version)
+        self.end_forbidden()
         return True
 
     @property
@@ -128,6 +135,11 @@
         except LimpethollowError as error:
             self.quotas.give_back(permit)
             self._refuse(exchange, route, error)
+        except Exception as error:
+            # Other requests may wait for their quota in the same call, and must not fail with it.
+            events.UNEXPECTED_ERROR.log(where="start", error=repr(error), exc_info=True)
+            self.quotas.give_back(permit)
+            self._refuse(exchange, route, InternalError("The request could not be started."))
 
     def _on_disconnect(self, exchange: Exchange) -> None:
         """Give up the place of a request that waits for its quota."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -327,6 +327,9 @@
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        # A call that is no longer allowed needs no connection; the one behind it does.
+        while self._waiting and not self._waiting[0].may_send():
+            self._loop.call_soon(self._waiting.popleft().withhold)
         if self._waiting and not self._closed and len(self._open) + len(self._opening) < self.limit:
             self.send(self._waiting.popleft())
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -177,6 +177,13 @@
         self._links.links_to_holders = self._quotas.has_limits
         self._refused_until.clear()
         self._look(now)
+        for team in [team for team in self._queues if not self._quotas.is_limited(team)]:
+            queue = self._queues[team]
+            while queue:
+                waiter = queue.popleft()
+                self._stop_timer(waiter)
+                waiter.on_granted()
+            self._forget_queue(team, queue)
 
     def instances_changed(self) -> None:
         """Note that the list of instances changed; it is read before the next token is taken."""
@@ -213,8 +220,8 @@
         team, now = tenant.name, self._clock()
         if now >= self._look_at:
             self._look(now)
-        if self._quotas.take(team, now):
-            permit.quota_until = now + LOAN_SECONDS
+        if (until := self._quotas.take(team, now)) > 0:
+            permit.quota_until = until
             on_granted()
             return None
         refused_until = self._refused_until.get(team, 0.0)
@@ -263,10 +270,13 @@
         if queue is None:
             return
         now = self._clock()
-        while queue and self._quotas.take(team, now):
+        if now >= self._look_at:
+            # After a suspension, the part held here may belong to others.
+            self._look(now)
+        while queue and (until := self._quotas.take(team, now)) > 0:
             waiter = queue.popleft()
             self._stop_timer(waiter)
-            waiter.permit.quota_until = now + LOAN_SECONDS
+            waiter.permit.quota_until = until
             waiter.on_granted()
         while queue and (ask := self._quotas.ask(team, len(queue), now)) is not None:
             frame = QuotaAsk(ask.number, team, ask.tokens)
@@ -406,9 +416,9 @@
             loan = self._quotas.lend(frame.tenant, frame.tokens, now)
             if loan.tokens > 0:
                 self._dispatch.metrics.count("quota_loans", frame.tenant)
-            link.send(QuotaGrant(frame.number, loan.tokens, loan.wait, loan.left))
+            link.send(QuotaGrant(frame.number, loan.tokens, loan.wait, loan.left, loan.holds))
             return
-        loan = Loan(frame.tokens, frame.wait, frame.left)
+        loan = Loan(frame.tokens, frame.wait, frame.left, frame.holds)
         team = self._quotas.granted(frame.number, loan, now)
         if team is not None:
             if frame.tokens > 0:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
@@ -65,7 +65,9 @@
         self._dispatch = dispatch
         self._link = link
         self._batch = batch
-        self.permit = dispatch.delegated_permit(batch.digest, batch.tenant, batch.version)
+        self.permit = dispatch.delegated_permit(
+            batch.digest, batch.tenant, batch.version, public=batch.public
+        )
         self._done = done
         self._calls: dict[str, _Call] = {}
         self._parts = PartSet(batch.top)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/carriers.py
@@ -121,10 +121,11 @@
                 outgoing.deadline - now,
                 outgoing.timings.hedge_delay * _MERGE_FRACTION,
                 now,
-                b"" if outgoing.route.public else permit.digest,
-                "" if outgoing.route.public else permit.tenant_name or "",
+                permit.digest,
+                permit.tenant_name or "",
                 permit.version if permit.drops_key else -1,
                 homes=stated_homes,
+                public=outgoing.route.public,
             )
 
         sent = self._desk.send(link, frame, self._on_parts, self._on_call_failed)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/outgoing.py
@@ -21,6 +21,9 @@
 # 3 ms that the users specify.
 _DEFAULT_ROUND_TRIP = 0.006
 
+# Longer values of the time left are invalid: about 30 years are enough.
+_MAX_TIME_DIGITS = 12
+
 
 @dataclass(slots=True)
 class Outgoing:
@@ -135,6 +138,6 @@
     stated = request.header(names.time_left)
     if stated is None:
         return None
-    if not stated.isdigit():
+    if not stated.isdigit() or len(stated) > _MAX_TIME_DIGITS:
         raise BadRequest(f"{names.time_left.decode()} is not a whole number of milliseconds.")
     return int(stated) / 1000
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -231,6 +231,10 @@
 
     def _give_up(self) -> None:
         """Fail now instead of at the deadline, because too many shards can no longer answer."""
+        if not self._may_have_run and not self._outgoing.permit.may_send():
+            # Not reported to admission control: load did not delay it.
+            self._fail_forbidden()
+            return
         self._admission.over(len(self._parts))
         if self._may_have_run:
             # A quarantined request would be refused when retried.
@@ -238,9 +242,6 @@
             error: LimpethollowError = NoUsableReply(
                 "Too many shards sent no usable reply.", retry_after=retry_after
             )
-        elif not self._outgoing.permit.may_send():
-            self._fail_forbidden()
-            return
         else:
             error = Unavailable(
                 "Too many shards have no reachable searcher.", retry_after=_RETRY_AFTER
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -254,6 +254,11 @@
 
 
 def _decode_tenant(tenant: _TenantSpec) -> Tenant:
+    if not tenant.name or not tenant.name.isprintable():
+        # It is the value of a header in requests to searchers.
+        raise BadRequest(
+            f"Invalid configuration: the tenant name {tenant.name!r} is not printable."
+        )
     return Tenant(
         name=tenant.name,
         keys=tuple(key_digest(key.encode()) for key in tenant.api_keys),
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/leases.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/leases.py
@@ -56,6 +56,7 @@
         "_confirmed_at",
         "_last_ask_at",
         "_number",
+        "_round_answered",
         "_round_at",
         "_tried",
         "duration",
@@ -68,6 +69,7 @@
         self._asked: dict[int, tuple[str, float]] = {}
         self._tried: set[str] = set()
         self._round_at = float("-inf")
+        self._round_answered = False
         self._last_ask_at = float("-inf")
 
     def age(self, now: float) -> float:
@@ -107,6 +109,7 @@
             return
         self._confirmed_at = max(self._confirmed_at, asked[1] - age)
         if age <= self.duration / 2:
+            self._round_answered = True
             self._asked.clear()
 
     def asks(self, peers: Sequence[str], now: float, *, reads_store: bool) -> list[PeerAsk]:
@@ -122,10 +125,11 @@
             return []
         if now - self._round_at >= ROUND_SECONDS:
             self._round_at = now
+            self._round_answered = False
             self._asked.clear()
             self._tried.clear()
             return self._ask(peers[:1], now)
-        if self._confirmed_at >= self._round_at - self.duration / 2:
+        if self._round_answered:
             return []
         self._drop_lost(peers)
         if self._asked and now - self._last_ask_at < ANSWER_SECONDS:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -4,7 +4,7 @@
 
 # An instance may spend a token for this long after it asked for it, in seconds. A token that is
 # returned after its request was refused keeps the same limit.
-LOAN_SECONDS = 0.5
+LOAN_SECONDS = 0.2
 # The other instances remove an instance from the list after 30 s of silence and use its part later.
 # A holder that could not confirm its list for this long, in seconds, stops before that.
 CUT_OFF_SECONDS = 20.0
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
@@ -134,11 +134,13 @@
         tokens: Tokens lent, possibly none.
         wait: Seconds until the holder has the next one, if it lent fewer than wanted.
         left: Tokens that it still has.
+        holds: Whether it holds a part of the team's quota at all.
     """
 
     tokens: float
     wait: float
     left: float = 0.0
+    holds: bool = True
 
 
 class _SentAsk:
@@ -232,6 +234,11 @@
             loans.popleft()
         return sum(loan[1] for loan in loans)
 
+    @property
+    def first_expiry(self) -> float:
+        """Return the time in seconds at which the oldest loan expires."""
+        return self.loans[0][0]
+
     def spend(self, tokens: float) -> float:
         """Spend tokens of the oldest loans; return how many of them are missing."""
         loans = self.loans
@@ -341,23 +348,30 @@
             self._epoch += 1
         return part != before
 
-    def take(self, team: str, now: float) -> bool:
-        """Take one token from a loan or an own bucket; return whether there was one."""
+    def take(self, team: str, now: float) -> float:
+        """Take one token from a loan or an own bucket.
+
+        Returns:
+            The time in seconds until which it may be returned; 0 if there was none. A token keeps
+            the limit of the oldest loan that it came from, however often it is returned.
+        """
         borrower = self._borrowers.get(team)
         if borrower is not None and borrower.loans:
             lent = borrower.valid_tokens(now)
             if lent >= 1 - _EPSILON:
+                expires = borrower.first_expiry
                 borrower.spend(1.0)
-                return True
+                return expires
         else:
             lent = 0.0
         if self._part == 0.0:
-            return False
+            return 0.0
         bucket = self._bucket(team, now)
         if bucket is None or bucket.level + lent < 1 - _EPSILON:
-            return False
+            return 0.0
+        expires = borrower.first_expiry if lent else now + LOAN_SECONDS
         bucket.level -= borrower.spend(1.0) if lent else 1.0
-        return True
+        return expires
 
     def give_back(self, team: str, expires: float, now: float) -> bool:
         """Return a token that was not used; return whether it is still valid.
@@ -367,7 +381,7 @@
 
         Args:
             team: Name of the team.
-            expires: Time in seconds until which it may be used: one loan time after it was taken.
+            expires: Time in seconds until which it may be used, as returned by `take`.
             now: Current time in seconds.
         """
         if now >= expires or team not in self._sizes:
@@ -385,7 +399,7 @@
         """
         bucket = self._bucket(team, now) if self._part > 0 else None
         if bucket is None:
-            return Loan(0.0, _NO_HOLDER_WAIT, 0.0)
+            return Loan(0.0, _NO_HOLDER_WAIT, 0.0, holds=False)
         if not (0 < tokens < math.inf):
             return Loan(0.0, _MIN_WAIT, 0.0)
         if tokens < 1:
@@ -446,7 +460,7 @@
         borrower, sent = found
         if loan.tokens < sent.tokens:
             state = borrower.holders[sent.holder]
-            state.pause(now + min(max(loan.wait, _MIN_WAIT), _MAX_WAIT), is_empty=True)
+            state.pause(now + min(max(loan.wait, _MIN_WAIT), _MAX_WAIT), is_empty=loan.holds)
             state.left = min(loan.left, 1.0) if sent.tokens >= 1 else 0.0
         expires = sent.at + LOAN_SECONDS
         if loan.tokens > 0 and now < expires:
--- a/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/version/routes.py
@@ -172,14 +172,18 @@
 
     A delayed reply to an earlier read, or a lagging peer, may offer an older version after a newer
     one was in use. Older versions are ignored; otherwise a removed route would reappear.
+
+    Attributes:
+        has_teams: Whether the version in force has teams.
     """
 
-    __slots__ = ("_confirmed_at", "_current", "_table", "_tenants")
+    __slots__ = ("_confirmed_at", "_current", "_table", "_tenants", "has_teams")
 
     def __init__(self) -> None:
         self._current: RoutingVersion | None = None
         self._table = RouteTable(())
         self._tenants = TenantTable()
+        self.has_teams = False
         self._confirmed_at = float("-inf")
 
     @property
@@ -194,6 +198,7 @@
         self._current = version
         self._table = RouteTable(version.routes)
         self._tenants = TenantTable(version.tenants)
+        self.has_teams = bool(version.tenants)
         return True
 
     @property
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -77,7 +77,7 @@
         self.fleet = Fleet("a", Random(1))
         self.budget = SendBudget(0.2, slack, 10.0)
         self.names = HEADERS
-        self.delegated_permit = lambda *_: UNRESTRICTED
+        self.delegated_permit = lambda *_, **__: UNRESTRICTED
         self.metrics = Metrics()
         self.regions = Regions()
         self.quarantines = Quarantines(self.metrics, self.loop.time)
--- a/tests/system/platform/test_endless_replies.py
+++ b/tests/system/platform/test_endless_replies.py
@@ -13,10 +13,10 @@
 from tests.support.processes import wait_for
 
 SHARDS = 40
-# A body that stops just below its limit, and exceeds it when all others have got there.
+# A body that stops just below its own part, and exceeds it when all others have got there.
 BELOW_LIMIT = (
-    b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (SEARCHER_LIMITS.body_bytes * 9 // 10),
-    b"x" * (SEARCHER_LIMITS.body_bytes // 5),
+    b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (SEARCHER_LIMITS.own_bytes * 9 // 10),
+    b"x" * SEARCHER_LIMITS.own_bytes,
     0.4,
 )
 MEMORY_MB = 200
@@ -123,5 +123,6 @@
         stamps = reply.headers["X-Limpethollow-Part-Stamps"].split(",")
         assert {stamp.strip().split(".")[0] for stamp in stamps} == {f"{s}-b" for s in shards}
         # Buffers grow by an eighth; a copy of one body exists while a reply is delivered.
-        assert watch.highest - before < (SHARDS + 1) * SEARCHER_LIMITS.body_bytes * 9 // 8
+        allowed = (SHARDS + 1) * SEARCHER_LIMITS.own_bytes + SEARCHER_LIMITS.shared.limit
+        assert watch.highest - before < allowed * 9 // 8
         assert watch.highest < MEMORY_MB * 1024 * 1024
--- a/tests/unit/engine/test_coldstatements.py
+++ b/tests/unit/engine/test_coldstatements.py
@@ -195,8 +195,8 @@
         failure = BatchFailure(1, "s", "not_run", 0, "x", 1)
         batch = Batch(1, b"", b"", b"r1", [], 5, 1.0, 0.02, 100.0, homes=["north"])
         older = [
-            decode_frame(to_cbor(from_cbor(encode_frame(each))[:-1]))
-            for each in (parts, failure, batch)
+            decode_frame(to_cbor(from_cbor(encode_frame(each))[:-newer]))
+            for each, newer in ((parts, 1), (failure, 1), (batch, 2))
         ]
         assert [older[0].cold_ms, older[1].cold_ms, older[2].homes] == [{}, None, None]
 
--- a/tests/unit/engine/test_endless_replies.py
+++ b/tests/unit/engine/test_endless_replies.py
@@ -214,6 +214,14 @@
 class TestMemory:
     def test_40_replies_at_their_limits_leave_room_in_an_instance_of_200_mb(self):
         """Guards against a limit that is raised beyond what the smallest instances have."""
-        body = SEARCHER_LIMITS.body_bytes * 9 // 8
+        body = SEARCHER_LIMITS.own_bytes * 9 // 8
+        shared = SEARCHER_LIMITS.shared.limit * 9 // 8
         headers = (MAX_HEADERS + PIECE_BYTES // len(b"A:\r\n")) * 160
-        assert 40 * (body + headers) < 200 * 1024 * 1024 * 0.6
+        assert 40 * (body + headers) + shared < 200 * 1024 * 1024 * 0.6
+
+    def test_one_large_reply_is_read_and_returns_the_shared_memory(self):
+        """Guards against a reply of several megabytes, read until now, that is cut off."""
+        body = b"x" * (8 * 1024 * 1024)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        assert asyncio.run(answer(head + body)) == len(body)
+        assert SEARCHER_LIMITS.shared.used == 0
