Fair sharing between teams while a load shedder limits

Under a limit all requests were admitted first come, first served, so a team that sends ten times its share took most of the rate. FairShares now decides which requests use the rate that the shedder admits: by priority, then up to a common level of work by team. The rate, its learning and its cuts are unchanged, and so are all decisions without teams.

--- a/benchmarks/ablation/mechanisms.py
+++ b/benchmarks/ablation/mechanisms.py
@@ -125,6 +125,15 @@
         _ENGINE + "process/admissioncontrol.py", "        if wait > 0:\n", "        if wait < 0:\n"
     ),
 )
+_mechanism(
+    "sharing",
+    "requests of all teams and priorities are admitted alike",
+    Edit(
+        _ENGINE + "process/admissioncontrol.py",
+        "self._claim(outgoing, now) if self._has_teams else None",
+        "None",
+    ),
+)
 _mechanism(
     "batches",
     "each call to another failure domain is made directly",
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/admissioncontrol.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/admissioncontrol.py
@@ -1,11 +1,12 @@
 """Admission control: admits or rejects requests, and adapts to how the admitted ones end."""
 
-from collections import defaultdict
-from collections.abc import Sequence
+from collections import Counter, defaultdict
+from collections.abc import Sequence, Set
 
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.process import events
+from limpethollow_policy.process.sharing import Claim, WorkEstimate
 from limpethollow_policy.process.shedding import LoadShedder, congestion, is_congested
 from limpethollow_policy.process.singleshedding import SingleShedder
 from limpethollow_policy.version.routes import RoutingVersion
@@ -16,6 +17,51 @@
 _MIN_RETRY_SECONDS, _MAX_RETRY_SECONDS = 0.05, 1.0
 
 
+# Label of the requests without a team.
+NO_TEAM = "-"
+# Seconds between two log lines on refused requests of one team.
+_REFUSAL_LOG_SECONDS = 10.0
+
+
+class TeamRefusalLog:
+    """Logs which teams' requests are refused, at most one line per team and interval."""
+
+    __slots__ = ("_logged_at", "_refused")
+
+    def __init__(self) -> None:
+        self._logged_at: dict[str | None, float] = {}
+        self._refused: Counter[str | None] = Counter()
+
+    def keep(self, teams: Set[str]) -> None:
+        """Forget the teams that no longer exist."""
+        for team in self._logged_at.keys() - teams - {None}:
+            del self._logged_at[team]
+            del self._refused[team]
+
+    def refused(self, claim: Claim, fair_share: float, outgoing: Outgoing, now: float) -> None:
+        """Record a refused request.
+
+        Args:
+            claim: The request's team and work.
+            fair_share: Share of its team's requests that is admitted, from 0 to 1.
+            outgoing: The request.
+            now: Current monotonic time in seconds.
+        """
+        team = claim.team
+        self._refused[team] += 1
+        if now - self._logged_at.get(team, float("-inf")) < _REFUSAL_LOG_SECONDS:
+            return
+        self._logged_at[team] = now
+        event = events.TEAM_ABOVE_SHARE if fair_share < 1.0 else events.TEAM_WITHIN_SHARE_REFUSED
+        event.log(
+            team=team or NO_TEAM,
+            route=outgoing.route.name,
+            priority=outgoing.permit.priority,
+            admitted_share=round(fair_share, 3),
+            refused=self._refused.pop(team),
+        )
+
+
 class Admission:
     """One admitted request, until it is known whether load delayed it.
 
@@ -122,7 +168,8 @@
 class AdmissionControl:
     """Admits requests, and adapts the admission rates to how they end.
 
-    There is one rate per set of shards for searches, and one per service for single requests.
+    There is one rate per set of shards for searches, and one per service for single requests. Where
+    the version in force has teams, they share each rate fairly.
 
     Usage:
         admission = intake.admit_search(outgoing)   # raises Overloaded without capacity
@@ -134,19 +181,26 @@
         dispatch: State shared by all requests of the process.
     """
 
-    __slots__ = ("_dispatch", "_searches", "_singles")
+    __slots__ = ("_dispatch", "_has_teams", "_refusal_log", "_searches", "_singles", "_works")
 
     def __init__(self, dispatch: Dispatch) -> None:
         self._dispatch = dispatch
+        self._has_teams = False
+        self._refusal_log = TeamRefusalLog()
+        self._works: defaultdict[str, WorkEstimate] = defaultdict(WorkEstimate)
         self._searches: defaultdict[tuple[str, ...], LoadShedder] = defaultdict(LoadShedder)
         self._singles: defaultdict[str, SingleShedder] = defaultdict(SingleShedder)
 
     def use_version(self, version: RoutingVersion) -> None:
         """Remove the shedders of shards and services that no route uses any more."""
+        self._has_teams = bool(version.tenants)
+        self._refusal_log.keep({tenant.name for tenant in version.tenants})
         for shards in self._searches.keys() - {route.shards for route in version.routes}:
             del self._searches[shards]
         for service in self._singles.keys() - version.service_names():
             del self._singles[service]
+        for name in self._works.keys() - {route.name for route in version.routes}:
+            del self._works[name]
 
     @property
     def lowest_rate(self) -> float:
@@ -188,11 +242,22 @@
         """Admit a request; return the searchers' queue depth, None if they don't report it."""
         now = self._dispatch.loop.time()
         depth = self._dispatch.fleet.queue_depth(services, shedder.report_age(now), now)
-        wait = shedder.wait(now, in_time=outgoing.in_time, queue_depth=depth)
+        claim = self._claim(outgoing, now) if self._has_teams else None
+        wait = shedder.wait(now, in_time=outgoing.in_time, queue_depth=depth, claim=claim)
         if wait > 0:
             self._dispatch.metrics.count("requests_shed", outgoing.route.name)
+            if claim is not None:
+                self._dispatch.metrics.count("team_requests_shed", claim.team or NO_TEAM)
+                self._refusal_log.refused(claim, shedder.fair_share(claim), outgoing, now)
             raise Overloaded(
                 "The request rate exceeds what the searchers can answer in time.",
                 retry_after=min(max(wait, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS),
             )
         return depth
+
+    def _claim(self, outgoing: Outgoing, now: float) -> Claim:
+        """Return the claim of a request; the team's priority goes before the route's."""
+        route, permit = outgoing.route, outgoing.permit
+        seconds = self._works[route.name].seconds(outgoing.timings.usual, now)
+        rank = permit.priority, route.priority
+        return Claim(permit.tenant_name, rank, max(1, len(route.shards)) * seconds)
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -137,3 +137,11 @@
     510, logging.INFO, "outcome of a booking resolved by querying its searchers"
 )
 LEDGER_FULL = _event(511, logging.WARNING, "booking ledger is full")
+
+# 560: sharing between teams
+TEAM_ABOVE_SHARE = _event(
+    560, logging.INFO, "requests of a team above its fair share refused under overload"
+)
+TEAM_WITHIN_SHARE_REFUSED = _event(
+    561, logging.INFO, "request of a team within its fair share refused under overload"
+)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shedding.py
@@ -12,6 +12,7 @@
     CALM_REPORT_SECONDS,
     QueueTarget,
 )
+from limpethollow_policy.process.sharing import Claim, FairShares
 
 # A search counts as congested while more than this fraction of its shards is unanswered. A few
 # shards with slow or unreachable searchers are no congestion: fewer calls would not help them.
@@ -46,12 +47,17 @@
 # refusal counts for the next search, and credit is not accumulated beyond this.
 _MAX_CREDIT = 2.0
 _INITIAL_CREDIT = 0.5
+# The same with teams: `FairShares` admits any search from a credit of 2, so none of it is lost.
+_MAX_SHARED_CREDIT = 3.0
 # Lower limit of the interval between evaluations of the rate, for routes without an objective or
 # with one that can't be met.
 MIN_OBJECTIVE = 0.01
 # Arrivals per second that are assumed if there were none recently.
 _MIN_ARRIVAL_RATE = 1.0
 _UNLIMITED = float("inf")
+# Seconds without a limit after which credit that teams within their share used in advance is
+# forgotten.
+_DEBT_SECONDS = 1.0
 
 
 def is_congested(missing: int, shards: int) -> bool:
@@ -85,9 +91,10 @@
 
     If searchers report their queue lengths, these are used instead of the rate.
 
-    Searches of all ranks are treated alike. If the rate is too high, searches with a tight
-    objective are late first, regardless of rank; and if one rank had priority, its callers alone
-    could be too many and starve the others.
+    Without teams, searches of all ranks are treated alike. If the rate is too high, searches with a
+    tight objective are late first, regardless of rank; and if one rank had priority, its callers
+    alone could be too many and starve the others. With teams, `FairShares` decides which searches
+    use the rate, and keeps a least share for each rank.
 
     Attributes:
         target: The target for the searchers' queue lengths, used if searchers report them.
@@ -107,7 +114,9 @@
         "_ended",
         "_evaluate_at",
         "_last_retry_at",
+        "_limited_at",
         "_rate",
+        "_shares",
         "target",
     )
 
@@ -116,6 +125,8 @@
         self._arrivals = Arrivals()
         self._credit = _INITIAL_CREDIT
         self._last_retry_at = float("-inf")
+        self._limited_at = float("-inf")
+        self._shares = FairShares()
         self._cut_at = float("-inf")
         self._evaluate_at = float("-inf")
         self._ended = 0
@@ -133,7 +144,18 @@
         bursts = self._arrivals.rate(now) > _BURST_FACTOR * self._arrivals.usual_rate(now)
         return BURST_REPORT_SECONDS if bursts else CALM_REPORT_SECONDS
 
-    def wait(self, now: float, *, in_time: bool = True, queue_depth: float | None = None) -> float:
+    def fair_share(self, claim: Claim) -> float:
+        """Return the share of a team's requests that was last found fair, from 0 to 1."""
+        return self._shares.share(claim)
+
+    def wait(
+        self,
+        now: float,
+        *,
+        in_time: bool = True,
+        queue_depth: float | None = None,
+        claim: Claim | None = None,
+    ) -> float:
         """Admit a search and return 0, or refuse it and return the seconds after which to retry.
 
         A search that can no longer be answered in time yields to those that can. Most of its kind
@@ -148,10 +170,15 @@
             in_time: Whether its answer can still meet its objective.
             queue_depth: Calls waiting per slot, as recently reported by its searchers; None if they
                 did not report any, in which case this instance's own rate decides.
+            claim: Its team and work, if teams share the rate; None to treat all searches alike.
         """
+        if claim is not None:
+            self._shares.arrived(claim, now, in_time=in_time)
         if queue_depth is not None:
-            return self._wait_by_depth(queue_depth, in_time, now)
-        if self._rate == _UNLIMITED or (self._rate_admits(now) if in_time else self._has_room(now)):
+            return self._wait_by_depth(queue_depth, in_time, now, claim)
+        if self._rate == _UNLIMITED or (
+            self._rate_admits(now, claim) if in_time else self._admits_late(now, claim)
+        ):
             self._arrivals.add(now, admitted=True)
             return 0.0
         return self._refuse(in_time, self._rate, now)
@@ -192,9 +219,15 @@
         self._evaluate_at = now + objective
         return cut
 
-    def _wait_by_depth(self, queue_depth: float, in_time: bool, now: float) -> float:
+    def _wait_by_depth(
+        self, queue_depth: float, in_time: bool, now: float, claim: Claim | None
+    ) -> float:
         share = self.target.admitted_share(queue_depth)
-        if share == 1.0 or (in_time and self._spend_credit(share)):
+        if (
+            share == 1.0
+            or (in_time and self._spend_credit(share, now, claim))
+            or (not in_time and claim is not None and self._spares_credit(claim))
+        ):
             self._arrivals.add(now, admitted=True)
             return 0.0
         return self._refuse(in_time, share * max(self._arrivals.rate(now), _MIN_ARRIVAL_RATE), now)
@@ -212,15 +245,39 @@
         self._last_retry_at = max(self._last_retry_at, now) + 1.0 / rate
         return self._last_retry_at - now
 
-    def _spend_credit(self, share: float) -> bool:
+    def _spend_credit(self, share: float, now: float, claim: Claim | None) -> bool:
         """Return whether to admit a search, so that this fraction is admitted, evenly spaced."""
+        if claim is not None:
+            return self._spend_shared_credit(share, now, claim)
         self._credit = min(self._credit + share, _MAX_CREDIT)
         if self._credit < 1.0:
             return False
         self._credit -= 1.0
         return True
 
-    def _rate_admits(self, now: float) -> bool:
+    def _spend_shared_credit(self, share: float, now: float, claim: Claim) -> bool:
+        """Return whether to admit a search of a team; the total is the same as without teams."""
+        if now - self._limited_at > _DEBT_SECONDS:
+            self._credit = max(self._credit, 0.0)
+        self._limited_at = now
+        self._credit = min(self._credit + share, _MAX_SHARED_CREDIT)
+        if not self._shares.admits(claim, share, self._credit, now):
+            return False
+        self._credit -= self._shares.cost(claim)
+        return True
+
+    def _spares_credit(self, claim: Claim) -> bool:
+        """Return whether to admit a search of a team that will probably be late."""
+        if not self._shares.spares(claim, self._credit):
+            return False
+        self._credit -= self._shares.cost(claim)
+        return True
+
+    def _admits_late(self, now: float, claim: Claim | None) -> bool:
+        """Return whether to admit a search that will probably be late."""
+        return self._has_room(now) or (claim is not None and self._spares_credit(claim))
+
+    def _rate_admits(self, now: float, claim: Claim | None) -> bool:
         """Return whether the rate admits a search; admissions are evenly spaced.
 
         A search that arrives long enough after the previous one for the rate to allow it is always
@@ -229,7 +286,7 @@
         coming = self._arrivals.rate(now)
         share = self._rate / coming if coming > 0 else 1.0
         share = min(1.0, max(share, self._rate * self._arrivals.since_last(now)))
-        return self._spend_credit(share)
+        return self._spend_credit(share, now, claim)
 
     def _has_room(self, now: float) -> bool:
         """Return whether the capacity for a search would otherwise go unused."""
--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -17,6 +17,7 @@
 from limpethollow_node.engine.process.pools import Call
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_policy.process.searchers import Replica
+from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.version.routes import (
     CallerLimits,
     CurrentVersion,
@@ -24,6 +25,7 @@
     RoutingVersion,
     WeightedService,
 )
+from limpethollow_policy.version.tenants import Tenant
 from tests.support.searches import NoDesk, VirtualExchange
 from tests.support.virtual import VirtualDispatch, VirtualLoop
 
@@ -32,6 +34,8 @@
 SEARCHER_WAY = 0.001
 # Statuses that promise that a request has not run.
 _REFUSALS = (429, 503)
+# Names a caller's team to the stand-in for access control.
+TEAM_HEADER = b"x-model-team"
 NOT_RUN = [(HEADERS.not_run, b"1")]
 
 
@@ -50,6 +54,25 @@
     work: float
 
 
+@dataclass(slots=True, frozen=True)
+class Team:
+    """A team of callers.
+
+    Attributes:
+        name: Its name.
+        share: Its searches a second in calm times, as a fraction of the world's rate.
+        times: How many times that it sends in the burst, in addition to the burst's own factor.
+        priority: Rank of its requests, 0 first.
+        kind: Index of the only kind of request that it sends; None for all kinds.
+    """
+
+    name: str
+    share: float
+    times: float = 1.0
+    priority: int = 1
+    kind: int | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class World:
     """What is played.
@@ -72,6 +95,8 @@
         single: Whether each request goes to one searcher of one service, whose searchers these
             `replicas` are, instead of to all shards.
         tells_load: Whether searchers say in their replies how many calls they have.
+        teams: The teams of the callers; none: all callers are alike.
+        shares: Whether the version in force has the teams.
     """
 
     shards: int = 20
@@ -90,6 +115,8 @@
     patient: bool = True
     single: bool = False
     tells_load: bool = False
+    teams: tuple[Team, ...] = ()
+    shares: bool = True
 
     @property
     def services(self) -> list[str]:
@@ -224,6 +251,19 @@
             self._on_reply(Reply(status, own, b"0123456789abcdef"))
 
 
+class ModelAccess:
+    """Gives each request the permit of the team that its header names, without keys."""
+
+    def __init__(self, world: World) -> None:
+        self._permits = {
+            team.name.encode(): Permit(team.priority, Tenant(team.name, (), team.priority))
+            for team in world.teams
+        }
+
+    def admit(self, request: Request, route: Route) -> Permit:
+        return self._permits[request.header(TEAM_HEADER)]
+
+
 class ModelInstance:
     """An instance: the engine over a dispatch of its own."""
 
@@ -243,7 +283,10 @@
         self.engine = Engine(self.dispatch, CurrentVersion())
         self.engine.desk = NoDesk()
         routes = tuple(kind.route for kind in kinds)
-        self.engine.use_version(RoutingVersion(1, routes, {}, CallerLimits()))
+        tenants = tuple(Tenant(team.name, ()) for team in world.teams if world.shares)
+        if world.teams:
+            self.engine._access = ModelAccess(world)
+        self.engine.use_version(RoutingVersion(1, routes, {}, CallerLimits(), tenants))
 
     def take(self, exchange: VirtualExchange) -> None:
         """Take a caller's request, late where the instance has little processor."""
@@ -254,8 +297,9 @@
 class ModelCaller:
     """One request of a caller and its repeats."""
 
-    def __init__(self, load: "Load", kind: Kind) -> None:
+    def __init__(self, load: "Load", kind: Kind, team: Team | None = None) -> None:
         self._load = load
+        self._team = team
         self._kind = kind
         self._began = load.loop.time()
         self._left = load.world.repeats
@@ -275,6 +319,8 @@
             (HEADERS.request_id, number),
             (HEADERS.time_left, b"%d" % int(left * 1000)),
         ]
+        if self._team is not None:
+            headers.append((TEAM_HEADER, self._team.name.encode()))
         request = Request(b"GET", self._kind.route.prefix.encode() + b"x", headers)
         exchange = self._exchange = VirtualExchange(request, 0.0)
         exchange.on_reply = lambda reply: loop.call_later(CALLER_WAY, lambda: self._replied(reply))
@@ -306,7 +352,7 @@
 
     def _end(self, how: str, worth: float) -> None:
         self._over = True
-        self._load.told(self._began, how, worth)
+        self._load.told(self._began, how, worth, self._team)
 
 
 @dataclass(slots=True)
@@ -354,6 +400,7 @@
         self._calm = calm
         self._began = self.loop.time()
         self._tallies = {name: Tally() for name in ("before", "burst", "settling", "after")}
+        self.by_team = {team.name: Tally() for team in world.teams}
         self._searchers = {
             name: ModelSearcher(world, self.loop, self.rng, name) for name in _searchers_of(world)
         }
@@ -372,13 +419,17 @@
         self.loop.run(self._began + 2 * self._calm + self._burst + 1.0)
         return self._tallies
 
-    def told(self, began: float, how: str, worth: float) -> None:
-        """Count how a request ended."""
-        tally = self._tallies[self._phase(began)]
-        tally.asked += 1
-        setattr(tally, how, getattr(tally, how) + 1)
-        if how == "in_time":
-            tally.worth += worth
+    def told(self, began: float, how: str, worth: float, team: Team | None) -> None:
+        """Count how a request ended; those of the burst also by team."""
+        phase = self._phase(began)
+        tallies = [self._tallies[phase]]
+        if team is not None and phase == "burst":
+            tallies.append(self.by_team[team.name])
+        for tally in tallies:
+            tally.asked += 1
+            setattr(tally, how, getattr(tally, how) + 1)
+            if how == "in_time":
+                tally.worth += worth
 
     def _phase(self, when: float) -> str:
         since = when - self._began - self._calm
@@ -396,7 +447,14 @@
         rate = self.world.rate * (self._times if in_burst else 1.0)
         kinds = self.world.kinds()
         kind = self.rng.choices(kinds, [kind.share for kind in kinds])[0]
-        ModelCaller(self, kind)
+        teams = self.world.teams
+        if not teams:
+            ModelCaller(self, kind)
+        else:
+            sent = [team.share * (team.times if in_burst else 1.0) for team in teams]
+            rate *= sum(sent)
+            team = self.rng.choices(teams, sent)[0]
+            ModelCaller(self, kind if team.kind is None else kinds[team.kind], team)
         self.loop.call_later(self.rng.expovariate(rate), self._arrive)
 
     def _trouble(self, begins: bool) -> None:
