--- a/packages/limpethollow-policy/src/limpethollow_policy/process/sharing.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/sharing.py
@@ -19,12 +19,13 @@
 # A request costs its work relative to the mean work, within these bounds, so that a single costly
 # one can't use up the credit of many others.
 _MIN_COST, _MAX_COST = 0.25, 4.0
-# Debts of credit from which on requests of flows above their fair share, and all requests, are
-# refused. Flows above their share can't cause the debt that refuses the others.
-_MAX_DEBT_ABOVE_SHARE, _MAX_DEBT = 2.0, 6.0
+# Debts of credit from which on requests of a flow are refused: the first if next to none of them
+# fit into its fair share, the second if all do. A noisy team can't cause the debt that refuses a
+# team within its share.
+_MIN_DEBT_LIMIT, _MAX_DEBT_LIMIT = 2.0, 6.0
 # Weights of a request in the mean work and in the mean admitted share. The share must follow a cut
 # of the rate within some requests, but that of a single request depends on the gap before it.
-_WORK_WEIGHT, _SHARE_WEIGHT = 1 / 32, 1 / 8
+_WORK_WEIGHT, _SHARE_WEIGHT = 1 / 32, 1 / 16
 # Time constant in seconds with which an estimate of work rises to longer call times.
 _WORK_RISE_SECONDS = 60.0
 # Credit at which the admitted and the allowed work agree, and how many times within the memory a
@@ -194,8 +195,8 @@
         self._mean_share += (share - self._mean_share) * _SHARE_WEIGHT
         self._refresh(flow, claim.work, credit, now)
         flow.credit = min(flow.credit + flow.share, _FULL_CREDIT)
-        debt = _MAX_DEBT if flow.share == 1.0 else _MAX_DEBT_ABOVE_SHARE
-        if credit < _FULL_CREDIT and (flow.credit < 1.0 or credit <= -debt):
+        limit = _MIN_DEBT_LIMIT + flow.share * (_MAX_DEBT_LIMIT - _MIN_DEBT_LIMIT)
+        if credit < _FULL_CREDIT and (flow.credit < 1.0 or credit <= -limit):
             return False
         flow.credit = max(flow.credit - 1.0, 0.0)
         return True
@@ -210,7 +211,7 @@
             claim: The request; it has arrived.
             credit: As for `admits`.
         """
-        return self._flows[claim.team, claim.rank].share == 1.0 and credit > 0.0
+        return self._flows[claim.team, claim.rank].share == 1.0 and credit > -_MAX_DEBT_LIMIT
 
     def cost(self, claim: Claim) -> float:
         """Return the credit that an admitted request spends: its work relative to the mean."""
