--- a/tests/unit/engine/test_sharing.py
+++ b/tests/unit/engine/test_sharing.py
@@ -97,7 +97,7 @@
 
     def test_only_its_requests_are_refused(self, seed):
         noisy, others = claim("noisy"), [claim(f"t{n}") for n in range(8)]
-        rates = {noisy: 50.0} | {other: 2.5 for other in others}
+        rates = {noisy: 50.0} | dict.fromkeys(others, 2.5)
         offers = Offers([limited(40.0)], rates, seed).run(30.0)
         assert offers.served(*others) > 0.98
         assert offers.served(noisy) < 0.9 * offers.served()
@@ -106,7 +106,7 @@
     def test_it_is_recognised_by_instances_that_each_see_a_few_requests_a_second(self, seed):
         """With 67 instances and 76 teams, one sees a request of a usual team in 20 seconds."""
         noisy, others = claim("noisy"), [claim(f"t{n}") for n in range(75)]
-        rates = {noisy: 4.0 * 67} | {other: 3.6 / 75 * 67 for other in others}
+        rates = {noisy: 4.0 * 67} | dict.fromkeys(others, 3.6 / 75 * 67)
         shedders = [limited(5.0) for _ in range(67)]
         offers = Offers(shedders, rates, seed).run(15.0)
         assert offers.served(*others) > 0.98
@@ -121,7 +121,7 @@
 
     def test_searchers_that_report_their_queues_are_shared_the_same(self, seed):
         noisy, others = claim("noisy"), [claim(f"t{n}") for n in range(8)]
-        rates = {noisy: 50.0} | {other: 2.5 for other in others}
+        rates = {noisy: 50.0} | dict.fromkeys(others, 2.5)
         offers = Offers([LoadShedder()], rates, seed).run(30.0, lambda: 2.0)
         assert offers.served(*others) > 0.98
         assert 0.45 < offers.served() < 0.55
