--- a/tests/unit/engine/test_access.py
+++ b/tests/unit/engine/test_access.py
@@ -219,3 +219,21 @@
         texts = [str(vars(record)) for record in caplog.records] + [str(r) for r in replies]
         assert texts
         assert not any(KEY.decode() in text or "guess" in text for text in texts)
+
+
+class TestRemovedTeams:
+    def test_a_request_that_waits_while_the_last_team_is_removed_is_no_wrong_401(self):
+        """Guards against 401 for a key that was good, in a version that needs none."""
+        admission = Admission(tenant())
+        permit = admission.admit(keyed(b"Token " + KEY))
+        admission.versions.offer(version(2))
+        assert not permit.may_send()
+        assert isinstance(permit.refusal(), Unavailable)
+
+    def test_a_batch_of_a_public_route_names_the_team_that_holds_the_key(self):
+        """Guards against a carrier that sends the name of a team which lost the key."""
+        admission = Admission(tenant())
+        permit = admission.access.delegated(key_digest(KEY), "blue", 1, public=True)
+        assert permit.may_send()
+        admission.versions.offer(version(2, tenant("red")))
+        assert not permit.may_send()
--- a/tests/unit/engine/test_leases.py
+++ b/tests/unit/engine/test_leases.py
@@ -474,3 +474,14 @@
 
         assert asyncio.run(play(allowed=True)) == 32 << 20
         assert asyncio.run(play(allowed=False)) < 32 << 20
+
+
+class TestRounds:
+    def test_a_silent_peer_is_passed_by_although_the_last_round_was_answered(self):
+        """Guards against a lease that comes close to its end while other peers would answer."""
+        lease = KeyLease(5.0)
+        (first,) = lease.asks(["a", "b"], 100.0, reads_store=False)
+        lease.granted("a", first.number, same_version=True, age=0.5)
+        (second,) = lease.asks(["a", "b"], 101.1, reads_store=False)
+        assert second.peer == "a"
+        assert [ask.peer for ask in lease.asks(["a", "b"], 101.5, reads_store=False)] == ["b"]
--- a/tests/unit/engine/test_pools.py
+++ b/tests/unit/engine/test_pools.py
@@ -101,3 +101,38 @@
         assert (await ask(pool, age)).status == 200
         pool.close()
     return searcher.taken
+
+
+class TestWithheld:
+    def test_a_call_behind_one_that_is_withheld_gets_its_connection(self):
+        """Guards against calls that wait for a connection that nobody opens.
+
+        When a connection closed, only the next call in the queue was looked at.
+        """
+
+        async def run() -> bytes:
+            searcher = CountingSearcher()
+            server = await asyncio.start_server(searcher.serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool = Pool(f"{host}:{port}", 1, lambda error: None)
+            failed, replied = [], asyncio.get_running_loop().create_future()
+
+            def call(may_send, on_reply, on_failed) -> Call:
+                render = lambda: b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"  # noqa: E731
+                return Call(render, on_reply, on_failed, head=False, may_send=may_send)
+
+            async with server:
+                await ask(pool)
+                busy = call(lambda: True, lambda reply: None, failed.append)
+                pool.send(busy)
+                allowed = [True]
+                pool.send(call(lambda: allowed[0], lambda reply: None, failed.append))
+                pool.send(call(lambda: True, replied.set_result, replied.set_exception))
+                allowed[0] = False
+                busy.cancel()
+                reply = await asyncio.wait_for(replied, 5.0)
+                pool.close()
+            assert len(failed) == 1
+            return reply.body
+
+        assert asyncio.run(run()) == b"ok"
--- a/tests/unit/engine/test_quotacontrol.py
+++ b/tests/unit/engine/test_quotacontrol.py
@@ -7,6 +7,7 @@
 from limpethollow_node.engine.process.quotas import QuotaControl
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_policy.process.placements import Instance
+from limpethollow_policy.process.quotaholders import LOAN_SECONDS
 from limpethollow_policy.process.quotas import QuotaBounds
 from limpethollow_policy.process.shedding import LoadShedder
 from limpethollow_policy.process.topology import holders_among, link_targets, relays_among
@@ -388,3 +389,42 @@
     def test_they_pass_between_instances(self):
         for frame in (QuotaAsk(5, "team", 1.5), QuotaGrant(5, 1.0, 0.25, 0.5)):
             assert decode_frame(encode_frame(frame)) == frame
+
+
+class TestReturns:
+    def test_a_token_that_is_returned_and_taken_again_keeps_its_limit(self):
+        """Guards against a window with more requests than the bound.
+
+        Each time it was taken again, a token got the time of a new loan, while the bucket refilled.
+        """
+        play = Play(own=HOLDERS[0])
+        quotas, now = play.quotas._quotas, play.loop.time()
+        until = quotas.take("team", now)
+        assert until == now + LOAN_SECONDS
+        assert quotas.give_back("team", until, now + 0.1)
+        assert quotas.take("team", now + 0.15) == until
+        assert not quotas.give_back("team", until, until)
+
+
+class TestTruth:
+    def test_holders_without_a_part_are_not_reported_as_an_exceeded_quota(self):
+        """Guards against 429 for a team within its limit while new holders wait."""
+        play = Play()
+        exchange = play.request()
+        answered = 0
+        while answered < len(play.links.sent):
+            _, ask = play.links.sent[answered]
+            grant = QuotaGrant(ask.number, 0.0, 0.25, 0.0, False)
+            play.links.on_quota_frame(FakeLink(), grant)
+            answered += 1
+        assert [reply.status for reply in exchange.replies] == [503]
+
+    def test_a_request_that_waits_is_granted_when_its_limit_is_removed(self):
+        """Guards against a refusal by a limit that no longer exists."""
+        play = Play()
+        play.request()
+        assert not play.calls
+        play.engine.use_version(
+            RoutingVersion(2, (ROUTE,), {}, CallerLimits(), (Tenant("team", ()),))
+        )
+        assert len(play.calls) == 1
--- a/tests/unit/engine/test_refusals.py
+++ b/tests/unit/engine/test_refusals.py
@@ -27,3 +27,15 @@
         assert 0 < float(reply.header(b"retry-after")) <= 1
         ended = [record for record in caplog.records if record.event == 520]
         assert [(record.route, record.reason) for record in ended] == [("wide", "overloaded")]
+
+
+class TestDeadlineHeader:
+    def test_hundreds_of_digits_are_a_bad_request(self):
+        """Guards against an exchange without an answer: the number was too large for a float."""
+        loop = VirtualLoop()
+        instance = ModelInstance(World(), loop, {})
+        asked = request(target=b"/wide/x")
+        asked.headers.append((instance.dispatch.names.time_left, b"9" * 400))
+        exchange = VirtualExchange(asked, loop.time())
+        instance.engine.handle(exchange)
+        assert [reply.status for reply in exchange.replies] == [400]
