Names that the review stumbled at, and one check instead of three

Cause: figurative names (`_deaf_until`, `_pursue`), a callback for all lost instances named after holders, the same function in two and three places. Change: renamed and joined; behaviour unchanged. Result: unit tests of the touched files pass.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -18,6 +18,7 @@
 )
 from limpethollow_node.engine.connection.sockets import enable_keepalive
 from limpethollow_node.engine.messages import Headers, Reply
+from limpethollow_policy.request.permits import always
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
@@ -33,10 +34,6 @@
 OnBroken = Callable[[Exception], None]
 
 
-def _always() -> bool:
-    return True
-
-
 class BrokenConnection(ConnectionError):
     """The connection closed, or invalid data arrived, before a complete reply was read."""
 
@@ -123,7 +120,7 @@
         self._ends_with_connection = False
         self._broken = False
         self._held_back = b""
-        self._may_send = _always
+        self._may_send = always
         self.reply_started = False
         self.idle_since = 0.0
         self.idle_timeout: float | None = None
@@ -148,7 +145,7 @@
         on_broken: OnBroken,
         *,
         head: bool,
-        may_send: Callable[[], bool] = _always,
+        may_send: Callable[[], bool] = always,
     ) -> None:
         """Send a complete request.
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/access.py
@@ -1,12 +1,12 @@
 """Checks the keys of callers' requests."""
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
 
 from limpethollow_node.engine.messages import HeaderNames, Request
+from limpethollow_node.engine.process.quotas import boot_time
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.leases import KeyLease
 from limpethollow_policy.request.permits import Permit
@@ -73,7 +73,7 @@
         self._rng = Random()
         self.bounds = KeyBounds()
         self.lease = KeyLease()
-        self.uptime = _uptime
+        self.uptime = boot_time
 
     @property
     def needs_lease(self) -> bool:
@@ -236,10 +236,6 @@
         return _changed()
 
 
-def _uptime() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _changed() -> LimpethollowError:
     return Unavailable(
         "The configuration of the teams changed before the request was sent.",
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -106,7 +106,7 @@
         self.on_quota_frame: Callable[[PeerLink, QuotaAsk | QuotaGrant], None] = (
             lambda link, frame: None
         )
-        self.on_holder_lost: Callable[[str], None] = lambda name: None
+        self.on_instance_lost: Callable[[str], None] = lambda name: None
 
     @property
     def follows(self) -> bool:
@@ -312,7 +312,7 @@
         self._role.relay_stopped(link.name, now)
         events.PEER_LOST.log(peer=link.name)
         self.on_link_lost(link)
-        self.on_holder_lost(link.name)
+        self.on_instance_lost(link.name)
         self._failure_detector.judge(
             self._failure_detector.heard(now), self._dialler.refused_addresses, now
         )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -8,6 +8,7 @@
 from limpethollow_node.engine.connection.clients import ClientConnection
 from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import Reply
+from limpethollow_policy.request.permits import always
 
 # A connect takes a round trip and a handshake of about 6 ms. An unreachable searcher never answers;
 # half a second covers the usual connect and a searcher's pause of 200 ms with a margin.
@@ -28,10 +29,6 @@
     """The request was no longer allowed when its bytes were to be sent; none was."""
 
 
-def _always() -> bool:
-    return True
-
-
 class ConnectionAge(Enum):
     """How recently a call's connection must have been opened or used.
 
@@ -85,7 +82,7 @@
         age: ConnectionAge = ConnectionAge.ANY,
         head: bool,
         request_id: bytes | None = None,
-        may_send: Callable[[], bool] = _always,
+        may_send: Callable[[], bool] = always,
     ) -> None:
         self._request_id = request_id
         self.may_send = may_send
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -40,12 +40,12 @@
     Attributes:
         links_to_holders: Whether leading instances link to all holders.
         on_quota_frame: Called with the link and each frame about quotas.
-        on_holder_lost: Called with the name of each instance to which the link was closed.
+        on_instance_lost: Called with the name of each instance to which the link was closed.
     """
 
     links_to_holders: bool
     on_quota_frame: Callable[[PeerLink, QuotaAsk | QuotaGrant], None]
-    on_holder_lost: Callable[[str], None]
+    on_instance_lost: Callable[[str], None]
 
     def send_to(self, name: str, frame: Frame, now: float) -> bool:
         """Send a frame to an instance; return whether it is linked."""
@@ -156,7 +156,7 @@
         self._role = HolderRole(own.name, bounds.window, first_start=first_start, now=now)
         self._quotas = Quotas(own.name, self._role, bounds, own.incarnation)
         links.on_quota_frame = self._on_frame
-        links.on_holder_lost = self._on_holder_lost
+        links.on_instance_lost = self._on_instance_lost
         self._use()
 
     def use_version(self, version: RoutingVersion) -> None:
@@ -240,7 +240,7 @@
             self._dispatch.metrics.count("quota_returns", team)
             self._refused_until.pop(team, None)
             if team in self._queues:
-                # Not at once: the request that returns the token may still be in `_pursue`.
+                # Not at once: the request that returns the token may still be in `_serve_queue`.
                 self._poll(team, 0.0)
 
     def _wait(
@@ -256,7 +256,7 @@
         queue = self._queues.setdefault(team, deque())
         queue.append(waiter)
         self._quotas.arrived(team, self._clock())
-        self._pursue(team)
+        self._serve_queue(team)
         if waiter not in queue:
             return None
         self._dispatch.metrics.count("quota_waits", team)
@@ -264,7 +264,7 @@
         waiter.timer = self._dispatch.loop.call_later(limit, lambda: self._expire(team, waiter))
         return lambda: self._leave(team, waiter)
 
-    def _pursue(self, team: str) -> None:
+    def _serve_queue(self, team: str) -> None:
         """Grant waiting requests while there are tokens, and ask for what is missing."""
         queue = self._queues.get(team)
         if queue is None:
@@ -304,7 +304,7 @@
 
         def run() -> None:
             self._polls.pop(team, None)
-            self._pursue(team)
+            self._serve_queue(team)
 
         self._polls[team] = self._dispatch.loop.call_later(delay, run)
 
@@ -423,9 +423,9 @@
         if team is not None:
             if frame.tokens > 0:
                 self._refused_until.pop(team, None)
-            self._pursue(team)
+            self._serve_queue(team)
 
-    def _on_holder_lost(self, name: str) -> None:
+    def _on_instance_lost(self, name: str) -> None:
         self._quotas.lost(name, self._clock())
         for team in list(self._queues):
-            self._pursue(team)
+            self._serve_queue(team)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -60,7 +60,7 @@
     __slots__ = (
         "_changes",
         "_confirmed_at",
-        "_deaf_until",
+        "_ignore_reports_until",
         "_first_start_until",
         "_holders",
         "_is_active",
@@ -79,7 +79,7 @@
         self._holders: frozenset[str] | None = None
         self._changes: list[_Change] = []
         self._confirmed_at = float("-inf")
-        self._deaf_until = float("-inf")
+        self._ignore_reports_until = float("-inf")
         self._lapsed = False
         self._is_active = False
         self._looked_at = now
@@ -148,7 +148,7 @@
             now: Current time in seconds.
         """
         self.look(now)
-        if now < self._deaf_until:
+        if now < self._ignore_reports_until:
             return
         for change in self._changes:
             if change.unheard:
@@ -163,7 +163,7 @@
     def confirmed(self, now: float) -> None:
         """Record that the store's list is this instance's one."""
         self.look(now)
-        if now >= self._deaf_until:
+        if now >= self._ignore_reports_until:
             self._confirmed_at = now
             self._update(now)
 
@@ -171,7 +171,7 @@
         """Apply what is due; called a few times a second and before each use after a pause."""
         if now - self._looked_at > _SUSPENSION_SECONDS:
             self._confirmed_at = float("-inf")
-            self._deaf_until = now + _SETTLE_SECONDS
+            self._ignore_reports_until = now + _SETTLE_SECONDS
         self._looked_at = now
         self._update(now)
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
@@ -415,7 +415,7 @@
         self._borrower(team).count_request(now)
 
     def ask(self, team: str, waiting: int, now: float) -> Ask | None:
-        """Return whom to ask for tokens now; None if enough are pending or nobody can be asked.
+        """Return the next ask to send; None if enough are pending or no holder can be asked.
 
         Args:
             team: Name of the team.
@@ -444,7 +444,7 @@
         return Ask(holder, self._number, team, sent.tokens)
 
     def granted(self, number: int, loan: Loan, now: float) -> str | None:
-        """Take in an answer; late, repeated and unknown ones have no effect.
+        """Apply an answer; late, repeated and unknown ones have no effect.
 
         Args:
             number: Number of the ask.
--- a/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/request/permits.py
@@ -6,7 +6,8 @@
 from limpethollow_wire.exceptions import LimpethollowError, Unavailable
 
 
-def _always() -> bool:
+def always() -> bool:
+    """Return True: the check of a request that may always be sent."""
     return True
 
 
@@ -52,7 +53,7 @@
         digest: bytes = b"",
         version: int = -1,
         homes: frozenset[str] | None = None,
-        may_send: Callable[[], bool] = _always,
+        may_send: Callable[[], bool] = always,
         refusal: Callable[[], LimpethollowError] = _unavailable,
         drops_key: bool = False,
     ) -> None:
--- a/tests/unit/engine/test_quotacontrol.py
+++ b/tests/unit/engine/test_quotacontrol.py
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         self.links_to_holders = False
         self.on_quota_frame = None
-        self.on_holder_lost = None
+        self.on_instance_lost = None
         self.sent: list[tuple[str, object]] = []
         self.unlinked: set[str] = set()
 
@@ -268,7 +268,7 @@
     def test_a_lost_link_moves_the_request_on(self):
         play = Play()
         play.request()
-        play.links.on_holder_lost(play.links.sent[0][0])
+        play.links.on_instance_lost(play.links.sent[0][0])
         assert len(play.links.sent) == 2
 
     def test_late_and_repeated_grants_add_nothing(self):
