Quotas and lease: three decisions move from the node to the policy package

Cause: read as a newcomer, the node decided how long a request waits for a token, whether a list is old enough for a restarted holder to refill at once, and in which order peers are asked for the lease. A usage example named a signature that no longer exists. A removed limit could meet a queue that another grant had just ended (by reading). Change: `longest_wait`, `is_established`, `order_of_asks` in the policy package; the example; the lookup.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/leasing.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/leasing.py
@@ -10,6 +10,7 @@
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
+from limpethollow_policy.process.leases import order_of_asks
 from limpethollow_policy.process.topology import relays_among
 
 # Interval of the checks; an ask without an answer is repeated elsewhere after 0.3 s.
@@ -90,16 +91,13 @@
         self._note(self._access.lease.holds(now), now)
 
     def _in_order(self, links: Collection[str], now: float) -> list[str]:
-        """Return the linked peers in the order in which to ask them.
-
-        The relay of this instance's failure domain comes first, then the other relays.
-        """
+        """Return the linked peers in the order in which to ask them."""
         if now - self._ordered_at < _ORDER_SECONDS and set(links) == set(self._order):
             return self._order
         own = self._roster.own.failure_domain
         relays = relays_among(self._roster.live)
         near = {i.name for i in self._roster.known if i.failure_domain == own}
-        self._order = sorted(links, key=lambda name: (name not in relays, name not in near, name))
+        self._order = order_of_asks(links, relays, near)
         self._ordered_at = now
         return self._order
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/quotas.py
@@ -11,25 +11,25 @@
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
 from limpethollow_policy.process.placements import Instance
-from limpethollow_policy.process.quotaholders import LOAN_SECONDS, HolderRole
-from limpethollow_policy.process.quotas import PENDING_SECONDS, Loan, QuotaBounds, Quotas
+from limpethollow_policy.process.quotaholders import HolderRole, is_established
+from limpethollow_policy.process.quotas import (
+    PENDING_SECONDS,
+    Loan,
+    QuotaBounds,
+    Quotas,
+    longest_wait,
+)
 from limpethollow_policy.process.topology import holders_among
 from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.version.routes import Route, RoutingVersion
 from limpethollow_policy.version.tenants import Tenant
 from limpethollow_wire.exceptions import LimpethollowError, QuotaExceeded, QuotaUnknown
 
-# Bounds of the time for which a request waits for a holder's answer: seconds, and a fraction of the
-# route's objective.
-_MAX_WAIT_SECONDS, _MAX_WAIT_FRACTION = 0.1, 0.25
 # `Retry-After` in seconds if no holder answered; another instance may reach one at once.
 _RETRY_UNKNOWN = 0.1
 _LOOK_SECONDS = 0.25
 # At most one line per team and kind of refusal is logged in this time, in seconds.
 _LOG_SECONDS = 10.0
-# An entry of the list that is younger than a window, a loan and this many seconds may be unknown to
-# a holder: changes reach all instances within 3 s.
-_NEWS_SECONDS = 3.0
 
 OnRefused = Callable[[LimpethollowError], None]
 
@@ -178,7 +178,8 @@
         self._refused_until.clear()
         self._look(now)
         for team in [team for team in self._queues if not self._quotas.is_limited(team)]:
-            queue = self._queues[team]
+            # A granted request may end the wait of others.
+            queue = self._queues.get(team, deque())
             while queue:
                 waiter = queue.popleft()
                 self._stop_timer(waiter)
@@ -260,7 +261,7 @@
         if waiter not in queue:
             return None
         self._dispatch.metrics.count("quota_waits", team)
-        limit = min(_MAX_WAIT_SECONDS, _MAX_WAIT_FRACTION * route.objective)
+        limit = longest_wait(route.objective)
         waiter.timer = self._dispatch.loop.call_later(limit, lambda: self._expire(team, waiter))
         return lambda: self._leave(team, waiter)
 
@@ -403,8 +404,8 @@
         known = [i for i in self._roster.known if i.name != own.name or self._roster.is_listed]
         if not known:
             return
-        age = 1000 * (self._bounds.window + LOAN_SECONDS + _NEWS_SECONDS)
-        established = all(own.incarnation - i.incarnation >= age for i in self._listed())
+        starts = (instance.incarnation for instance in self._listed())
+        established = is_established(own.incarnation, starts, self._bounds.window)
         names = [instance.name for instance in known]
         self._role.listed(holders_among(known), names, now, established=established)
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/leases.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/leases.py
@@ -6,7 +6,7 @@
 counts while the machine is suspended.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 # Longest pause of the event loop between the check and the write to the socket.
@@ -37,6 +37,22 @@
     number: int
 
 
+def order_of_asks(
+    links: Collection[str], relays: Collection[str], near: Collection[str]
+) -> list[str]:
+    """Return linked peers in the order in which to ask them.
+
+    The relay of this instance's failure domain comes first, then the other relays: they read the
+    store themselves, so their confirmations are the most recent ones.
+
+    Args:
+        links: Names of the linked peers.
+        relays: Names of all relays.
+        near: Names of the instances in this instance's failure domain.
+    """
+    return sorted(links, key=lambda name: (name not in relays, name not in near, name))
+
+
 class KeyLease:
     """Tracks when the version in force was last known to be the store's newest.
 
@@ -48,7 +64,7 @@
             removes must have stopped working.
 
     Attributes:
-        duration: See above.
+        duration: As given; changes when the settings are reloaded.
     """
 
     __slots__ = (
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotaholders.py
@@ -1,6 +1,6 @@
 """Decides which part of every team's quota this instance's buckets hold."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 # An instance may spend a token for this long after it asked for it, in seconds. A token that is
 # returned after its request was refused keeps the same limit.
@@ -10,7 +10,8 @@
 CUT_OFF_SECONDS = 20.0
 # A holder that has an outdated list has stopped this many seconds after a change at the latest: the
 # time above, and 3 s in which changes reach every instance that is not cut off.
-_UNHEARD_STOP_SECONDS = CUT_OFF_SECONDS + 3.0
+_NEWS_SECONDS = 3.0
+_UNHEARD_STOP_SECONDS = CUT_OFF_SECONDS + _NEWS_SECONDS
 # A process that did not run for this long was suspended. What it reads next may have been sent
 # before, so for `_SETTLE_SECONDS` nothing that it reads confirms its list.
 _SUSPENSION_SECONDS = 5.0
@@ -24,6 +25,18 @@
 FIRST_START_SECONDS = 6.0
 
 
+def is_established(started: int, others: Iterable[int], window: float) -> bool:
+    """Return whether all entries of a list are older than the time in which holders learn of them.
+
+    Args:
+        started: Start of this instance's process in milliseconds of the time of day.
+        others: The same for all listed instances, with the earlier process of this one.
+        window: Length of the quota's window in seconds.
+    """
+    age = 1000 * (window + LOAN_SECONDS + _NEWS_SECONDS)
+    return all(started - other >= age for other in others)
+
+
 class _Change:
     """A change of the holders that other holders may not have applied yet.
 
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/quotas.py
@@ -24,6 +24,9 @@
 # Bounds in seconds of the time after which a holder without a token may be asked again. The upper
 # one limits how long a token that came back meanwhile stays unused.
 _MIN_WAIT, _MAX_WAIT = 0.05, 0.5
+# Bounds of the time for which a request waits for a holder's answer: seconds, and a fraction of the
+# route's objective.
+_MAX_ANSWER_WAIT, _MAX_WAIT_FRACTION = 0.1, 0.25
 # The wait that an instance tells which is no holder, or doesn't know the team yet.
 _NO_HOLDER_WAIT = 0.25
 # An instance with at least this many requests in the last loan time asks for half as many tokens
@@ -54,6 +57,15 @@
     slack: float = 0.0
 
 
+def longest_wait(objective: float) -> float:
+    """Return for how many seconds a request waits for holders' answers at most.
+
+    Args:
+        objective: Its route's objective in seconds; the rest of it is for the searchers.
+    """
+    return min(_MAX_ANSWER_WAIT, _MAX_WAIT_FRACTION * objective)
+
+
 def bucket_size(rate: float, burst: float, bounds: QuotaBounds) -> tuple[float, float]:
     """Return depth and refill per second of all buckets of a team together.
 
@@ -264,7 +276,7 @@
         if not quotas.take(team, now):
             ask = quotas.ask(team, wanted, now)     # to be sent to `ask.holder`
             ...
-            quotas.granted(number, tokens, wait, now)
+            quotas.granted(number, loan, now)
 
     Args:
         own: Name of this instance.
