Makefile: pbr is installed before hdrhistogram is built

The first make on a new arm64 machine ended with ResolutionImpossible (three of three here; seen once on the landing before, not traced then). There hdrhistogram has no wheel, so pip builds it from source without isolation; its version comes from pbr, which was not installed, so the build said 0.0.0 where constraints.txt asks for 0.10.8. That a later make passed is explained by pip's cache of the wheel that deploy/build.sh, which builds with isolation, had left there meanwhile (by reading).

pbr, which constraints.txt pins already, is now installed beside setuptools.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,10 @@
 
 .PHONY: demo test lint format bench soak clean
 
+# Where hdrhistogram has no wheel, its build needs pbr, which pip doesn't fetch without isolation.
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --quiet --constraint constraints.txt setuptools $(TOOLS)
+	$(BIN)/pip install --quiet --quiet --constraint constraints.txt setuptools pbr $(TOOLS)
 	$(BIN)/pip install --quiet --quiet --constraint constraints.txt --no-build-isolation \
 		$(addprefix --editable ,$(PACKAGES)) matplotlib
 	touch $@
