Observability: why a process can't start, and what memory and descriptors it uses

Nothing numbered told why a process ended at its start, and nothing told an end for memory from an end by a signal. Event 108 names the reason and the exit status; event 114 comes once at 0.8 of the memory limit; the metrics have the memory and the descriptors in use. Unit tests of the adapter and of the catalogues pass.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -31,18 +31,29 @@
     try:
         settings = load_settings(settings_path())
     except SettingsError as error:
-        print(f"limpethollow-platform: {error}", file=sys.stderr)
-        return EXIT_SETTINGS
+        return _fail(EXIT_SETTINGS, str(error), is_logged=not options.check)
     if options.check:
         return EXIT_OK
     try:
         _serve(settings)
     except OSError as error:
-        print(f"limpethollow-platform: 'listen': {error}. Free the port.", file=sys.stderr)
-        return EXIT_LISTEN
+        return _fail(EXIT_LISTEN, f"'listen': {error}. Free the port.")
     return EXIT_OK
 
 
+def _fail(status: int, error: str, *, is_logged: bool = True) -> int:
+    """Report why the process ends, and return its exit status."""
+    print(f"limpethollow-platform: {error}", file=sys.stderr)
+    if is_logged:
+        # Loaded here, because a start that succeeds binds its listeners first.
+        from limpethollow_node.process import events
+        from limpethollow_node.process.stdoutlogs import configure_stdout_logging
+
+        configure_stdout_logging()
+        events.STARTUP_FAILED.log(status=status, error=error)
+    return status
+
+
 def _argument_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="limpethollow-platform",
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -47,6 +47,7 @@
 from limpethollow_node.process.garbage import collect_between_requests
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
+from limpethollow_node.process.usage import resident_bytes
 from limpethollow_policy.process.changepaces import ChangePace
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.homes import Regions, instances_for_host
@@ -70,6 +71,8 @@
 _RETRY_WITHOUT_INSTANCE = 0.5
 # Bandwidth that one core can use: about 9,000 calls a second of 400 bytes, which is 30 Mbit/s.
 _MBPS_PER_CORE = 30.0
+# Share of the memory limit from which on the use of memory is logged.
+_MEMORY_HIGH_SHARE = 0.8
 
 
 class PlatformProcess:
@@ -93,6 +96,7 @@
         self._logs = logs
         self._settings_file = SettingsFile(settings_path())
         self._rng = Random()
+        self._memory_is_high = False
         self.metrics = Metrics()
         bounds = settings.bounds
         self._slack_claim = SlackClaim(bounds.budget_window_s, first_start=settings.bootstrap)
@@ -345,8 +349,16 @@
         self._engine.quotas.tick()
         for server in self._servers:
             server.sweep(now)
+        self._check_memory()
         collect_between_requests(busy=self._engine.is_busy)
 
+    def _check_memory(self) -> None:
+        """Log once that the platform may soon kill this process for its memory."""
+        limit, resident = self._settings.limits.memory_mb, resident_bytes() / 2**20
+        if resident > _MEMORY_HIGH_SHARE * limit and not self._memory_is_high:
+            self._memory_is_high = True
+            events.MEMORY_HIGH.log(resident_mb=round(resident), limit_mb=limit)
+
     def _add_server(self, handler: Callable[[Exchange], None]) -> CallerServer:
         server = CallerServer(handler, self._on_refused)
         self._servers.append(server)
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -56,12 +56,14 @@
 )
 UNEXPECTED_ERROR = _event(104, logging.ERROR, "unexpected error; this is a bug")
 LISTENING = _event(105, logging.INFO, "accepting connections from callers")
+STARTUP_FAILED = _event(108, logging.ERROR, "startup failed; the process ends")
 DRAINED = _event(110, logging.INFO, "wait before the exit ended")
 PEER_NOT_NOTIFIED = _event(
     111, logging.WARNING, "failed to notify a peer that this instance is leaving"
 )
 EXIT_FORCED = _event(112, logging.ERROR, "exit forced because the shutdown hung")
 LINES_SUPPRESSED = _event(113, logging.WARNING, "log lines were suppressed or dropped")
+MEMORY_HIGH = _event(114, logging.WARNING, "memory in use is close to the limit")
 
 # 200: configuration and platform
 RECORDS_APPLIED = _event(200, logging.INFO, "configuration records applied")
--- a/packages/limpethollow-node/src/limpethollow_node/process/metrics.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/metrics.py
@@ -8,6 +8,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from limpethollow_node.process.usage import open_descriptors, resident_bytes
+
 _MIN_MICROSECONDS = 1
 _MAX_MICROSECONDS = 60_000_000
 _SIGNIFICANT_DIGITS = 2
@@ -101,6 +103,8 @@
     return [
         _format_line("cpu_seconds_total", {}, usage.ru_utime + usage.ru_stime),
         _format_line("resident_bytes_peak", {}, usage.ru_maxrss * 1024),
+        _format_line("resident_bytes", {}, resident_bytes()),
+        _format_line("open_descriptors", {}, open_descriptors()),
         _format_line("threads", {}, threading.active_count()),
     ]
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/stdoutlogs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/stdoutlogs.py
@@ -80,14 +80,15 @@
             events.LINES_SUPPRESSED.log(by_event=lines, dropped=dropped)
 
 
-def configure_stdout_logging(instance: str) -> StdoutHandler:
+def configure_stdout_logging(instance: str | None = None) -> StdoutHandler:
     """Write log records to standard output as JSON lines.
 
     Args:
-        instance: Name of this instance, added to every line.
+        instance: Name of this instance, added to every line; None while it is not known.
     """
     handler = StdoutHandler(LogBudget())
-    handler.setFormatter(JsonFormatter(_LINE_FORMAT, static_fields={"instance": instance}))
+    fields = {} if instance is None else {"instance": instance}
+    handler.setFormatter(JsonFormatter(_LINE_FORMAT, static_fields=fields))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -57,4 +57,5 @@
             | constants_in_code()
         )
         used |= {"cpu_seconds_total", "resident_bytes_peak", "threads"}
+        used |= {"resident_bytes", "open_descriptors"}
         assert documented - {"metric"} == used
