--- a/tests/support/platforms.py
+++ b/tests/support/platforms.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -116,10 +117,14 @@
         self.kill()
         self._ports.close()
 
-    def start(self) -> None:
+    def start(self, write_settings: Callable[[], object] | None = None) -> None:
+        """Start the process, with other contents of its settings file if given."""
         if self.child is not None:
             self.settings["bootstrap"] = False
-        self.settings_path.write_text(json.dumps(self.settings))
+        if write_settings is None:
+            self.settings_path.write_text(json.dumps(self.settings))
+        else:
+            write_settings()
         environment = {**os.environ, "LIMPETHOLLOW_SETTINGS": str(self.settings_path)}
         with self.log_path.open("ab") as log:
             self.child = subprocess.Popen(
@@ -251,6 +256,12 @@
         instance.settings["bootstrap"] = first_start
         return self.adopt(instance)
 
+    def own(self, instance: PlatformInstance) -> PlatformInstance:
+        """End an instance with the system; the caller starts it."""
+        self._stack.push(instance)
+        self.instances.append(instance)
+        return instance
+
     def adopt(self, instance: PlatformInstance) -> PlatformInstance:
         """Start an instance whose settings were changed, and end it with the system."""
         self.instances.append(self._stack.enter_context(instance))
--- /dev/null
+++ b/tests/system/platform/test_process_ends.py
@@ -0,0 +1,179 @@
+"""A process that nobody asked to stop goes on, whatever its machine does in the meantime."""
+
+import itertools
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route
+from tests.support.processes import ROOT, wait_for
+
+WAITING = 106
+PYTHON_STAND_IN = """#!/bin/sh
+# Stands in for pip, which would need the package index.
+while [ $# -gt 0 ]; do [ "$1" = --target ] && mkdir -p "$2/library"; shift; done
+"""
+
+
+@pytest.fixture
+def instance(system):
+    system.backend("desk", "i-1")
+    system.configure(1, forward_route("desk"))
+    return new_instance(system, "front-1")
+
+
+def new_instance(system: PlatformSystem, name: str) -> PlatformInstance:
+    """Return an instance that is not started yet and ends with the system."""
+    return system.own(PlatformInstance(name, system.store.address, system.folder))
+
+
+def has_ended(instance: PlatformInstance) -> bool:
+    return instance.child.poll() is not None
+
+
+def listen(port: int) -> socket.socket:
+    """Occupy a port, as another program's socket may."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", port))
+    holder.listen()
+    return holder
+
+
+class TestSignals:
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+    def test_a_signal_during_the_exit_does_not_end_a_process_that_stops(self, instance, number):
+        """Guards against the default action of a signal once the event loop is closed."""
+        instance.start()
+        instance.wait_ready().terminate()
+        while not has_ended(instance):
+            instance.signal(number)
+        assert instance.child.returncode == 0
+
+
+class TestAddresses:
+    @pytest.mark.parametrize("listener", ["front", "directory", "ready"])
+    def test_a_start_waits_for_a_busy_port(self, instance, listener):
+        """Guards against a start that fails for a port that is free a moment later."""
+        address = instance.settings["listen"][listener]
+        with listen(int(address.rpartition(":")[2])):
+            instance.start()
+            wait_for(lambda: instance.events(WAITING) or has_ended(instance), "it has tried")
+            assert not has_ended(instance)
+        assert instance.wait_ready().ask("/get/x").status == 200
+
+    def test_another_internal_port_takes_the_place_of_a_busy_one(self, system, instance):
+        """Guards against a start that needs one port where a whole range is free."""
+        first, last = instance.settings["internalPortRange"]
+        instance.settings["internalPortRange"] = [first, max(last, first + 3)]
+        with listen(first):
+            instance.start()
+            wait_for(lambda: has_ended(instance) or instance.is_ready(), "it has tried")
+            assert not has_ended(instance)
+            other = system.begin_instance("front-2").wait_ready()
+            wait_for(lambda: other.events(300), "the instances are linked")
+
+    def test_a_process_serves_callers_without_its_metrics(self, instance):
+        """Guards against an end for a port that only operators use."""
+        with listen(instance.settings["internalPortRange"][1]):
+            instance.start()
+            wait_for(lambda: has_ended(instance) or instance.is_ready(), "it has tried")
+            assert not has_ended(instance)
+            assert instance.ask("/get/x").status == 200
+        wait_for(lambda: "limpethollow_ready" in metrics(instance), "metrics are served")
+
+
+class TestSettings:
+    @pytest.mark.parametrize("share", [0.0, 0.5, None], ids=["empty", "cut off", "absent"])
+    def test_a_start_waits_for_settings_that_are_being_written(self, instance, share):
+        """Guards against a start in the middle of a change of the settings."""
+        whole = json.dumps(instance.settings)
+
+        def write_part() -> None:
+            if share is not None:
+                instance.settings_path.write_text(whole[: int(share * len(whole))])
+
+        instance.start(write_settings=write_part)
+        wait_for(lambda: instance.events(WAITING) or has_ended(instance), "it has tried")
+        assert not has_ended(instance)
+        instance.settings_path.write_text(whole)
+        assert instance.wait_ready().ask("/get/x").status == 200
+
+
+class TestBuild:
+    def test_the_program_is_whole_at_any_moment_of_a_build(self, tmp_path, monkeypatch):
+        """Guards against processes that start beside a build and find half of the program."""
+        python = tmp_path / "bin" / "python3"
+        python.parent.mkdir()
+        python.write_text(PYTHON_STAND_IN)
+        python.chmod(0o755)
+        monkeypatch.setenv("PATH", str(python.parent), prepend=":")
+        checkout = tmp_path / "checkout"
+        for folder in ("deploy", "packages"):
+            shutil.copytree(ROOT / folder, checkout / folder)
+        source = checkout / "packages/limpethollow-wire/src/limpethollow_wire/limits.py"
+        wanted = modules_in(checkout / "packages/limpethollow-node/src")
+        build(checkout)
+        missing: set[Path] = set()
+        with Repeated(lambda: missing.update(wanted - modules_in(checkout / "target/deps"))):
+            for number in range(10):
+                source.write_text(f"{source.read_text()}# {number}\n")
+                build(checkout)
+        assert missing == set()
+
+
+class Repeated:
+    """Calls a function again and again on a thread.
+
+    Args:
+        function: The function.
+    """
+
+    def __init__(self, function: Callable[[], None]) -> None:
+        self._function = function
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> "Repeated":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        for _ in itertools.takewhile(lambda _: not self._ended.is_set(), itertools.count()):
+            self._function()
+
+
+def build(checkout: Path) -> None:
+    subprocess.run(["sh", "deploy/build.sh"], cwd=checkout, check=True)
+
+
+def modules_in(folder: Path) -> set[Path]:
+    """Return the paths of all modules of the node, from the folder as it is at this moment."""
+    now = folder.resolve()
+    return {
+        Path(found).relative_to(now) / name
+        for found, _, names in os.walk(now / "limpethollow_node")
+        for name in names
+        if name.endswith(".py")
+    }
+
+
+def metrics(instance: PlatformInstance) -> str:
+    """Return the process's metrics; empty while it serves none."""
+    try:
+        return instance.metrics()
+    except urllib3.exceptions.HTTPError:
+        return ""
--- a/tests/unit/platform/test_main.py
+++ b/tests/unit/platform/test_main.py
@@ -2,24 +2,57 @@
 
 import subprocess
 import sys
+import tomllib
 
-FIRST_IMPORT = "limpethollow_node.platform.callerlisteners"
-SCRIPT = f"""
-import runpy, signal, sys
+from tests.support.processes import ROOT
+
+# Prints, at each import from a file, whether a signal that asks for a reload is ignored.
+SCRIPT = """
+import _signal, runpy, sys
 
 class Finder:
     def find_spec(self, name, path=None, target=None):
-        if name == "{FIRST_IMPORT}":
-            print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+        print(_signal.getsignal(_signal.SIGHUP) is _signal.SIG_IGN, name)
 
+run, sys.argv = sys.argv[1:], ["main", "--help"]
 sys.meta_path.insert(0, Finder())
-sys.argv = ["main", "--help"]
-runpy.run_module("limpethollow_node.platform.main", run_name="__main__")
+sys.path += {path!r}
+if run[0] == "-m":
+    runpy.run_module(run[1], run_name="__main__")
+else:
+    runpy.run_path(run[0], run_name="__main__")
 """
+MODULE = "limpethollow_node.platform.main"
+
+
+def deployed_run() -> list[str]:
+    """Return the words with which the platform starts a process."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    return deploy["roles"]["instance"]["run"].split()
+
+
+def imports_with(*words: str) -> list[tuple[str, str]]:
+    """Return whether the signal was ignored, and the name, of each module that a run imports."""
+    script = SCRIPT.format(path=[path for path in sys.path if path])
+    command = [sys.executable, *words[:-1], "-c", script, words[-1]]
+    if words[-1] == MODULE:
+        command = [sys.executable, "-c", script, "-m", MODULE]
+    done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT)
+    assert done.returncode == 0, done.stderr
+    lines = [line.split() for line in done.stdout.splitlines() if line.startswith(("True", "Fal"))]
+    return [(line[0], line[1]) for line in lines]
 
 
 class TestSignals:
     def test_a_reload_that_comes_while_the_program_is_loaded_does_not_end_it(self):
         """Guards against a process that ends by a signal which only asks it to read its file."""
-        done = subprocess.run([sys.executable, "-c", SCRIPT], capture_output=True, text=True)
-        assert (done.returncode, done.stdout.splitlines()[0]) == (0, "True")
+        imports = imports_with(MODULE)
+        assert ("True", "limpethollow_node.platform.callerlisteners") in imports
+
+    def test_nothing_is_loaded_before_a_reload_signal_is_ignored(self):
+        """Guards against the time in which a signal ends a process that has just started."""
+        python, *words = deployed_run()
+        assert "-S" in words
+        imports = imports_with(*words)
+        assert ("True", MODULE) in imports
+        assert [name for ignored, name in imports if ignored == "False"] == []
