--- a/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 
 import uvloop
 
@@ -27,8 +28,48 @@
 
 async def _run(settings: PlatformSettings, listeners: CallerListeners, logs: StdoutHandler) -> None:
     process = PlatformProcess(settings, listeners, logs)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, process.request_shutdown)
-    loop.add_signal_handler(signal.SIGINT, process.request_shutdown)
-    loop.add_signal_handler(signal.SIGHUP, process.reload_settings)
-    await process.run()
+    with _SignalHandlers(asyncio.get_running_loop()) as handlers:
+        handlers.set(signal.SIGTERM, process.request_shutdown)
+        handlers.set(signal.SIGINT, process.request_shutdown)
+        handlers.set(signal.SIGHUP, process.reload_settings)
+        await process.run()
+
+
+class _SignalHandlers:
+    """Calls functions on signals, and ignores these signals afterwards until the process exits.
+
+    The loop's own `add_signal_handler` restores the default actions when the loop is closed, so
+    that a signal could end the process during its exit.
+
+    Args:
+        loop: Runs the functions.
+    """
+
+    __slots__ = ("_loop", "_numbers", "_pending")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._numbers: set[signal.Signals] = set()
+        self._pending: set[signal.Signals] = set()
+
+    def __enter__(self) -> "_SignalHandlers":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for number in self._numbers:
+            signal.signal(number, signal.SIG_IGN)
+
+    def set(self, number: signal.Signals, function: Callable[[], None]) -> None:
+        """Call a function on a signal; signals that come before the call count as one."""
+
+        def call() -> None:
+            self._pending.discard(number)
+            function()
+
+        def received(*_: object) -> None:
+            if number not in self._pending:
+                self._pending.add(number)
+                self._loop.call_soon_threadsafe(call)
+
+        self._numbers.add(number)
+        signal.signal(number, received)
--- a/tests/unit/platform/test_main.py
+++ b/tests/unit/platform/test_main.py
@@ -8,7 +8,7 @@
 
 # Prints, at each import from a file, whether a signal that asks for a reload is ignored.
 SCRIPT = """
-import _signal, runpy, sys
+import _signal, sys
 
 class Finder:
     def find_spec(self, name, path=None, target=None):
@@ -18,9 +18,12 @@
 sys.meta_path.insert(0, Finder())
 sys.path += {path!r}
 if run[0] == "-m":
+    import runpy
+
     runpy.run_module(run[1], run_name="__main__")
 else:
-    runpy.run_path(run[0], run_name="__main__")
+    with open(run[0]) as source:
+        exec(source.read(), {{"__name__": "__main__", "__file__": run[0]}})
 """
 MODULE = "limpethollow_node.platform.main"
 
