Startup: busy ports and absent addresses are waited for, other internal ports are tried

A start tried each address once and ended with status 3 where it was busy or not configured yet, though the ports are only free until another program's outgoing connection happens to get one, and of the internal range it took just the first and the last.

All listeners for callers and instances are now bound together, before the program is loaded, or none; where one is busy or not there yet, the start waits up to 30 s (events 106, 107) and fails as before after that (108). Any port of the internal range serves other instances: the entry in the store names it. Metrics come as soon as their port is free (109).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -1,6 +1,7 @@
 """Links to other instances: failure detection, heartbeats and the routing of frames."""
 
 import asyncio
+import socket
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from random import Random
@@ -72,7 +73,7 @@
         rng: Source of jitter.
         metrics: The process's metrics.
         quarantines: The evidence about requests that crash searchers.
-        seeds: IP addresses of instances to connect to before any is known from the store.
+        seeds: Addresses of instances to connect to before any is known from the store.
     """
 
     def __init__(
@@ -91,11 +92,11 @@
         self._role = role
         self._seeds = frozenset(seeds)
         self._links: dict[str, PeerLink] = {}
-        self._dialler = Dialler(rng, lambda socket: self._run(socket, dialled=True))
+        self._dialler = Dialler(rng, lambda websocket: self._run(websocket, dialled=True))
         self._failure_detector = FailureDetector(roster, self._links)
         self._state_exchange = StateExchange(catalog, self._links)
         self._crash_reports = CrashReportExchange(quarantines, self._links)
-        self._member_hosts: set[str] = set(seeds)
+        self._member_hosts = {seed.rpartition(":")[0] for seed in seeds}
         self._suspected_until: dict[str, float] = {}
         self._rotation = 0
         self._heartbeats = Heartbeats(roster, catalog, self._links)
@@ -117,10 +118,10 @@
     def follows(self, follows: bool) -> None:
         self._heartbeats.follows = follows
 
-    async def serve(self, host: str, port: int) -> None:
-        """Start accepting links; returns once the listener is bound."""
+    async def serve(self, listener: socket.socket) -> None:
+        """Start accepting links, including those in the listener's backlog."""
         self._server = await serve(
-            self._on_accepted, host, port, open_timeout=_HANDSHAKE_SECONDS, **LINK_OPTIONS
+            self._on_accepted, sock=listener, open_timeout=_HANDSHAKE_SECONDS, **LINK_OPTIONS
         )
 
     async def run(self) -> None:
@@ -145,10 +146,8 @@
             if own.name < name or own.name not in targets(other):
                 self._dialler.dial(other.peer_address)
         if len(known) == 1 and not self._links:
-            port = own.peer_address.rpartition(":")[2]
-            for host in self._seeds:
-                if f"{host}:{port}" != own.peer_address:
-                    self._dialler.dial(f"{host}:{port}")
+            for address in self._seeds - {own.peer_address}:
+                self._dialler.dial(address)
 
     def tell(self, frame: Frame) -> None:
         """Send an update to the linked instances in this instance's failure domain.
@@ -271,13 +270,13 @@
             if link.is_silent(now):
                 link.close()
 
-    async def _on_accepted(self, socket: Connection) -> None:
-        host = socket.remote_address[0]
+    async def _on_accepted(self, websocket: Connection) -> None:
+        host = websocket.remote_address[0]
         if not self._is_member(host):
             events.PEER_REFUSED.log(address=host, reason="not a member")
-            socket.transport.abort()
+            websocket.transport.abort()
             return
-        await self._run(socket, dialled=False)
+        await self._run(websocket, dialled=False)
 
     def _is_member(self, host: str) -> bool:
         """Return whether an address belongs to an instance that the store lists.
@@ -291,9 +290,9 @@
         )
         return host in self._member_hosts
 
-    async def _run(self, socket: Connection, *, dialled: bool) -> None:
+    async def _run(self, websocket: Connection, *, dialled: bool) -> None:
         loop = asyncio.get_running_loop()
-        link = PeerLink(socket, self._on_frame, self._metrics, loop.time(), dialled=dialled)
+        link = PeerLink(websocket, self._on_frame, self._metrics, loop.time(), dialled=dialled)
         own = self._roster.own
         link.send(Hello(own.name, own.incarnation, own.failure_domain, self._catalog.known))
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -11,8 +11,8 @@
 import argparse
 import sys
 
-from limpethollow_node.platform.callerlisteners import CallerListeners
 from limpethollow_node.platform.settings import PlatformSettings, load_settings, settings_path
+from limpethollow_node.platform.startup import open_listeners, startup_events
 from limpethollow_node.process.garbage import StartupWithoutCollection
 from limpethollow_wire.exceptions import SettingsError
 
@@ -45,12 +45,7 @@
     """Report why the process ends, and return its exit status."""
     print(f"limpethollow-platform: {error}", file=sys.stderr)
     if is_logged:
-        # Loaded here, because a start that succeeds binds its listeners first.
-        from limpethollow_node.process import events
-        from limpethollow_node.process.stdoutlogs import configure_stdout_logging
-
-        configure_stdout_logging()
-        events.STARTUP_FAILED.log(status=status, error=error)
+        startup_events().STARTUP_FAILED.log(status=status, error=error)
     return status
 
 
@@ -67,7 +62,7 @@
     # Bind the listeners before importing the rest of the program, which takes 0.13 s. When all
     # instances restart after an outage, connections made during the import wait in the accept
     # queue and are served; a refused connection would cost the caller its only retry.
-    listeners = CallerListeners.open(settings.listen)
+    listeners = open_listeners(settings)
     with StartupWithoutCollection():
         from limpethollow_node.platform.runner import run
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -20,7 +20,6 @@
 from limpethollow_node.engine.process.peers import Peers
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.engine.request.batches import BatchManager
-from limpethollow_node.platform.callerlisteners import CallerListeners
 from limpethollow_node.platform.directory import (
     DirectoryHandler,
     DirectoryQuery,
@@ -29,6 +28,7 @@
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.headers import HEADERS
 from limpethollow_node.platform.leasereads import LeaseReads
+from limpethollow_node.platform.listeners import Listeners
 from limpethollow_node.platform.membership import KIND, Membership
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
@@ -38,7 +38,6 @@
     PlatformSettings,
     SettingsFile,
     settings_path,
-    split_address,
 )
 from limpethollow_node.platform.sinks import create_sinks
 from limpethollow_node.platform.store import Store
@@ -56,6 +55,7 @@
 from limpethollow_policy.process.quotas import QuotaBounds
 from limpethollow_policy.process.sendbudgets import SendBudget
 from limpethollow_policy.process.slackclaims import SlackClaim
+from limpethollow_policy.process.startups import StartupWait
 from limpethollow_policy.process.topology import WatchRole
 from limpethollow_policy.version.routes import CurrentVersion, RoutingVersion
 from limpethollow_wire.exceptions import LimpethollowError, NoHome, SettingsError
@@ -84,12 +84,12 @@
 
     Args:
         settings: The platform's settings.
-        listeners: The bound listeners for callers.
+        listeners: The bound listeners.
         logs: The handler that writes log lines.
     """
 
     def __init__(
-        self, settings: PlatformSettings, listeners: CallerListeners, logs: StdoutHandler
+        self, settings: PlatformSettings, listeners: Listeners, logs: StdoutHandler
     ) -> None:
         self._settings = settings
         self._listeners = listeners
@@ -115,7 +115,9 @@
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
         self._set_key_bounds(bounds)
-        self._roster = Roster(_own_instance(settings), self._on_instances_changed)
+        self._roster = Roster(
+            _own_instance(settings, listeners.peer_port), self._on_instances_changed
+        )
         self._catalog = Catalog(
             self._dispatch,
             self._engine,
@@ -131,7 +133,7 @@
             self._rng,
             self.metrics,
             self._dispatch.quarantines,
-            settings.seed_hosts,
+            settings.seed_addresses,
         )
         self._engine.desk = BatchManager(self._dispatch, self._peers)
         self._engine.quotas.join(
@@ -299,6 +301,7 @@
         return [
             *(feed.run() for feed in self._feeds),
             self._lifecycle.open(listeners),
+            self._open_metrics(),
             self._store_check.run(),
             self._peers.run(),
             self._quarantine_keeper.run(),
@@ -309,12 +312,24 @@
         ]
 
     async def _listen(self) -> None:
-        listen = self._settings.listen
         ready = self._add_server(ReadinessHandler(lambda: self._lifecycle.is_ready).handle)
-        await ready.serve(open_listener(*split_address(listen.ready)))
-        first, last = self._settings.internal_port_range
-        await self._peers.serve(self._settings.ip, first)
-        await self._add_server(self._serve_metrics).serve(open_listener("0.0.0.0", last))
+        await ready.serve(self._listeners.ready)
+        await self._peers.serve(self._listeners.peers)
+
+    async def _open_metrics(self) -> None:
+        """Serve the metrics as soon as their port is free; callers don't need them."""
+        server = self._add_server(self._serve_metrics)
+        port = self._settings.metrics_port
+        wait = StartupWait(float("inf"))
+        while True:
+            try:
+                listener = open_listener("0.0.0.0", port)
+                break
+            except OSError as error:
+                if not wait.has_begun:
+                    events.METRICS_UNAVAILABLE.log(port=port, error=str(error))
+                await asyncio.sleep(wait.failed(asyncio.get_running_loop().time()))
+        await server.serve(listener)
 
     def _restart_feeds(self) -> None:
         for feed in self._feeds:
@@ -443,12 +458,11 @@
     return QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
 
 
-def _own_instance(settings: PlatformSettings) -> Instance:
-    first, _ = settings.internal_port_range
+def _own_instance(settings: PlatformSettings, peer_port: int) -> Instance:
     return Instance(
         name=settings.node_name,
         address=settings.listen.front,
-        peer_address=f"{settings.ip}:{first}",
+        peer_address=f"{settings.ip}:{peer_port}",
         failure_domain=settings.zone,
         strength=_instance_strength(settings.limits),
         incarnation=time.time_ns() // 1_000_000,
--- a/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
@@ -6,18 +6,18 @@
 
 import uvloop
 
-from limpethollow_node.platform.callerlisteners import CallerListeners
+from limpethollow_node.platform.listeners import Listeners
 from limpethollow_node.platform.process import PlatformProcess
 from limpethollow_node.platform.settings import PlatformSettings
 from limpethollow_node.process.stdoutlogs import StdoutHandler, configure_stdout_logging
 
 
-def run(settings: PlatformSettings, listeners: CallerListeners) -> None:
+def run(settings: PlatformSettings, listeners: Listeners) -> None:
     """Run until the platform stops the process.
 
     Args:
         settings: The platform's settings.
-        listeners: The bound listeners for callers.
+        listeners: The bound listeners.
     """
     logs = configure_stdout_logging(settings.node_name)
     # A shard call takes 0.108 ms of processor time in total on uvloop, against 0.142 ms on the
@@ -26,7 +26,7 @@
         runner.run(_run(settings, listeners, logs))
 
 
-async def _run(settings: PlatformSettings, listeners: CallerListeners, logs: StdoutHandler) -> None:
+async def _run(settings: PlatformSettings, listeners: Listeners, logs: StdoutHandler) -> None:
     process = PlatformProcess(settings, listeners, logs)
     with _SignalHandlers(asyncio.get_running_loop()) as handlers:
         handlers.set(signal.SIGTERM, process.request_shutdown)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -116,9 +116,22 @@
         return not self.contracts or _EVACUATION_CONTRACT in self.contracts
 
     @property
-    def seed_hosts(self) -> tuple[str, ...]:
-        """Return the hosts of the instances to contact before any is known."""
-        return tuple(split_address(seed)[0] for seed in self.seeds)
+    def peer_ports(self) -> range:
+        """Return the ports on which other instances may be served, in order of preference."""
+        first, last = self.internal_port_range
+        return range(first, max(first + 1, last))
+
+    @property
+    def metrics_port(self) -> int:
+        """Return the port on which metrics are served."""
+        return self.internal_port_range[1]
+
+    @property
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Return where to reach instances before any is known: their preferred peer ports."""
+        hosts = {split_address(seed)[0] for seed in self.seeds}
+        port = self.peer_ports.start
+        return tuple(f"{host}:{port}" for host in sorted(hosts - {self.ip}))
 
     @property
     def removal_delay(self) -> float:
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -56,7 +56,12 @@
 )
 UNEXPECTED_ERROR = _event(104, logging.ERROR, "unexpected error; this is a bug")
 LISTENING = _event(105, logging.INFO, "accepting connections from callers")
+STARTUP_WAITING = _event(106, logging.WARNING, "startup waits for an address or its settings")
+STARTUP_CONTINUED = _event(107, logging.INFO, "startup continues after a wait")
 STARTUP_FAILED = _event(108, logging.ERROR, "startup failed; the process ends")
+METRICS_UNAVAILABLE = _event(
+    109, logging.WARNING, "metrics can't be served yet because their port is not available"
+)
 DRAINED = _event(110, logging.INFO, "wait before the exit ended")
 PEER_NOT_NOTIFIED = _event(
     111, logging.WARNING, "failed to notify a peer that this instance is leaving"
--- a/tests/system/platform/test_start.py
+++ b/tests/system/platform/test_start.py
@@ -50,7 +50,7 @@
     def test_the_listeners_are_bound_before_the_program_is_loaded(self):
         loaded = "import sys, limpethollow_node.platform.main; print(*sys.modules)"
         modules = subprocess.check_output([sys.executable, "-c", loaded], text=True).split()
-        assert "limpethollow_node.platform.callerlisteners" in modules
+        assert "limpethollow_node.platform.listeners" in modules
         assert not {"asyncio", "websockets", "limpethollow_node.platform.process"} & set(modules)
 
     def test_without_a_configuration_the_refusal_comes_at_once(self, system):
--- a/tests/unit/platform/test_main.py
+++ b/tests/unit/platform/test_main.py
@@ -50,7 +50,7 @@
     def test_a_reload_that_comes_while_the_program_is_loaded_does_not_end_it(self):
         """Guards against a process that ends by a signal which only asks it to read its file."""
         imports = imports_with(MODULE)
-        assert ("True", "limpethollow_node.platform.callerlisteners") in imports
+        assert ("True", "limpethollow_node.platform.listeners") in imports
 
     def test_nothing_is_loaded_before_a_reload_signal_is_ignored(self):
         """Guards against the time in which a signal ends a process that has just started."""
