--- a/packages/limpethollow-node/src/limpethollow_node/platform/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/main.py
@@ -12,7 +12,7 @@
 import sys
 
 from limpethollow_node.platform.settings import PlatformSettings, load_settings, settings_path
-from limpethollow_node.platform.startup import open_listeners, startup_events
+from limpethollow_node.platform.startup import open_listeners, read_settings, startup_events
 from limpethollow_node.process.garbage import StartupWithoutCollection
 from limpethollow_wire.exceptions import SettingsError
 
@@ -29,7 +29,8 @@
     """
     options = _argument_parser().parse_args(arguments)
     try:
-        settings = load_settings(settings_path())
+        path = settings_path()
+        settings = load_settings(path) if options.check else read_settings(path)
     except SettingsError as error:
         return _fail(EXIT_SETTINGS, str(error), is_logged=not options.check)
     if options.check:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -154,18 +154,25 @@
     return Path(path)
 
 
+class IncompleteSettingsError(SettingsError):
+    """The settings file is absent or not valid JSON, as it may be while it is written."""
+
+
 def load_settings(path: Path) -> PlatformSettings:
     """Read and check the settings file.
 
     Raises:
-        SettingsError: The file can't be read, or a field is missing or has the wrong type.
+        IncompleteSettingsError: The file can't be read or is not valid JSON.
+        SettingsError: A field is missing or has the wrong type.
     """
     try:
         return msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
     except OSError as error:
-        raise SettingsError(f"{path}: can't be read ({error}).") from None
-    except msgspec.MsgspecError as error:
+        raise IncompleteSettingsError(f"{path}: can't be read ({error}).") from None
+    except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}.") from None
+    except msgspec.MsgspecError as error:
+        raise IncompleteSettingsError(f"{path}: {error}.") from None
 
 
 class SettingsFile:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/startup.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/startup.py
@@ -2,13 +2,19 @@
 
 import time
 from collections.abc import Callable
+from pathlib import Path
 from types import ModuleType
 from typing import TypeVar
 
 from limpethollow_node.platform.listeners import Listeners
-from limpethollow_node.platform.settings import PlatformSettings
+from limpethollow_node.platform.settings import (
+    IncompleteSettingsError,
+    PlatformSettings,
+    load_settings,
+)
 from limpethollow_policy.process.startups import (
     MAX_ADDRESS_WAIT_SECONDS,
+    MAX_SETTINGS_WAIT_SECONDS,
     StartupWait,
     may_become_available,
 )
@@ -28,6 +34,16 @@
     return events
 
 
+def read_settings(path: Path) -> PlatformSettings:
+    """Read and check the settings file, and wait while it may be being written.
+
+    Raises:
+        SettingsError: The file can't be read or is invalid.
+    """
+    wait = StartupWait(MAX_SETTINGS_WAIT_SECONDS)
+    return _retry(lambda: load_settings(path), IncompleteSettingsError, lambda _: True, wait)
+
+
 def open_listeners(settings: PlatformSettings) -> Listeners:
     """Bind all listeners, and wait for addresses that are not available yet.
 
