Startup: the wait covers closed connections, accepts nobody and follows the settings

Each attempt listened on the ports that were free and reset those who had connected (12 in 3 s); all are bound first, and listen when all are.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/listeners.py
@@ -4,7 +4,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 
-from limpethollow_node.engine.connection.listeners import open_listener
+from limpethollow_node.engine.connection.listeners import BACKLOG, bind_listener
 from limpethollow_node.platform.settings import PlatformSettings, split_address
 
 
@@ -31,35 +31,38 @@
 
     @classmethod
     def open(cls, settings: PlatformSettings) -> "Listeners":
-        """Bind all listeners, or none.
+        """Open all listeners, or none.
 
         Raises:
-            OSError: A listener can't be bound.
+            OSError: A listener can't be opened.
         """
         listen = settings.listen
         with ExitStack() as stack:
             front, directory, ready = (
-                stack.enter_context(_open(*split_address(address)))
+                stack.enter_context(_bind(*split_address(address)))
                 for address in (listen.front, listen.directory, listen.ready)
             )
-            peers = stack.enter_context(_open_first(settings.ip, settings.peer_ports))
+            peers = stack.enter_context(_bind_first(settings.ip, settings.peer_ports))
+            # None listens before all are bound: a connection that is closed with them is reset.
+            for listener in (peers, ready, directory, front):
+                listener.listen(BACKLOG)
             stack.pop_all()
         return cls(front, directory, ready, peers)
 
 
-def _open(host: str, port: int) -> socket.socket:
+def _bind(host: str, port: int) -> socket.socket:
     """Bind an address.
 
     Raises:
         OSError: It can't be bound; the error names it.
     """
     try:
-        return open_listener(host, port)
+        return bind_listener(host, port)
     except OSError as error:
         raise OSError(error.errno, f"{error.strerror}: {host}:{port}") from None
 
 
-def _open_first(host: str, ports: range) -> socket.socket:
+def _bind_first(host: str, ports: range) -> socket.socket:
     """Bind the first port that can be bound.
 
     Raises:
@@ -68,7 +71,7 @@
     first_error: OSError | None = None
     for port in ports:
         try:
-            return _open(host, port)
+            return _bind(host, port)
         except OSError as error:
             first_error = first_error or error
     raise first_error or OSError("The range of internal ports is empty.")
--- a/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/runner.py
@@ -32,6 +32,8 @@
         handlers.set(signal.SIGTERM, process.request_shutdown)
         handlers.set(signal.SIGINT, process.request_shutdown)
         handlers.set(signal.SIGHUP, process.reload_settings)
+        # They may have changed since they were read, and the signal was ignored until now.
+        process.reload_settings()
         await process.run()
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -24,6 +24,11 @@
     ready: str
     directory: str
 
+    def __post_init__(self) -> None:
+        """Reject addresses that can't be split."""
+        for address in (self.front, self.ready, self.directory):
+            split_address(address)
+
 
 class Limits(msgspec.Struct, frozen=True, rename="camel"):
     """Resource limits of the instance.
@@ -129,7 +134,7 @@
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """Return where to reach instances before any is known: their preferred peer ports."""
-        hosts = {split_address(seed)[0] for seed in self.seeds}
+        hosts = {seed.rpartition(":")[0] for seed in self.seeds}
         port = self.peer_ports.start
         return tuple(f"{host}:{port}" for host in sorted(hosts - {self.ip}))
 
@@ -169,7 +174,7 @@
         return msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
     except OSError as error:
         raise IncompleteSettingsError(f"{path}: can't be read ({error}).") from None
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}.") from None
     except msgspec.MsgspecError as error:
         raise IncompleteSettingsError(f"{path}: {error}.") from None
@@ -211,6 +216,12 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split an address into host and port."""
+    """Split an address into host and port.
+
+    Raises:
+        ValueError: It has no valid port.
+    """
     host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5 and int(port) < 65536):
+        raise ValueError(f"The address {address!r} is not HOST:PORT")
     return host, int(port)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/startup.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/startup.py
@@ -1,5 +1,6 @@
 """Waits at the start for what the machine may provide a moment later."""
 
+import contextlib
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -18,6 +19,7 @@
     StartupWait,
     may_become_available,
 )
+from limpethollow_wire.exceptions import SettingsError
 
 T = TypeVar("T")
 
@@ -44,14 +46,26 @@
     return _retry(lambda: load_settings(path), IncompleteSettingsError, lambda _: True, wait)
 
 
-def open_listeners(settings: PlatformSettings) -> Listeners:
-    """Bind all listeners, and wait for addresses that are not available yet.
+def open_listeners(settings: PlatformSettings, path: Path) -> tuple[PlatformSettings, Listeners]:
+    """Open all listeners, and wait for addresses that are not available yet.
+
+    Returns:
+        The settings, which may have changed during the wait, and the listeners.
 
     Raises:
         OSError: An address can't be bound.
     """
     wait = StartupWait(MAX_ADDRESS_WAIT_SECONDS)
-    return _retry(lambda: Listeners.open(settings), OSError, may_become_available, wait)
+    newest = settings
+
+    def attempt() -> tuple[PlatformSettings, Listeners]:
+        nonlocal newest
+        if wait.has_begun:
+            with contextlib.suppress(SettingsError):
+                newest = load_settings(path)
+        return newest, Listeners.open(newest)
+
+    return _retry(attempt, OSError, may_become_available, wait)
 
 
 def _retry(
--- a/packages/limpethollow-node/src/limpethollow_node/process/usage.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/usage.py
@@ -1,6 +1,8 @@
 """Memory and descriptors that this process uses."""
 
+import contextlib
 import os
+import resource
 from pathlib import Path
 
 _STATM = Path("/proc/self/statm")
@@ -22,3 +24,12 @@
         return len(os.listdir(_DESCRIPTORS))
     except OSError:
         return 0
+
+
+def raise_descriptor_limit(wanted: int) -> None:
+    """Raise the soft limit on open descriptors up to the wanted number or the hard limit."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    allowed = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    if soft != resource.RLIM_INFINITY and soft < allowed:
+        with contextlib.suppress(OSError, ValueError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (allowed, hard))
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/startups.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/startups.py
@@ -2,9 +2,8 @@
 
 import errno
 
-# Ports are freed and addresses come up within seconds; the platform may restart a process that
-# ends, but three ends of a process count as a failure of the system.
-MAX_ADDRESS_WAIT_SECONDS = 30.0
+# A port of an outgoing connection stays busy for 60 s after it was closed (TIME_WAIT).
+MAX_ADDRESS_WAIT_SECONDS = 75.0
 # Writing a settings file takes far less than this.
 MAX_SETTINGS_WAIT_SECONDS = 2.0
 _FIRST_PAUSE_SECONDS = 0.01
--- a/tests/unit/platform/test_startups.py
+++ b/tests/unit/platform/test_startups.py
@@ -4,10 +4,21 @@
 
 import pytest
 
-from limpethollow_policy.process.startups import StartupWait, may_become_available
+from limpethollow_policy.process.startups import (
+    MAX_ADDRESS_WAIT_SECONDS,
+    StartupWait,
+    may_become_available,
+)
+
+# How long Linux keeps the port of a connection that was closed (TIME_WAIT).
+CLOSED_SECONDS = 60.0
 
 
 class TestWaits:
+    def test_a_port_of_a_closed_connection_is_free_in_time(self):
+        """Guards against a wait that ends while another program's last port is still kept."""
+        assert MAX_ADDRESS_WAIT_SECONDS > CLOSED_SECONDS
+
     def test_pauses_grow_and_end_with_the_time(self):
         """Guards against starts that spin, and against starts that wait without end."""
         wait, now, pauses = StartupWait(3.0), 100.0, []
