--- a/packages/limpethollow-node/src/limpethollow_node/process/stdoutlogs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/stdoutlogs.py
@@ -1,5 +1,6 @@
 """JSON logging to standard output that never blocks the process."""
 
+import contextlib
 import logging
 import os
 import time
@@ -35,7 +36,9 @@
         self._buffer: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._dropped = 0
-        os.set_blocking(descriptor, False)
+        # Where it is closed, lines are dropped.
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a line, or buffer it until the descriptor accepts more."""
--- a/tests/system/platform/test_process_ends.py
+++ b/tests/system/platform/test_process_ends.py
@@ -3,10 +3,12 @@
 import itertools
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
 import subprocess
+import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -147,6 +149,32 @@
         assert instance.wait_ready().ask("/get/x").status == 200
 
 
+class TestDescriptors:
+    def test_a_start_without_an_output_waits_as_well(self, instance):
+        """Guards against a start that ends because it can't log."""
+        instance.settings_path.write_text(json.dumps(instance.settings))
+        with listen(instance.ready_port):
+            instance.child = subprocess.Popen(
+                ["sh", "-c", f"exec {sys.executable} -m limpethollow_node.platform.main >&- 2>&-"],
+                env={**os.environ, "LIMPETHOLLOW_SETTINGS": str(instance.settings_path)},
+            )
+            wait_for(lambda: has_ended(instance) or has_begun_to_wait(instance), "it waits")
+            assert not has_ended(instance)
+        assert instance.wait_ready().ask("/get/x").status == 200
+
+    def test_the_soft_limit_on_descriptors_is_raised(self, instance):
+        """Guards against a process that has fewer descriptors than its settings allow."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, 256), hard))
+        try:
+            instance.start()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        instance.wait_ready()
+        limits = resource.prlimit(instance.child.pid, resource.RLIMIT_NOFILE)
+        assert limits[0] >= min(4100, hard)
+
+
 class TestBuild:
     def test_the_program_is_whole_at_any_moment_of_a_build(self, checkout):
         """Guards against processes that start beside a build and find half of the program."""
@@ -195,6 +223,13 @@
         source.write("#\n")
 
 
+def has_begun_to_wait(instance: PlatformInstance) -> bool:
+    """Return whether a process that can't log ignores SIGHUP and sleeps."""
+    lines = Path(f"/proc/{instance.child.pid}/status").read_text().splitlines()
+    status = dict(line.split(":\t", 1) for line in lines if ":\t" in line)
+    return status["State"].startswith("S") and int(status["SigIgn"], 16) & 1 == 1
+
+
 def modules_in(folder: Path) -> set[Path]:
     """Return the paths of all modules of the node, from the folder as it is at this moment."""
     now = folder.resolve()
