--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,35 +7,43 @@
 folders=target/builds
 mkdir -p "$folders"
 fingerprint() { cksum | tr ' ' -; }
+# A folder gets its name when it is complete, unless another build was faster.
+finish() { chmod 755 "$1"; mv -T "$1" "$2" 2>/dev/null || rm -rf "$1"; }
 
 machine=$(python3 -c 'import sys, sysconfig; print(sys.version, sysconfig.get_platform())')
 libraries=$folders/libraries-$({ printf '%s\n' "$machine"; cat deploy/requirements.txt; } | fingerprint)
 if [ ! -d "$libraries" ]; then
-  partial=$libraries.$$
+  partial=$(mktemp -d "$folders/partial.XXXXXX")
   python3 -m pip install --quiet --quiet --disable-pip-version-check --no-deps \
     --target "$partial" -r deploy/requirements.txt
-  # Another build may have been faster.
-  mv -T "$partial" "$libraries" 2>/dev/null || rm -rf "$partial"
+  finish "$partial" "$libraries"
 fi
 
 sources=$(find packages/limpethollow-*/src -name '*.py' | LC_ALL=C sort | xargs cksum)
 program=program-$(printf '%s\n' "$libraries" "$sources" | fingerprint)
 if [ ! -d "$folders/$program" ]; then
-  partial=$folders/$program.$$
-  cp -R "$libraries" "$partial"
+  partial=$(mktemp -d "$folders/partial.XXXXXX")
+  # With their times, by which compiled modules are found valid.
+  cp -Rp "$libraries/." "$partial"
   for package in wire policy node; do
     cp -R "packages/limpethollow-$package/src/limpethollow_$package" "$partial/"
   done
-  mv -T "$partial" "$folders/$program" 2>/dev/null || rm -rf "$partial"
+  finish "$partial" "$folders/$program"
 fi
 
-if [ "$(readlink target/deps)" != "builds/$program" ]; then
-  # A folder from a release that had no link can't be replaced by one in a single step.
+previous=$(readlink target/deps || true)
+if [ "$previous" != "builds/$program" ]; then
+  # Earlier releases had a folder, which a link can't replace in one step. By these files they would
+  # take the new one for theirs.
   [ -L target/deps ] || rm -rf target/deps
-  ln -s "builds/$program" "target/deps.$$"
-  mv -T "target/deps.$$" target/deps
+  rm -f target/installed.txt target/sources.txt
+  # Its day begins now.
+  [ -z "$previous" ] || touch "target/$previous"
+  link=$(mktemp -u target/deps.XXXXXX)
+  ln -s "builds/$program" "$link"
+  mv -T "$link" target/deps
 fi
 
 # Earlier builds stay for a day, for processes that were started from them.
-find "$folders" -mindepth 1 -maxdepth 1 -mtime +1 ! -path "$libraries" ! -name "$program" \
-  -exec rm -rf {} +
+find "$folders" -mindepth 1 -maxdepth 1 -mtime +0 ! -path "$libraries" ! -name "$program" \
+  -exec rm -rf {} + || true
--- a/tests/system/platform/test_process_ends.py
+++ b/tests/system/platform/test_process_ends.py
@@ -176,6 +176,25 @@
 
 
 class TestBuild:
+    def test_no_folder_of_an_earlier_release_is_taken_for_complete(self, checkout):
+        """Guards against builds that go back and forth between releases in one checkout."""
+        target = checkout / "target"
+        (target / "deps").mkdir(parents=True)
+        (target / "installed.txt").touch()
+        (target / "sources.txt").touch()
+        build(checkout)
+        assert (target / "deps").is_symlink()
+        assert {path.name for path in target.iterdir()} == {"builds", "deps"}
+
+    def test_a_folder_in_use_outlives_the_next_build(self, checkout):
+        """Guards against processes whose program is deleted while they load it."""
+        build(checkout)
+        program = (checkout / "target" / "deps").resolve()
+        os.utime(program, (0, 0))
+        change(checkout)
+        build(checkout)
+        assert modules_in(program)
+
     def test_the_program_is_whole_at_any_moment_of_a_build(self, checkout):
         """Guards against processes that start beside a build and find half of the program."""
         wanted = modules_in(checkout / "packages/limpethollow-node/src")
