--- a/packages/limpethollow-policy/src/limpethollow_policy/process/memorypools.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/memorypools.py
@@ -13,13 +13,13 @@
 
     Attributes:
         excess: Bytes beyond the part of its own.
+        kept: How many of these an eviction leaves to it.
         since: Monotonic time in seconds since which it has had any.
-        evictable: Whether its memory may be taken away.
     """
 
     excess: int
+    kept: int
     since: float
-    evictable: bool
 
 
 class MemoryPool(Generic[H]):
@@ -56,7 +56,13 @@
         """Return the bytes in use beyond the holders' own parts."""
         return self._used
 
-    def resize(self, holder: H, size: int, now: float, *, evictable: bool = True) -> list[H]:
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; a lower one takes effect at the next call of `resize`."""
+        self._limit = limit
+
+    def resize(
+        self, holder: H, size: int, now: float, *, evictable: bool = True, kept: int = 0
+    ) -> list[H]:
         """Change the number of bytes of a holder.
 
         Args:
@@ -64,37 +70,54 @@
             size: All its bytes from now on.
             now: Monotonic time in seconds.
             evictable: Whether it may be evicted later, as a complete request may not.
+            kept: Bytes that an eviction leaves to it, such as those of its complete requests. They
+                were part of its size before.
 
         Returns:
-            The holders to evict, whose bytes no longer count. If `holder` is among them, it gets
-            no memory.
+            The holders to evict, of which only the bytes that are left to them still count. If
+            `holder` is among them, it gets no more memory than that.
         """
         since = self._remove(holder)
         excess = size - self._own_bytes
         if excess <= 0:
             return []
-        self._holdings[holder] = _Holding(excess, now if since is None else since, evictable)
+        holding = _Holding(
+            excess, max(0, min(kept, size) - self._own_bytes), now if since is None else since
+        )
+        self._holdings[holder] = holding
         self._used += excess
-        return self._evict(holder, now)
+        evicted = self._evict(now)
+        if not evictable:
+            holding.kept = holding.excess
+        return evicted
 
     def release(self, holder: H) -> None:
         """Return all bytes of a holder."""
         self._remove(holder)
 
-    def _evict(self, newest: H, now: float) -> list[H]:
+    def _evict(self, now: float) -> list[H]:
         evicted: list[H] = []
         while self._used > self._limit:
-            costliest = max(
-                (h for h, held in self._holdings.items() if held.evictable or h == newest),
-                key=lambda h: self._byte_seconds(h, now),
-            )
-            self._remove(costliest)
+            candidates = [h for h, held in self._holdings.items() if held.excess > held.kept]
+            if not candidates:
+                break
+            costliest = max(candidates, key=lambda h: self._byte_seconds(h, now))
+            self._shrink(costliest)
             evicted.append(costliest)
         return evicted
 
     def _byte_seconds(self, holder: H, now: float) -> tuple[float, int]:
         held = self._holdings[holder]
-        return held.excess * (now - held.since), held.excess
+        excess = held.excess - held.kept
+        return excess * (now - held.since), excess
+
+    def _shrink(self, holder: H) -> None:
+        """Leave to a holder only what it keeps."""
+        held = self._holdings[holder]
+        self._used -= held.excess - held.kept
+        held.excess = held.kept
+        if not held.kept:
+            del self._holdings[holder]
 
     def _remove(self, holder: H) -> float | None:
         """Remove a holder; return since when it held more than its own part, None if it didn't."""
--- a/tests/unit/engine/test_memorypools.py
+++ b/tests/unit/engine/test_memorypools.py
@@ -34,6 +34,21 @@
         assert pool.resize("new", OWN + 200, 10.0) == ["new"]
         assert pool.used == 900
 
+    def test_an_eviction_leaves_what_a_complete_request_needs(self):
+        """Guards against requests cut because another one on their connection is incomplete."""
+        pool = pool_of(1000)
+        pool.resize("a", OWN + 900, 0.0, kept=OWN + 300)
+        assert pool.resize("new", OWN + 200, 10.0) == ["a"]
+        assert pool.used == 500
+        assert pool.resize("a", OWN + 300, 10.0, kept=OWN + 300) == []
+
+    def test_what_is_kept_is_not_evicted_below_a_lower_limit(self):
+        pool = pool_of(1000)
+        pool.resize("a", OWN + 900, 0.0, kept=OWN + 900)
+        pool.set_limit(500)
+        assert pool.resize("b", OWN + 10, 1.0) == ["b"]
+        assert pool.used == 900
+
 
 class TestRelease:
     def test_released_bytes_are_free_again(self):
