Forwards: bodies are released when a request ends

Callers saw nothing; the process kept the bodies of a request and its reply until a garbage collection, which is by number of objects and not by their size. A forward, its attempts, its sends, their calls and the engine's callback referred to each other in circles.

The callbacks to the owner are dropped when it was called, and a send drops its call when its outcome is in.

Virtual timers drop a cancelled callback, as uvloop's and asyncio's handles do. Searches, and sends that were cancelled, still refer to each other in circles.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
@@ -164,6 +164,7 @@
         """Cancel all sends and ignore their outcomes."""
         self.done = True
         self._drop_sends()
+        self._release_owner()
 
     def _launch(self, replica: Replica) -> None:
         send = Send(self, replica, self.dispatch.loop.time())
@@ -203,6 +204,8 @@
     def ended(self, send: Send, verdict: Verdict, reply: Reply | None, reason: str) -> None:
         """Handle the outcome of a send."""
         self._in_flight.remove(send)
+        # The call refers to the send; see `_release_owner`.
+        send.call = None
         if verdict is Verdict.NOT_SENT:
             self._possible_arrivals -= 1
         if verdict in (Verdict.NOT_SENT, Verdict.NOT_RUN):
@@ -328,6 +331,15 @@
         self.reason = reason
         self._drop_sends()
         self._on_done(self)
+        self._release_owner()
+
+    def _release_owner(self) -> None:
+        """Drop the reference to the owner, which refers to this object.
+
+        Otherwise the bodies of the request and its reply would stay in memory until a garbage
+        collection.
+        """
+        self._on_done = _ignore
 
     def _drop_sends(self) -> None:
         dropped, self._in_flight = self._in_flight, []
@@ -344,3 +356,7 @@
         self._sends -= 1
         self._possible_runs -= 1
         self._possible_arrivals -= 1
+
+
+def _ignore(_: Attempts) -> None:
+    """Take no notice of the end of a request."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/forwards.py
@@ -149,7 +149,10 @@
         self._outgoing.guard.close()
 
     def _report(self, status: int, reason: str) -> None:
-        self._log(
+        # Called once; the function refers to this object, and the bodies of the request and its
+        # reply would stay in memory until a garbage collection.
+        log, self._log = self._log, _ignore
+        log(
             Outcome(
                 status,
                 reason,
@@ -158,3 +161,7 @@
                 lost=self._tries.lost,
             )
         )
+
+
+def _ignore(_: Outcome) -> None:
+    """Take no notice of a second end of a request."""
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -29,11 +29,13 @@
     """A callback that can be cancelled."""
 
     def __init__(self, callback: Callable[[], None]) -> None:
-        self.callback = callback
+        self.callback: Callable[[], None] | None = callback
         self.cancelled = False
 
     def cancel(self) -> None:
+        """Drop the callback, as the handles of event loops do."""
         self.cancelled = True
+        self.callback = None
 
 
 class VirtualLoop:
