Callers' requests: nothing is read without end, or long before its turn

What callers saw: a client that sent trailers without end behind a chunked body, or many small requests in one segment, ended the process for its memory; one that sent a chunk extension was read for as long as it liked. Trailers also became headers of the request that was passed on. A head that came in one segment with the end of a long body before it got 431.

Cause: only bytes in a head were counted, and all of a segment as soon as it ended in one. All data received was parsed at once, up to 256 KB, and pausing the reading came after it. A body was a list of its pieces, 50 bytes for each.

RequestReader parses in pieces that end where a request does, so that positions are known and the rest can be left unparsed. Chunk lines, extensions and trailers may have maxHeaderBytes and 16 bytes for each byte of the body; a chunk of one byte has five. Trailers are discarded. At most eight requests wait; none starts while over 4 KB of replies are unread; after eight, other connections get their turn. The parser is released with its connection, not by a garbage collection.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -5,23 +5,22 @@
 from collections import deque
 from collections.abc import Callable
 
-import httptools
 import msgspec
 
 from limpethollow_node.engine.connection.listeners import BACKLOG
+from limpethollow_node.engine.connection.requestreader import RequestReader
 from limpethollow_node.engine.connection.sockets import enable_keepalive, round_trip
 from limpethollow_node.engine.messages import REASON_PHRASES, Headers, Reply, Request
+from limpethollow_policy.process.callerbounds import OWN_BYTES
 from limpethollow_policy.version.routes import CallerLimits
-from limpethollow_wire.exceptions import (
-    BadRequest,
-    HeadersTooLarge,
-    LimpethollowError,
-    SlowSender,
-    TooLarge,
-)
+from limpethollow_wire.exceptions import LimpethollowError, SlowSender
 
 # Pipelined requests that may be queued on one connection before reading from it is paused.
 _MAX_PIPELINED = 8
+# Requests of one connection that are parsed before others get their turn.
+_REQUESTS_PER_TURN = 8
+# A longer body is written apart from its head, since joining them would copy it.
+_MAX_JOINED_BYTES = 16 * 1024
 # A connection whose caller doesn't read its replies is aborted above this many unsent bytes.
 _MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
@@ -61,27 +60,24 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """Parses a caller's requests and enforces its size and time limits.
+    """Reads a caller's requests, has them handled in order, and writes the replies.
 
     Args:
         server: State shared by all connections of one listener.
     """
 
     __slots__ = (
-        "_pipelined",
-        "_body",
-        "_body_bytes",
         "_current",
         "_failed",
-        "_head_bytes",
-        "_headers",
-        "_in_head",
         "_loop",
-        "_parser",
         "_pending_error",
+        "_pipelined",
+        "_reader",
+        "_resume_scheduled",
         "_server",
-        "_target",
         "_transport",
+        "_unparsed",
+        "_unread",
         "idle_since",
         "message_started_at",
         "peer_host",
@@ -93,17 +89,15 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader()
         self._pipelined: deque[Request] = deque()
         self._current: Exchange | None = None
+        self._unparsed = b""
+        self._resume_scheduled = False
+        # Whether the caller has not read most of its replies.
+        self._unread = False
         self._pending_error: LimpethollowError | None = None
         self._failed = False
-        self._in_head = False
-        self._head_bytes = 0
-        self._target = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self.idle_since = self._loop.time()
         self.message_started_at: float | None = None
         self.requests = 0
@@ -117,6 +111,7 @@
             self._current is not None
             or self.message_started_at is not None
             or bool(self._pipelined)
+            or bool(self._unparsed)
         )
 
     @property
@@ -129,7 +124,9 @@
         if exchange is not self._current:
             return
         self._current = None
-        last = not exchange.request.keep_alive or self._server.leaving and not self._pipelined
+        last = not exchange.request.keep_alive or (
+            self._server.leaving and not self._pipelined and not self._unparsed
+        )
         self._write(reply, close=last, head=exchange.request.method == b"HEAD")
         self.idle_since = self._loop.time()
         if not last:
@@ -158,6 +155,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and read the caller's address and round-trip time."""
         self._transport = transport
+        # Above this, no further request of this caller is handled.
+        transport.set_write_buffer_limits(high=OWN_BYTES)
         sock = transport.get_extra_info("socket")
         enable_keepalive(sock)
         self.round_trip = round_trip(sock)
@@ -165,101 +164,110 @@
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, or keep them until there is room for further requests."""
         if self._failed:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(BadRequest("Protocol upgrades are not supported."))
-        except httptools.HttpParserError as error:
-            if not self._failed:
-                self._reject(BadRequest(f"The data is not a valid HTTP request ({error})."))
-        if self._in_head:
-            self._head_bytes += len(data)
-        if self._in_head and self._head_bytes > self._server.limits.header_bytes:
-            self._reject(HeadersTooLarge("The headers are too long."))
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
         return False
 
+    def pause_writing(self) -> None:
+        """Handle no further request until the caller has read its replies."""
+        self._unread = True
+
+    def resume_writing(self) -> None:
+        """Handle the next request, since the caller has read its replies."""
+        self._unread = False
+        if self._current is None and not self._transport.is_closing():
+            self._handle_next()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request of a caller that disconnected."""
         self._server.connections.discard(self)
         exchange, self._current = self._current, None
         self._pipelined.clear()
+        self._unparsed = b""
+        self._reader.close()
         if exchange is not None and exchange.on_disconnect is not None:
             exchange.on_disconnect()
 
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Reset the state for a new request."""
-        self._in_head = True
-        self._head_bytes = 0
-        self._target = b""
-        self._headers = []
-        self._body = []
-        self._body_bytes = 0
-        self.message_started_at = self._loop.time()
-
-    def on_url(self, url: bytes) -> None:
-        """Append a piece of the request target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Check the header limits; answer `Expect` with `100 Continue`."""
-        self._in_head = False
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if size + len(self._target) > self._server.limits.header_bytes:
-            self._reject(HeadersTooLarge("The headers are too long."))
+    @property
+    def _may_parse(self) -> bool:
+        return len(self._pipelined) < _MAX_PIPELINED and not self._unread
+
+    def _parse(self, data: bytes) -> None:
+        """Parse data until it ends or no further request may be queued; keep the rest."""
+        position, completed = 0, 0
+        while position < len(data) and not self._failed and not self._transport.is_closing():
+            if not self._may_parse or completed >= _REQUESTS_PER_TURN:
+                self._keep_unparsed(data[position:])
+                return
+            error: LimpethollowError | None = None
+            try:
+                position += self._reader.read(data, position, self._server.limits)
+            except LimpethollowError as raised:
+                error = raised
+            for request, _ in self._reader.take():
+                completed += 1
+                self.message_started_at = None
+                self._enqueue(request)
+            if error is not None:
+                self._reject(error)
+                return
+            self._note_progress()
+
+    def _note_progress(self) -> None:
+        """Note the start of a request; answer `Expect` with `100 Continue`."""
+        if not self._reader.is_reading or self._failed:
             return
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower == b"content-length" and int(value or 0) > self._server.limits.body_bytes:
-                self._reject(TooLarge("The body is too large."))
-            elif lower == b"expect" and self._current is None and not self._pipelined:
+        if self.message_started_at is None:
+            self.message_started_at = self._loop.time()
+        if self._reader.expects_continue:
+            self._reader.expects_continue = False
+            if self._current is None and not self._pipelined:
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, body: bytes) -> None:
-        """Append a piece of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._reject(TooLarge("The body is too large."))
-        elif not self._failed:
-            self._body.append(body)
+    def _keep_unparsed(self, data: bytes) -> None:
+        if not self._unparsed:
+            self._transport.pause_reading()
+        self._unparsed = data
+        if self._may_parse:
+            self._schedule_parsing()
+
+    def _schedule_parsing(self) -> None:
+        """Parse what was left in a later turn of the event loop, so that others get theirs."""
+        if self._unparsed and not self._resume_scheduled:
+            self._resume_scheduled = True
+            self._loop.call_soon(self._parse_rest)
+
+    def _parse_rest(self) -> None:
+        self._resume_scheduled = False
+        if not self._unparsed or not self._may_parse or self._transport.is_closing():
+            return
+        data, self._unparsed = self._unparsed, b""
+        self._transport.resume_reading()
+        self._parse(data)
 
-    def on_message_complete(self) -> None:
+    def _enqueue(self, request: Request) -> None:
         """Handle a complete request, or queue it behind earlier ones."""
-        self.message_started_at = None
-        if self._failed:
-            return
-        request = Request(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
-            self._parser.should_keep_alive(),
-        )
         self._pipelined.append(request)
-        if len(self._pipelined) > _MAX_PIPELINED:
-            self._transport.pause_reading()
         if self._current is None:
             self._handle_next()
 
     def _handle_next(self) -> None:
+        if self._unread or self._transport.is_closing():
+            return
+        self._schedule_parsing()
         if not self._pipelined:
             if self._pending_error is not None:
                 self._send_pending_error()
             return
         request = self._pipelined.popleft()
-        if len(self._pipelined) <= _MAX_PIPELINED and not self._transport.is_closing():
-            self._transport.resume_reading()
         self.requests += 1
         self._current = Exchange(self, request, self._loop.time())
         self._server.handler(self._current)
@@ -270,6 +278,12 @@
             return
         self._failed = True
         self.message_started_at = None
+        self._reader.close()
+        if self._unparsed:
+            self._unparsed = b""
+            if not self._transport.is_closing():
+                # What still comes is discarded.
+                self._transport.resume_reading()
         self._pending_error = error
         self._server.refused(error)
         if self._current is None and not self._pipelined:
@@ -288,9 +302,14 @@
         if reply.status not in (204, 304):
             lines.append(b"Content-Length: %d\r\n" % len(reply.body))
         lines.append(b"Connection: close\r\n\r\n" if close else b"\r\n")
-        if not head:
-            lines.append(reply.body)
-        self._transport.write(b"".join(lines))
+        body = b"" if head else reply.body
+        if len(body) <= _MAX_JOINED_BYTES:
+            lines.append(body)
+            body = b""
+        start = b"".join(lines)
+        self._transport.write(start)
+        if body:
+            self._transport.write(body)
         if close:
             self._transport.close()
 
@@ -303,12 +322,23 @@
         refused: Called with each error that is sent before a request was complete.
     """
 
-    __slots__ = ("_listener", "connections", "handler", "leaving", "limits", "refused")
+    __slots__ = (
+        "_listener",
+        "connections",
+        "handler",
+        "leaving",
+        "limits",
+        "refused",
+    )
 
     # Interval at which time limits are checked; the limits themselves are several seconds long.
     SWEEP_SECONDS = 1.0
 
-    def __init__(self, handler: Handler, refused: Callable[[LimpethollowError], None]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        refused: Callable[[LimpethollowError], None],
+    ) -> None:
         self.handler = handler
         self.refused = refused
         self.limits = CallerLimits()
