Callers' requests: a bound on the memory of all of them together

What callers saw: many chunked bodies at once that stop short of their end, or many short headers, ended the process for its memory. Each was within the configured limits.

Cause: sizes were limited per connection only, and by bytes on the wire: a header takes 160 bytes beside its text.

CallerResources gives all connections an eighth of memoryMb beyond 4 KB each, at least one request of the largest allowed size. A request counts with what it takes in memory. Over the bound, the connection with the most byte-seconds has its incomplete request refused: 503 with Retry-After, which is true since it has not run, after the replies to the requests before it. Complete requests are never evicted. Received bytes that the kernel holds are limited by SO_RCVBUF.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -7,13 +7,14 @@
 
 import msgspec
 
-from limpethollow_node.engine.connection.listeners import BACKLOG
+from limpethollow_node.engine.connection.callerresources import CallerResources
+from limpethollow_node.engine.connection.listeners import BACKLOG, RECEIVE_BUFFER_BYTES
 from limpethollow_node.engine.connection.requestreader import RequestReader
 from limpethollow_node.engine.connection.sockets import enable_keepalive, round_trip
 from limpethollow_node.engine.messages import REASON_PHRASES, Headers, Reply, Request
 from limpethollow_policy.process.callerbounds import OWN_BYTES
 from limpethollow_policy.version.routes import CallerLimits
-from limpethollow_wire.exceptions import LimpethollowError, SlowSender
+from limpethollow_wire.exceptions import InstanceBusy, LimpethollowError, SlowSender
 
 # Pipelined requests that may be queued on one connection before reading from it is paused.
 _MAX_PIPELINED = 8
@@ -23,6 +24,8 @@
 _MAX_JOINED_BYTES = 16 * 1024
 # A connection whose caller doesn't read its replies is aborted above this many unsent bytes.
 _MAX_UNSENT_BYTES = 4 * 1024 * 1024
+# `Retry-After` in seconds of a request that was refused because too many were being received.
+_RETRY_SECONDS = 1.0
 
 Handler = Callable[["Exchange"], None]
 
@@ -70,6 +73,8 @@
         "_current",
         "_failed",
         "_loop",
+        "_memory_of_current",
+        "_memory_of_requests",
         "_pending_error",
         "_pipelined",
         "_reader",
@@ -78,6 +83,7 @@
         "_transport",
         "_unparsed",
         "_unread",
+        "_used",
         "idle_since",
         "message_started_at",
         "peer_host",
@@ -90,8 +96,11 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader()
-        self._pipelined: deque[Request] = deque()
+        self._pipelined: deque[tuple[Request, int]] = deque()
         self._current: Exchange | None = None
+        self._memory_of_current = 0
+        self._memory_of_requests = 0
+        self._used = 0
         self._unparsed = b""
         self._resume_scheduled = False
         # Whether the caller has not read most of its replies.
@@ -124,6 +133,7 @@
         if exchange is not self._current:
             return
         self._current = None
+        self._memory_of_requests -= self._memory_of_current
         last = not exchange.request.keep_alive or (
             self._server.leaving and not self._pipelined and not self._unparsed
         )
@@ -131,12 +141,19 @@
         self.idle_since = self._loop.time()
         if not last:
             self._handle_next()
+        self._account()
 
     def close_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
         if not self.busy:
             self._transport.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, and those sent behind it."""
+        self._reject(
+            InstanceBusy("Too many requests are being received.", retry_after=_RETRY_SECONDS)
+        )
+
     def enforce_time_limits(self, now: float) -> None:
         """Enforce the time limits; called about once per second."""
         limits = self._server.limits
@@ -171,6 +188,7 @@
             self._unparsed += data
         else:
             self._parse(data)
+        self._account()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side."""
@@ -189,6 +207,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request of a caller that disconnected."""
         self._server.connections.discard(self)
+        self._server.resources.release(self)
         exchange, self._current = self._current, None
         self._pipelined.clear()
         self._unparsed = b""
@@ -212,14 +231,16 @@
                 position += self._reader.read(data, position, self._server.limits)
             except LimpethollowError as raised:
                 error = raised
-            for request, _ in self._reader.take():
+            for request, memory in self._reader.take():
                 completed += 1
                 self.message_started_at = None
-                self._enqueue(request)
+                self._enqueue(request, memory)
             if error is not None:
                 self._reject(error)
                 return
             self._note_progress()
+            if position < len(data):
+                self._account()
 
     def _note_progress(self) -> None:
         """Note the start of a request; answer `Expect` with `100 Continue`."""
@@ -252,10 +273,21 @@
         data, self._unparsed = self._unparsed, b""
         self._transport.resume_reading()
         self._parse(data)
+        self._account()
+
+    def _account(self) -> None:
+        """Account for the memory of all received bytes of this connection."""
+        size = self._memory_of_requests + self._reader.memory
+        if self._unparsed:
+            size += len(self._unparsed) + RECEIVE_BUFFER_BYTES
+        if size > OWN_BYTES or self._used > OWN_BYTES:
+            self._used = size
+            self._server.resources.hold_received(self, size, self._memory_of_requests)
 
-    def _enqueue(self, request: Request) -> None:
+    def _enqueue(self, request: Request, memory: int) -> None:
         """Handle a complete request, or queue it behind earlier ones."""
-        self._pipelined.append(request)
+        self._memory_of_requests += memory
+        self._pipelined.append((request, memory))
         if self._current is None:
             self._handle_next()
 
@@ -267,7 +299,7 @@
             if self._pending_error is not None:
                 self._send_pending_error()
             return
-        request = self._pipelined.popleft()
+        request, self._memory_of_current = self._pipelined.popleft()
         self.requests += 1
         self._current = Exchange(self, request, self._loop.time())
         self._server.handler(self._current)
@@ -284,6 +316,7 @@
             if not self._transport.is_closing():
                 # What still comes is discarded.
                 self._transport.resume_reading()
+        self._account()
         self._pending_error = error
         self._server.refused(error)
         if self._current is None and not self._pipelined:
@@ -320,15 +353,17 @@
     Args:
         handler: Called with each request.
         refused: Called with each error that is sent before a request was complete.
+        resources: What all callers' connections of the process use.
     """
 
     __slots__ = (
+        "_limits",
         "_listener",
         "connections",
         "handler",
         "leaving",
-        "limits",
         "refused",
+        "resources",
     )
 
     # Interval at which time limits are checked; the limits themselves are several seconds long.
@@ -338,14 +373,26 @@
         self,
         handler: Handler,
         refused: Callable[[LimpethollowError], None],
+        resources: CallerResources,
     ) -> None:
         self.handler = handler
         self.refused = refused
-        self.limits = CallerLimits()
+        self.resources = resources
+        self._limits = CallerLimits()
         self.leaving = False
         self.connections: set[CallerConnection] = set()
         self._listener: asyncio.Server | None = None
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers' requests."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        self._limits = limits
+        self.resources.set_limits(limits)
+
     @property
     def has_unsent(self) -> bool:
         """Return whether reply bytes are still buffered on any connection."""
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/listeners.py
@@ -4,6 +4,10 @@
 
 # Connections that may wait to be accepted; the kernel refuses further ones.
 BACKLOG = 512
+# Size of the kernel's buffers of each accepted connection. Received bytes that are not read yet
+# count as the process's memory, and the kernel would let the buffers grow to several megabytes.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+_SEND_BUFFER_BYTES = 256 * 1024
 
 
 def open_listener(host: str, port: int) -> socket.socket:
@@ -19,6 +23,8 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
         listener.bind((host, port))
         listener.listen(BACKLOG)
         listener.setblocking(False)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -1,12 +1,14 @@
 """Wires the product to the platform's listeners, store and settings in one process."""
 
 import asyncio
+import resource
 import time
 from collections.abc import Callable, Coroutine
 from functools import partial
 from random import Random
 from typing import Any
 
+from limpethollow_node.engine.connection.callerresources import CallerResources
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
 from limpethollow_node.engine.messages import Reply
@@ -47,6 +49,7 @@
 from limpethollow_node.process.garbage import collect_between_requests
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
+from limpethollow_policy.process.callerbounds import CallerBounds
 from limpethollow_policy.process.changepaces import ChangePace
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.homes import Regions, instances_for_host
@@ -70,6 +73,7 @@
 _RETRY_WITHOUT_INSTANCE = 0.5
 # Bandwidth that one core can use: about 9,000 calls a second of 400 bytes, which is 30 Mbit/s.
 _MBPS_PER_CORE = 30.0
+_MEGABYTE = 1024 * 1024
 
 
 class PlatformProcess:
@@ -139,6 +143,7 @@
         )
         self._list_ttl = ListLifetime(bounds.ttl_max_s)
         self._servers: list[CallerServer] = []
+        self._caller_resources = CallerResources(_caller_bounds(settings.limits), self.metrics)
         self._front = self._add_server(self._engine.handle)
         self._directory = self._add_server(
             DirectoryHandler(self._addresses_for_caller, self._list_ttl_seconds).handle
@@ -348,7 +353,7 @@
         collect_between_requests(busy=self._engine.is_busy)
 
     def _add_server(self, handler: Callable[[Exchange], None]) -> CallerServer:
-        server = CallerServer(handler, self._on_refused)
+        server = CallerServer(handler, self._on_refused, self._caller_resources)
         self._servers.append(server)
         return server
 
@@ -427,6 +432,14 @@
     return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
 
 
+def _caller_bounds(limits: Limits) -> CallerBounds:
+    """Return the bounds on callers from the platform's limits and the kernel's."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = limits.max_fds
+    return CallerBounds.of(limits.memory_mb * _MEGABYTE, min(limits.max_fds, allowed))
+
+
 def _quota_bounds(bounds: Bounds) -> QuotaBounds:
     return QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -133,6 +133,9 @@
 REQUEST_ENDED = _event(520, logging.INFO, "a caller's request ended")
 REQUEST_SUSPECTED = _event(522, logging.WARNING, "request is suspected of crashing its searchers")
 SUSPICION_ENDED = _event(523, logging.INFO, "request is no longer suspected or quarantined")
+CALLER_LIMIT_REACHED = _event(
+    524, logging.WARNING, "limit for all callers reached; connection closed or request refused"
+)
 LEASE_LAPSED = _event(
     530, logging.WARNING, "lease of the keys lapsed; requests that need a key are refused"
 )
--- a/tests/system/platform/test_crowds.py
+++ b/tests/system/platform/test_crowds.py
@@ -115,7 +115,30 @@
     return post(listener, "Transfer-Encoding: chunked")
 
 
+class TestHeads:
+    @pytest.mark.parametrize("listener", LISTENERS)
+    def test_many_short_headers(self, instance, listener):
+        """Guards against memory that short headers take beside their text."""
+        head = post(listener)[:-2] + b"aa:bb\r\n" * ((HEADER_BYTES - 300) // 7)
+        instance.withstands(listener, 700, head)
+
+
 class TestBodies:
+    @pytest.mark.parametrize("listener", LISTENERS)
+    def test_large_chunks_that_stop_short(self, instance, listener):
+        """Guards against incomplete bodies that are each within the limit."""
+        data = chunked(listener) + chunks(65536, BODY_BYTES - 65536)
+        instance.withstands(listener, 150, data)
+
+    def test_small_chunks_that_stop_short(self, instance):
+        """Guards against memory that chunks take beside their bytes."""
+        instance.withstands("front", 40, chunked("front") + chunks(2, 128 * 1024))
+
+    def test_bodies_with_a_length_that_stop_short(self, instance):
+        """Guards against incomplete bodies that are each within the limit."""
+        data = post("front", f"Content-Length: {BODY_BYTES}") + b"x" * (BODY_BYTES - 1)
+        instance.withstands("front", 150, data)
+
     @pytest.mark.parametrize("listener", LISTENERS)
     def test_endless_trailers(self, instance, listener):
         """Guards against trailers that are read without end."""
@@ -144,6 +167,13 @@
         first = post("front", "Content-Length: 0")
         instance.withstands("front", 100, first + b"GET / HTTP/1.1\r\n\r\n" * 11_000)
 
+    def test_many_bodies_behind_a_slow_request(self, system):
+        """Guards against bodies that wait in memory behind a request that runs."""
+        instance = Instance(system, answer=silent_for(b"POST")).start()
+        body = b"x" * (BODY_BYTES // 2)
+        data = post("front", f"Content-Length: {len(body)}") + body
+        instance.withstands("front", 40, data * 8)
+
 
 def silent_for(method: bytes) -> Callable:
     """Return an answer that never comes to requests of one method."""
--- /dev/null
+++ b/tests/unit/engine/test_callers.py
@@ -0,0 +1,90 @@
+"""Connections of callers that share the memory and the sockets of a process."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from limpethollow_node.engine.connection.callerresources import CallerResources
+from limpethollow_node.engine.connection.callers import CallerServer, Exchange
+from limpethollow_node.engine.connection.listeners import open_listener
+from limpethollow_node.engine.messages import Reply
+from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.callerbounds import CallerBounds
+
+HALF = b"POST /half HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" + b"x" * 80_000
+GET = b"GET /works HTTP/1.1\r\n\r\n"
+
+
+class Callers:
+    """A server whose requests are answered by the test."""
+
+    def __init__(self, **bounds: int) -> None:
+        self.metrics = Metrics()
+        filled = {"received_bytes": 200_000, "unsent_bytes": 100_000, "sockets": 128, **bounds}
+        resources = CallerResources(CallerBounds(**filled), self.metrics)
+        self.taken: list[Exchange] = []
+        self.server = CallerServer(self.taken.append, lambda error: None, resources)
+        self._listener = open_listener("127.0.0.1", 0)
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> "Callers":
+        await self.server.serve(self._listener)
+        return self
+
+    async def connect(self, data: bytes = b"", window: int = 65536) -> asyncio.StreamReader:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        sock.connect(self._listener.getsockname())
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self._writers.append(writer)
+        writer.write(data)
+        return reader
+
+    async def next_taken(self) -> Exchange:
+        await until(lambda: self.taken)
+        return self.taken.pop(0)
+
+    def limited(self, reason: str) -> int:
+        return self.metrics.value("callers_limited", reason)
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(20.0):
+        while not holds():
+            await asyncio.sleep(0.002)
+
+
+class TestReceived:
+    def test_a_request_that_works_is_answered_before_the_refusal_of_the_next(self):
+        """Guards against requests cut while a searcher works on them."""
+
+        async def play() -> bytes:
+            callers = await Callers().start()
+            reader = await callers.connect(GET + HALF)
+            works = await callers.next_taken()
+            while not callers.limited("received"):
+                await callers.connect(HALF)
+                await asyncio.sleep(0.01)
+            works.respond(Reply(200, [], b"done"))
+            return await reader.read()
+
+        read = asyncio.run(play())
+        assert read.index(b"HTTP/1.1 200 OK") < read.index(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1.000" in read
+
+    def test_what_is_left_unparsed_is_handled_in_order(self):
+        """Guards against requests that are lost behind those that may wait."""
+        sent = [b"/%d" % number for number in range(100)]
+
+        async def play() -> list[bytes]:
+            callers = await Callers().start()
+            await callers.connect(b"".join(b"GET %b HTTP/1.1\r\n\r\n" % each for each in sent))
+            found = []
+            for _ in sent:
+                exchange = await callers.next_taken()
+                found.append(exchange.request.target)
+                exchange.respond(Reply(200))
+            return found
+
+        assert asyncio.run(play()) == sent
