Replies: a bound on what all callers leave unread

What callers saw: long answers that many clients read slowly ended the process for its memory.

All connections share an eighth of memoryMb, at least 17 MiB (the longest reply of a searcher has 16), beyond 4 KB each. Over it, the connection with the most byte-seconds is reset; it has no request at work, since none is started while its replies are unread. The limit of 4 MB for one connection is gone: a long reply to one slow caller is delivered in calm.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -22,8 +22,6 @@
 _REQUESTS_PER_TURN = 8
 # A longer body is written apart from its head, since joining them would copy it.
 _MAX_JOINED_BYTES = 16 * 1024
-# A connection whose caller doesn't read its replies is aborted above this many unsent bytes.
-_MAX_UNSENT_BYTES = 4 * 1024 * 1024
 # `Retry-After` in seconds of a request that was refused because too many were being received.
 _RETRY_SECONDS = 1.0
 
@@ -126,7 +124,12 @@
     @property
     def has_unsent(self) -> bool:
         """Return whether reply bytes are still buffered because the caller hasn't read them."""
-        return self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the reply bytes that are still buffered."""
+        return self._transport.get_write_buffer_size()
 
     def finish(self, exchange: Exchange, reply: Reply) -> None:
         """Write the reply to the current request and start to handle the next one."""
@@ -154,12 +157,14 @@
             InstanceBusy("Too many requests are being received.", retry_after=_RETRY_SECONDS)
         )
 
+    def abort(self) -> None:
+        """Close the connection at once, and release the replies that are buffered."""
+        self._transport.abort()
+
     def enforce_time_limits(self, now: float) -> None:
         """Enforce the time limits; called about once per second."""
         limits = self._server.limits
-        if self._transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
-            self._transport.abort()
-        elif (
+        if (
             self.message_started_at is not None
             and now > self.message_started_at + limits.header_timeout
         ):
@@ -172,7 +177,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and read the caller's address and round-trip time."""
         self._transport = transport
-        # Above this, no further request of this caller is handled.
+        # Above this, replies count in the memory that all callers share, and no further request of
+        # this caller is handled: a connection that may be aborted has none at work.
         transport.set_write_buffer_limits(high=OWN_BYTES)
         sock = transport.get_extra_info("socket")
         enable_keepalive(sock)
@@ -201,6 +207,7 @@
     def resume_writing(self) -> None:
         """Handle the next request, since the caller has read its replies."""
         self._unread = False
+        self._server.resources.hold_unsent(self, self.unsent_bytes)
         if self._current is None and not self._transport.is_closing():
             self._handle_next()
 
@@ -340,6 +347,9 @@
             lines.append(body)
             body = b""
         start = b"".join(lines)
+        size = self.unsent_bytes + len(start) + len(body)
+        if not self._server.resources.hold_unsent(self, size):
+            return
         self._transport.write(start)
         if body:
             self._transport.write(body)
--- a/tests/system/platform/test_crowds.py
+++ b/tests/system/platform/test_crowds.py
@@ -1,5 +1,6 @@
 """Clients that together send, or leave unread, more than a process has room for."""
 
+import os
 import socket
 from collections.abc import Callable
 from contextlib import contextmanager
@@ -8,7 +9,7 @@
 import urllib3
 
 from tests.standins.backends import Hang
-from tests.support.crowds import Crowd, CrowdClient, ResourceWatch
+from tests.support.crowds import Crowd, CrowdClient, ResourceWatch, SlowReaders
 from tests.support.platforms import HOST, PlatformInstance, configuration, forward_route
 
 MEMORY_MB = 128
@@ -175,12 +176,39 @@
         instance.withstands("front", 40, data * 8)
 
 
+class TestReplies:
+    def test_long_ones_that_many_read_slowly(self, system):
+        """Guards against replies that wait in memory for callers that don't read."""
+        body = b"x" * 3_900_000
+        answers = {b"/get/long": body}
+        instance = Instance(system, answer=bodies_of(answers)).start()
+        request = f"GET /get/long HTTP/1.1\r\nHost: {HOST}\r\n"
+        request += "X-Limpethollow-Request-Id: long\r\n\r\n"
+        with instance.watched(), SlowReaders(instance.port("front")) as readers:
+            for _ in range(60):
+                readers.add(request.encode())
+            instance.serves()
+
+    def test_a_long_one_is_delivered_in_calm(self, system):
+        """Guards against limits that a single caller would meet."""
+        body = os.urandom(8_000_000)
+        instance = Instance(system, answer=bodies_of({b"/get/long": body})).start()
+        request = f"GET /get/long HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+        request += "X-Limpethollow-Request-Id: long\r\n\r\n"
+        assert reply_to(instance, request.encode()).endswith(body)
+
+
 def silent_for(method: bytes) -> Callable:
     """Return an answer that never comes to requests of one method."""
     name = method.decode()
     return lambda me, seen: Hang() if seen.method == name else me.success(seen)
 
 
+def bodies_of(bodies: dict[bytes, bytes]) -> Callable:
+    """Return an answer with a body that depends on the target."""
+    return lambda me, seen: me.success(seen, body=bodies.get(seen.target.encode(), b"short"))
+
+
 def reply_to(instance: Instance, data: bytes) -> bytes:
     """Send one request and return its reply."""
     with socket.create_connection(("127.0.0.1", instance.port("front")), timeout=20.0) as caller:
--- a/tests/unit/engine/test_callers.py
+++ b/tests/unit/engine/test_callers.py
@@ -88,3 +88,36 @@
             return found
 
         assert asyncio.run(play()) == sent
+
+
+class TestUnsent:
+    def test_the_one_that_holds_most_is_closed(self):
+        """Guards against replies that wait in memory for callers that don't read."""
+
+        async def play() -> None:
+            callers = await Callers(unsent_bytes=5_000_000).start()
+            # asyncio's readers take some bytes; the kernel has the first buffers.
+            while not callers.limited("unsent"):
+                await callers.connect(GET, window=4096)
+                exchange = await callers.next_taken()
+                exchange.respond(Reply(200, [], b"x" * 3_000_000))
+            await until(lambda: len(callers.server.connections) < 3)
+
+        asyncio.run(play())
+
+    def test_no_further_request_starts_before_the_replies_are_read(self):
+        """Guards against a connection that is closed for its replies while a request runs."""
+
+        async def play() -> bytes:
+            callers = await Callers(unsent_bytes=5_000_000).start()
+            reader = await callers.connect(GET * 2, window=4096)
+            first = await callers.next_taken()
+            first.respond(Reply(200, [], b"x" * 3_000_000))
+            assert not callers.taken
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(3_000_000)
+            second = await callers.next_taken()
+            second.respond(Reply(200, [], b"second"))
+            return await reader.readuntil(b"second")
+
+        assert asyncio.run(play()).startswith(b"HTTP/1.1 200 OK")
