Callers' connections: a limit for each listener

What callers saw: a client that opened more connections than maxFds allows, with nothing or half a head on each, on any of the four listeners, took the descriptors that the process needs for its searchers, the store and the other listeners.

Cause: no listener limited its connections.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callerresources.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callerresources.py
@@ -5,7 +5,7 @@
 
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.callerbounds import OWN_BYTES, CallerBounds
+from limpethollow_policy.process.callerbounds import OWN_BYTES, CallerBounds, ListenerKind
 from limpethollow_policy.process.memorypools import MemoryPool
 from limpethollow_policy.version.routes import CallerLimits
 
@@ -105,6 +105,10 @@
         self._unsent.release(holder)
         self._unread.discard(holder)
 
+    def report_connections(self, kind: ListenerKind, open_now: int) -> None:
+        """Log and count a connection that was closed, or refused, for the limit of its listener."""
+        self._report(f"{kind.label}_connections", open_now)
+
     def _report(self, limit: str, used: int) -> None:
         self._metrics.count("callers_limited", limit)
         events.CALLER_LIMIT_REACHED.log(limit=limit, used=used)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/callers.py
@@ -12,7 +12,12 @@
 from limpethollow_node.engine.connection.requestreader import RequestReader
 from limpethollow_node.engine.connection.sockets import enable_keepalive, round_trip
 from limpethollow_node.engine.messages import REASON_PHRASES, Headers, Reply, Request
-from limpethollow_policy.process.callerbounds import OWN_BYTES
+from limpethollow_policy.process.callerbounds import (
+    OWN_BYTES,
+    ListenerKind,
+    Standing,
+    connections_to_close,
+)
 from limpethollow_policy.version.routes import CallerLimits
 from limpethollow_wire.exceptions import InstanceBusy, LimpethollowError, SlowSender
 
@@ -131,6 +136,25 @@
         """Return the reply bytes that are still buffered."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def is_closing(self) -> bool:
+        """Return whether the connection closes once all replies are read."""
+        return self._transport.is_closing()
+
+    @property
+    def standing(self) -> Standing:
+        """Return what the connection does, which decides whether it may be closed for others."""
+        if self._current is not None:
+            return Standing.AT_WORK
+        if self.has_unsent:
+            return Standing.UNREAD
+        return Standing.RECEIVING if self.busy else Standing.IDLE
+
+    @property
+    def standing_since(self) -> float:
+        """Return the monotonic time in seconds at which the standing began."""
+        return self.idle_since if self.message_started_at is None else self.message_started_at
+
     def finish(self, exchange: Exchange, reply: Reply) -> None:
         """Write the reply to the current request and start to handle the next one."""
         if exchange is not self._current:
@@ -161,6 +185,15 @@
         """Close the connection at once, and release the replies that are buffered."""
         self._transport.abort()
 
+    def close_for_others(self) -> None:
+        """Close a connection that has no request at work."""
+        if self.has_unsent:
+            self.abort()
+        elif self.busy:
+            self.refuse_incomplete()
+        else:
+            self._transport.close()
+
     def enforce_time_limits(self, now: float) -> None:
         """Enforce the time limits; called about once per second."""
         limits = self._server.limits
@@ -184,7 +217,7 @@
         enable_keepalive(sock)
         self.round_trip = round_trip(sock)
         self.peer_host = (transport.get_extra_info("peername") or (None,))[0]
-        self._server.connections.add(self)
+        self._server.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep them until there is room for further requests."""
@@ -364,9 +397,11 @@
         handler: Called with each request.
         refused: Called with each error that is sent before a request was complete.
         resources: What all callers' connections of the process use.
+        kind: What the listener serves.
     """
 
     __slots__ = (
+        "_kind",
         "_limits",
         "_listener",
         "connections",
@@ -384,10 +419,12 @@
         handler: Handler,
         refused: Callable[[LimpethollowError], None],
         resources: CallerResources,
+        kind: ListenerKind = ListenerKind.INTERNAL,
     ) -> None:
         self.handler = handler
         self.refused = refused
         self.resources = resources
+        self._kind = kind
         self._limits = CallerLimits()
         self.leaving = False
         self.connections: set[CallerConnection] = set()
@@ -420,6 +457,21 @@
             lambda: CallerConnection(self), sock=listener, backlog=BACKLOG
         )
 
+    def add(self, connection: CallerConnection) -> None:
+        """Add a new connection; over the limit, close others or, if all are at work, this one."""
+        limit = self.resources.bounds.connections(self._kind)
+        if len(self.connections) >= limit:
+            others = [
+                (other, other.standing, other.standing_since)
+                for other in self.connections
+                if other.has_unsent or not other.is_closing
+            ]
+            closed = connections_to_close(others, limit)
+            for other in closed or [connection]:
+                self.resources.report_connections(self._kind, len(self.connections))
+                other.close_for_others()
+        self.connections.add(connection)
+
     def sweep(self, now: float) -> None:
         """Enforce the time limits on all connections."""
         for connection in tuple(self.connections):
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -49,7 +49,7 @@
 from limpethollow_node.process.garbage import collect_between_requests
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
-from limpethollow_policy.process.callerbounds import CallerBounds
+from limpethollow_policy.process.callerbounds import CallerBounds, ListenerKind
 from limpethollow_policy.process.changepaces import ChangePace
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.homes import Regions, instances_for_host
@@ -144,9 +144,10 @@
         self._list_ttl = ListLifetime(bounds.ttl_max_s)
         self._servers: list[CallerServer] = []
         self._caller_resources = CallerResources(_caller_bounds(settings.limits), self.metrics)
-        self._front = self._add_server(self._engine.handle)
+        self._front = self._add_server(self._engine.handle, ListenerKind.FRONT)
         self._directory = self._add_server(
-            DirectoryHandler(self._addresses_for_caller, self._list_ttl_seconds).handle
+            DirectoryHandler(self._addresses_for_caller, self._list_ttl_seconds).handle,
+            ListenerKind.DIRECTORY,
         )
         self._lifecycle = Lifecycle(
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
@@ -261,6 +262,9 @@
         self.metrics.gauge("ready", lambda: self._lifecycle.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
         self.metrics.gauge("quarantined_requests", lambda: self._dispatch.quarantines.count)
+        self.metrics.gauge(
+            "caller_connections", lambda: sum(len(server.connections) for server in self._servers)
+        )
         self.metrics.gauge("instances_heard", lambda: self._peers.count_heard_peers(loop.time()))
 
     def _create_feeds(self) -> list[Feed]:
@@ -352,8 +356,10 @@
             server.sweep(now)
         collect_between_requests(busy=self._engine.is_busy)
 
-    def _add_server(self, handler: Callable[[Exchange], None]) -> CallerServer:
-        server = CallerServer(handler, self._on_refused, self._caller_resources)
+    def _add_server(
+        self, handler: Callable[[Exchange], None], kind: ListenerKind = ListenerKind.INTERNAL
+    ) -> CallerServer:
+        server = CallerServer(handler, self._on_refused, self._caller_resources, kind)
         self._servers.append(server)
         return server
 
--- a/tests/system/platform/test_crowds.py
+++ b/tests/system/platform/test_crowds.py
@@ -13,6 +13,8 @@
 from tests.support.platforms import HOST, PlatformInstance, configuration, forward_route
 
 MEMORY_MB = 128
+# Where descriptors are what runs out.
+MAX_FDS = 700
 HEADER_BYTES = 8192
 BODY_BYTES = 1024 * 1024
 LISTENERS = ("front", "directory", "ready", "metrics")
@@ -123,6 +125,13 @@
         head = post(listener)[:-2] + b"aa:bb\r\n" * ((HEADER_BYTES - 300) // 7)
         instance.withstands(listener, 700, head)
 
+    @pytest.mark.parametrize("listener", LISTENERS)
+    @pytest.mark.parametrize("data", [b"", b"GET /get/x HT"], ids=["silent", "half a head"])
+    def test_many_connections(self, system, listener, data):
+        """Guards against descriptors that waiting connections take from all others."""
+        instance = Instance(system).start(MAX_FDS)
+        instance.withstands(listener, MAX_FDS + 300, data, MAX_FDS)
+
 
 class TestBodies:
     @pytest.mark.parametrize("listener", LISTENERS)
--- a/tests/unit/engine/test_callers.py
+++ b/tests/unit/engine/test_callers.py
@@ -9,7 +9,7 @@
 from limpethollow_node.engine.connection.listeners import open_listener
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_policy.process.callerbounds import CallerBounds
+from limpethollow_policy.process.callerbounds import CallerBounds, ListenerKind
 
 HALF = b"POST /half HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" + b"x" * 80_000
 GET = b"GET /works HTTP/1.1\r\n\r\n"
@@ -23,7 +23,9 @@
         filled = {"received_bytes": 200_000, "unsent_bytes": 100_000, "sockets": 128, **bounds}
         resources = CallerResources(CallerBounds(**filled), self.metrics)
         self.taken: list[Exchange] = []
-        self.server = CallerServer(self.taken.append, lambda error: None, resources)
+        self.server = CallerServer(
+            self.taken.append, lambda error: None, resources, ListenerKind.FRONT
+        )
         self._listener = open_listener("127.0.0.1", 0)
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -121,3 +123,24 @@
             return await reader.readuntil(b"second")
 
         assert asyncio.run(play()).startswith(b"HTTP/1.1 200 OK")
+
+
+class TestConnections:
+    def test_a_new_one_is_refused_only_if_all_others_are_at_work(self):
+        """Guards against requests cut while a searcher works on them."""
+
+        async def play() -> list[bytes]:
+            callers = await Callers(sockets=4).start()
+            works = await callers.connect(GET)
+            first = await callers.next_taken()
+            idle = await callers.connect()
+            also_works = await callers.connect(GET)
+            second = await callers.next_taken()
+            await until(idle.at_eof)
+            refused = await callers.connect()
+            await until(refused.at_eof)
+            for exchange in (first, second):
+                exchange.respond(Reply(200, [], b"done"))
+            return [await reader.readuntil(b"done") for reader in (works, also_works)]
+
+        assert all(read.startswith(b"HTTP/1.1 200 OK") for read in asyncio.run(play()))
