Searches and cancelled sends: bodies are released when a request ends

The owner, the carrier and the call are dropped at the end. A cancelled call discards what comes later, and a send without its call is no longer in flight. Searches with batches still have a circle (carrier and batch).

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/attempts.py
@@ -334,25 +334,30 @@
         self._release_owner()
 
     def _release_owner(self) -> None:
-        """Drop the reference to the owner, which refers to this object.
+        """Drop the references to the owner, which refers to this object.
 
         Otherwise the bodies of the request and its reply would stay in memory until a garbage
         collection.
         """
         self._on_done = _ignore
+        self._carrier = None
 
     def _drop_sends(self) -> None:
         dropped, self._in_flight = self._in_flight, []
         for send in dropped:
             if not send.is_sent:
                 self._possible_runs -= 1
-            send.drop()
-            self.outgoing.guard.ended(send.replica.searcher.run)
+            self._drop(send)
 
-    def _withdraw(self, send: Send) -> None:
-        self._in_flight.remove(send)
+    def _drop(self, send: Send) -> None:
+        """Cancel a send; its call refers to it, as `_release_owner` says of owners."""
         send.drop()
+        send.call = None
         self.outgoing.guard.ended(send.replica.searcher.run)
+
+    def _withdraw(self, send: Send) -> None:
+        self._in_flight.remove(send)
+        self._drop(send)
         self._sends -= 1
         self._possible_runs -= 1
         self._possible_arrivals -= 1
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/searches.py
@@ -80,7 +80,9 @@
         self._log = log
         self._parts = PartSet(outgoing.route.top)
         self._min_parts = outgoing.route.min_parts
-        self._carrier = BatchingCarrier(dispatch, desk, outgoing, self._on_group)
+        self._carrier: BatchingCarrier | None = BatchingCarrier(
+            dispatch, desk, outgoing, self._on_group
+        )
         self._pending = len(outgoing.route.shards)
         self._awaits_floor = False
         self._timers: list = []
@@ -105,10 +107,11 @@
             Attempts(self._dispatch, self._outgoing, shard, self._on_part_done, self._carrier)
             for shard in shards
         ]
+        carrier = self._carrier
         for tries, replica in zip(self._tries, chosen, strict=True):
             if self._timers:
                 tries.start_at(replica)
-        self._carrier.flush()
+        carrier.flush()
         left_at = self._dispatch.clock()
         self._dispatch.own_pace.started(len(shards), left_at - begun)
         if self._timers:
@@ -297,7 +300,10 @@
         missing = [tries for tries in self._tries if tries.service not in self._parts]
         for tries in missing:
             self._dispatch.metrics.count("parts_missing", tries.service)
-        self._log(
+        # Called once; both refer to this object, and the request's body and the parts would stay
+        # in memory until a garbage collection.
+        log, self._log, self._carrier = self._log, _ignore, None
+        log(
             Outcome(
                 status,
                 reason,
@@ -309,3 +315,7 @@
                 lost=[searcher for t in self._tries for searcher in t.lost],
             )
         )
+
+
+def _ignore(_: Outcome) -> None:
+    """Take no notice of a second end of a request."""
--- a/tests/system/platform/test_crowds.py
+++ b/tests/system/platform/test_crowds.py
@@ -161,6 +161,13 @@
         (client,) = instance.withstands("front", 1, data)
         assert client.closed
 
+    def test_complete_ones_in_turn(self, instance):
+        """Guards against bodies that stay in memory after their requests have ended."""
+        data = post("front", f"Content-Length: {BODY_BYTES}", "Connection: close")
+        with instance.watched():
+            for _ in range(150):
+                assert reply_to(instance, data + b"x" * BODY_BYTES).startswith(b"HTTP/1.1 200 ")
+
     @pytest.mark.parametrize("size", [1, 2, 65536])
     def test_a_body_within_the_limit_is_served_in_calm(self, instance, size):
         """Guards against limits that a client within the configured ones would meet."""
