--- a/tests/unit/engine/test_requestreader.py
+++ b/tests/unit/engine/test_requestreader.py
@@ -51,7 +51,8 @@
         assert position == len(first)
         assert len(reader.take()) == 1
 
-    def test_an_upgrade_does_not_drop_the_requests_before_it(self):
+    def test_invalid_data_does_not_drop_the_request_before_it(self):
+        """Guards against a request that is lost since bytes behind it are no request."""
         reader = RequestReader()
         assert len(read(b"GET / HTTP/1.1\r\n\r", reader=reader)) == 0
         with pytest.raises(Exception, match="not a valid HTTP request"):
