--- a/packages/limpethollow-node/src/limpethollow_node/platform/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/listeners.py
@@ -50,14 +50,14 @@
         return cls(front, directory, ready, peers)
 
 
-def _bind(host: str, port: int) -> socket.socket:
+def _bind(host: str, port: int, *, for_callers: bool = True) -> socket.socket:
     """Bind an address.
 
     Raises:
         OSError: It can't be bound; the error names it.
     """
     try:
-        return bind_listener(host, port)
+        return bind_listener(host, port, for_callers=for_callers)
     except OSError as error:
         raise OSError(error.errno, f"{error.strerror}: {host}:{port}") from None
 
@@ -71,7 +71,7 @@
     first_error: OSError | None = None
     for port in ports:
         try:
-            return _bind(host, port)
+            return _bind(host, port, for_callers=False)
         except OSError as error:
             first_error = first_error or error
     raise first_error or OSError("The range of internal ports is empty.")
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -1,12 +1,14 @@
 """Wires the product to the platform's listeners, store and settings in one process."""
 
 import asyncio
+import resource
 import time
 from collections.abc import Callable, Coroutine
 from functools import partial
 from random import Random
 from typing import Any
 
+from limpethollow_node.engine.connection.callerresources import CallerResources
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
 from limpethollow_node.engine.messages import Reply
@@ -47,6 +49,7 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.stdoutlogs import StdoutHandler
 from limpethollow_node.process.usage import resident_bytes
+from limpethollow_policy.process.callerbounds import CallerBounds, ListenerKind
 from limpethollow_policy.process.changepaces import ChangePace
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.homes import Regions, instances_for_host
@@ -73,6 +76,7 @@
 _MBPS_PER_CORE = 30.0
 # Share of the memory limit from which on the use of memory is logged.
 _MEMORY_HIGH_SHARE = 0.8
+_MEGABYTE = 1024 * 1024
 
 
 class PlatformProcess:
@@ -145,9 +149,11 @@
         )
         self._list_ttl = ListLifetime(bounds.ttl_max_s)
         self._servers: list[CallerServer] = []
-        self._front = self._add_server(self._engine.handle)
+        self._caller_resources = CallerResources(_caller_bounds(settings.limits), self.metrics)
+        self._front = self._add_server(self._engine.handle, ListenerKind.FRONT)
         self._directory = self._add_server(
-            DirectoryHandler(self._addresses_for_caller, self._list_ttl_seconds).handle
+            DirectoryHandler(self._addresses_for_caller, self._list_ttl_seconds).handle,
+            ListenerKind.DIRECTORY,
         )
         self._lifecycle = Lifecycle(
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
@@ -262,6 +268,9 @@
         self.metrics.gauge("ready", lambda: self._lifecycle.is_ready)
         self.metrics.gauge("follows_store", lambda: self._peers.follows)
         self.metrics.gauge("quarantined_requests", lambda: self._dispatch.quarantines.count)
+        self.metrics.gauge(
+            "caller_connections", lambda: sum(len(server.connections) for server in self._servers)
+        )
         self.metrics.gauge("instances_heard", lambda: self._peers.count_heard_peers(loop.time()))
 
     def _create_feeds(self) -> list[Feed]:
@@ -369,13 +378,15 @@
 
     def _check_memory(self) -> None:
         """Log once that the platform may soon kill this process for its memory."""
-        limit, resident = self._settings.limits.memory_mb, resident_bytes() / 2**20
+        limit, resident = self._settings.limits.memory_mb, resident_bytes() / _MEGABYTE
         if resident > _MEMORY_HIGH_SHARE * limit and not self._memory_is_high:
             self._memory_is_high = True
             events.MEMORY_HIGH.log(resident_mb=round(resident), limit_mb=limit)
 
-    def _add_server(self, handler: Callable[[Exchange], None]) -> CallerServer:
-        server = CallerServer(handler, self._on_refused)
+    def _add_server(
+        self, handler: Callable[[Exchange], None], kind: ListenerKind = ListenerKind.INTERNAL
+    ) -> CallerServer:
+        server = CallerServer(handler, self._on_refused, self._caller_resources, kind)
         self._servers.append(server)
         return server
 
@@ -454,6 +465,14 @@
     return min(limits.cpu_share * limits.cores, limits.link_mbps / _MBPS_PER_CORE)
 
 
+def _caller_bounds(limits: Limits) -> CallerBounds:
+    """Return the bounds on callers from the platform's limits and the kernel's."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = limits.max_fds
+    return CallerBounds.of(limits.memory_mb * _MEGABYTE, min(limits.max_fds, allowed))
+
+
 def _quota_bounds(bounds: Bounds) -> QuotaBounds:
     return QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
 
