Replies: all that are being read share an eighth of the memory

What callers saw: 120 callers of six searchers whose replies stopped short at 1.25 MiB took an instance to 186 to 202 MB (test_large_transfers.py, two runs; its settings allow 150 MB), after which the platform ends it.

Cause: each reply may hold 1.5 MiB whatever the others hold, so the number of connections was the only bound.

Change: a memory pool for all replies, an eighth of memoryMb and at least 17 MiB, beside 16 KiB for each. Over it, the reply with the most byte-seconds is cut off with the label memory. The limits on single replies are unchanged.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -8,6 +8,7 @@
 
 from limpethollow_node.engine.connection.carried import CarriedRequests
 from limpethollow_node.engine.connection.replylimits import (
+    HEADER_BYTES,
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADERS,
@@ -86,6 +87,7 @@
         "_transport",
         "_ends_with_connection",
         "_held_back",
+        "_is_pooled",
         "_may_send",
         "_shared_bytes",
         "_wire_bytes",
@@ -114,6 +116,7 @@
         self._body: bytes | bytearray = b""
         self._body_bytes = 0
         self._shared_bytes = 0
+        self._is_pooled = False
         self._in_head = True
         self._wire_bytes = 0
         self._is_head = False
@@ -229,11 +232,16 @@
         if self._in_head:
             if self._wire_bytes > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
                 self._fail(ReplyCutOff(ReplyLimit.HEAD))
+                return
         elif (
             self._wire_bytes - self._body_bytes > MAX_FRAMING_BYTES
             or len(self._headers) > MAX_HEADERS
         ):
             self._fail(ReplyCutOff(ReplyLimit.FRAMING))
+            return
+        held = self._wire_bytes + HEADER_BYTES * len(self._headers)
+        if held > self._limits.memory.own_bytes:
+            self._take_memory(held)
 
     def eof_received(self) -> bool:
         """Complete a reply that is delimited by the end of the connection."""
@@ -356,7 +364,17 @@
         self._shared_bytes += needed
         return True
 
+    def _take_memory(self, held: int) -> None:
+        """Take memory for the reply from the pool, for which replies may have to be cut off."""
+        self._is_pooled = True
+        now = asyncio.get_running_loop().time()
+        for evicted in self._limits.memory.resize(self, held, now):
+            evicted._fail(ReplyCutOff(ReplyLimit.MEMORY))
+
     def _release_memory(self) -> None:
+        if self._is_pooled:
+            self._limits.memory.release(self)
+            self._is_pooled = False
         self._limits.shared.free(self._shared_bytes)
         self._shared_bytes = 0
         self._headers = []
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import HeaderNames
 from limpethollow_node.engine.process.pools import Call, Pool
 from limpethollow_node.engine.process.quarantines import Quarantines
@@ -39,6 +40,7 @@
         names: The deployment's header names.
         metrics: The process's metrics.
         regions: Regions of the failure domains; None if they are not known.
+        reply_limits: Limits on searchers' replies.
 
     Attributes:
         clock: Returns the monotonic time in seconds. `loop.time` does not advance while a callback
@@ -50,6 +52,7 @@
     __slots__ = (
         "_pools",
         "_probe_count",
+        "_reply_limits",
         "_service_limits",
         "_services_in_use",
         "_sharers",
@@ -75,7 +78,9 @@
         names: HeaderNames,
         metrics: Metrics,
         regions: Regions | None = None,
+        reply_limits: ReplyLimits = SEARCHER_LIMITS,
     ) -> None:
+        self._reply_limits = reply_limits
         self.fleet = fleet
         self.budget = budget
         self.names = names
@@ -199,7 +204,13 @@
             )
 
         share = self._connection_share(replica.searcher.service)
-        return Pool(replica.searcher.address, share, unreachable, self.isolation.answered)
+        return Pool(
+            replica.searcher.address,
+            share,
+            unreachable,
+            self.isolation.answered,
+            self._reply_limits,
+        )
 
     def _remove_pool(self, searcher_id: str) -> None:
         pool = self._pools.pop(searcher_id, None)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -9,6 +9,7 @@
 
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
+from limpethollow_node.engine.connection.replylimits import searcher_limits
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.access import KeyBounds
 from limpethollow_node.engine.process.catalog import Catalog
@@ -108,6 +109,7 @@
             HEADERS,
             self.metrics,
             Regions(settings.zones),
+            searcher_limits(settings.limits.memory_mb),
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
         self._set_key_bounds(bounds)
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/memorypools.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/memorypools.py
@@ -51,6 +51,11 @@
         """Return the bytes for all holders together."""
         return self._limit
 
+    @property
+    def own_bytes(self) -> int:
+        """Return the bytes that each holder gets in any case."""
+        return self._own_bytes
+
     @property
     def used(self) -> int:
         """Return the bytes in use beyond the holders' own parts."""
