Requests to searchers: calls of a search refer to one body

Cause: each call rendered head and body into a buffer of its own, of which the transport copied what the socket did not take.

Change: a call has the head it renders and a reference to the body. Beyond 8 KiB, ClientConnection hands them to the transport in pieces of 16 KiB, each once the one before has left. The last 64 bytes are held back as before.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/clients.py
@@ -1,6 +1,7 @@
 """HTTP client connection without pipelining: one request at a time."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
 
@@ -30,6 +31,9 @@
 # Of a longer one, the end is held back until the rest has left this process.
 _HELD_BACK_ABOVE = 8 * 1024
 _HELD_BACK_BYTES = 64
+# A long request is handed to the transport in pieces of this size, each once the one before has
+# left this process: the transport copies what the socket doesn't take.
+_SEND_BYTES = 16 * 1024
 
 OnReply = Callable[[Reply], None]
 OnBroken = Callable[[Exception], None]
@@ -85,8 +89,9 @@
         "_on_reply",
         "_parser",
         "_transport",
+        "_unsent",
+        "_unsent_bytes",
         "_ends_with_connection",
-        "_held_back",
         "_is_pooled",
         "_may_send",
         "_shared_bytes",
@@ -122,7 +127,8 @@
         self._is_head = False
         self._ends_with_connection = False
         self._broken = False
-        self._held_back = b""
+        self._unsent: deque[memoryview] = deque()
+        self._unsent_bytes = 0
         self._may_send = always
         self.reply_started = False
         self.idle_since = 0.0
@@ -148,15 +154,17 @@
         on_broken: OnBroken,
         *,
         head: bool,
+        body: bytes = b"",
         may_send: Callable[[], bool] = always,
     ) -> None:
         """Send a complete request.
 
         Args:
-            data: Request line, headers and body.
+            data: Request line and headers.
             on_reply: Called with the complete reply.
             on_broken: Called with the error if no complete reply arrives.
             head: Whether the method is HEAD; replies to it have no body.
+            body: The body. A long one is not copied, since a search sends it to all its shards.
             may_send: Returns whether the request is still allowed. It is asked again before the end
                 of a long request is written, which may be after a suspension of the machine.
         """
@@ -167,13 +175,15 @@
         self._wire_bytes = 0
         self.reply_started = False
         self.was_used = True
-        if len(data) <= _HELD_BACK_ABOVE:
-            self._transport.write(data)
+        size = len(data) + len(body)
+        if size <= _HELD_BACK_ABOVE:
+            self._transport.write(data + body)
             return
-        self._may_send, self._held_back = may_send, data[-_HELD_BACK_BYTES:]
+        self._may_send = may_send
+        self._unsent.extend((memoryview(data), memoryview(body)))
+        self._unsent_bytes = size
         self._transport.set_write_buffer_limits(high=0)
-        self._transport.write(memoryview(data)[:-_HELD_BACK_BYTES])
-        if not self._transport.get_write_buffer_size():
+        if self._write_pieces():
             # Later, so that the caller of this method has returned if the request fails.
             asyncio.get_running_loop().call_soon(self.resume_writing)
 
@@ -193,8 +203,8 @@
         enable_keepalive(transport.get_extra_info("socket"))
 
     def resume_writing(self) -> None:
-        """Write the end of a long request once the rest has left this process."""
-        if self._held_back and not self._broken:
+        """Go on with a long request once the written part of it has left this process."""
+        if self._unsent_bytes and not self._broken and self._write_pieces():
             self._write_end()
 
     def data_received(self, data: bytes) -> None:
@@ -320,22 +330,42 @@
             self._broken = True
         self._deliver()
 
+    def _write_pieces(self) -> bool:
+        """Write as much as the socket takes; return whether all but the end has left."""
+        while not self._transport.get_write_buffer_size():
+            left = self._unsent_bytes - _HELD_BACK_BYTES
+            if left <= 0 or self._transport.is_closing():
+                return left <= 0
+            self._transport.write(self._take_unsent(min(left, _SEND_BYTES)))
+        return False
+
+    def _take_unsent(self, count: int) -> bytes | memoryview:
+        """Remove and return bytes from the start of what is not yet written."""
+        self._unsent_bytes -= count
+        taken: list[memoryview] = []
+        while count:
+            first = self._unsent.popleft()
+            if len(first) > count:
+                self._unsent.appendleft(first[count:])
+            taken.append(first[:count])
+            count -= len(taken[-1])
+        return taken[0] if len(taken) == 1 else b"".join(taken)
+
     def _write_end(self) -> None:
-        end, self._held_back = self._held_back, b""
         if self._may_send():
-            self._transport.write(end)
+            self._transport.write(self._take_unsent(self._unsent_bytes))
         else:
             self._fail(BrokenConnection("The request was no longer allowed while it was sent."))
 
     def _deliver(self) -> None:
         reply = Reply(self._parser.get_status_code(), self._headers, bytes(self._body))
         on_reply, self._on_reply, self._on_broken = self._on_reply, None, None
-        self._release_memory()
-        self.idle_timeout = _keep_alive_timeout(reply.header(b"keep-alive"))
-        if self._held_back or self._transport.get_write_buffer_size():
+        if self._unsent_bytes or self._transport.get_write_buffer_size():
             # The server replied before it had read the whole request, so it would parse the rest of
             # the body as the next request.
             self._broken = True
+        self._release_memory()
+        self.idle_timeout = _keep_alive_timeout(reply.header(b"keep-alive"))
         # Deferred until the parser has returned, so that bytes after the reply are detected before
         # the connection is offered for another request.
         asyncio.get_running_loop().call_soon(self._release)
@@ -379,6 +409,9 @@
         self._shared_bytes = 0
         self._headers = []
         self._body = b""
+        if self._unsent:
+            self._unsent.clear()
+            self._unsent_bytes = 0
 
 
 @lru_cache(_TIMEOUT_CACHE_SIZE)
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/httpclients.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/httpclients.py
@@ -53,13 +53,14 @@
         lines = [(b"Host", self._host), *(headers or [])]
         if body:
             lines.append((b"Content-Length", b"%d" % len(body)))
-        data = b"%b %b HTTP/1.1\r\n%b\r\n%b" % (method, target, render_headers(lines), body)
+        data = b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, render_headers(lines))
         waiter: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         call = Call(
             lambda: data,
             lambda reply: waiter.done() or waiter.set_result(reply),
             lambda error: waiter.done() or waiter.set_exception(error),
             head=False,
+            body=body,
         )
         self._pool.send(call)
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -47,12 +47,13 @@
     """One request to one searcher.
 
     Args:
-        render: Returns the request's bytes; called when they are sent, since they contain the
-            remaining time.
+        render: Returns the request line and headers; called when they are sent, since they contain
+            the remaining time.
         on_reply: Called with the complete reply.
         on_failed: Called with the error instead; `sent` then tells whether bytes had been sent.
         age: How recently the connection must have been opened or used.
         head: Whether the method is HEAD.
+        body: The request's body, to which calls to several searchers refer.
         request_id: Id that the reply echoes, unchanged when a request is sent again; None if the
             server echoes none.
         may_send: Returns whether the request is still allowed; asked when its bytes are sent, which
@@ -65,6 +66,7 @@
         "_pool",
         "_request_id",
         "age",
+        "body",
         "head",
         "may_send",
         "on_failed",
@@ -81,6 +83,7 @@
         *,
         age: ConnectionAge = ConnectionAge.ANY,
         head: bool,
+        body: bytes = b"",
         request_id: bytes | None = None,
         may_send: Callable[[], bool] = always,
     ) -> None:
@@ -90,6 +93,7 @@
         self.on_reply = on_reply
         self.on_failed = on_failed
         self.age = age
+        self.body = body
         self.head = head
         self.sent = False
         self._pool: Pool | None = None
@@ -120,6 +124,7 @@
             self._on_reply,
             self._on_error,
             head=self.head,
+            body=self.body,
             may_send=self.may_send,
         )
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batchexecutions.py
@@ -14,7 +14,7 @@
 from limpethollow_node.engine.request.replychecks import (
     judge,
     load_report_of,
-    render_call,
+    render_head,
     take_cold_statement,
     verdict_on_failure,
 )
@@ -84,6 +84,11 @@
         """Return the caller's id for the request."""
         return self._batch.request_id
 
+    @property
+    def body(self) -> bytes:
+        """Return the request's body."""
+        return self._batch.body
+
     def start(self) -> None:
         """Make the calls."""
         loop = self._dispatch.loop
@@ -151,7 +156,7 @@
         self._check_completion()
 
     def render(self, replica: Replica, chosen_at: float) -> bytes:
-        """Return the encoded request to a searcher.
+        """Return the request line and headers to a searcher.
 
         Args:
             replica: The searcher.
@@ -160,7 +165,7 @@
         report_if_leaving(self._dispatch, replica, self.request_id, chosen_at)
         left = self._deadline - self._dispatch.loop.time()
         names = self._dispatch.names
-        return render_call(self._batch.head, self._batch.body, names, replica.searcher.id, left)
+        return render_head(self._batch.head, names, replica.searcher.id, left)
 
     def _send_failure(
         self, shard: str, verdict: Verdict, status: int, reason: str, cold_ms: int | None = None
@@ -223,6 +228,7 @@
             self._replied,
             self._failed,
             head=False,
+            body=worked.body,
             request_id=worked.request_id,
             may_send=worked.permit.may_send,
         )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/replychecks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/replychecks.py
@@ -84,21 +84,19 @@
         events.SEARCHER_STATED_COLD.log(searcher=replica.searcher.id, cold_ms=milliseconds)
 
 
-def render_call(head: bytes, body: bytes, names: HeaderNames, searcher: str, left: float) -> bytes:
-    """Return the encoded request to a searcher.
+def render_head(head: bytes, names: HeaderNames, searcher: str, left: float) -> bytes:
+    """Return the request line and headers to a searcher.
 
     Args:
         head: Request line and headers, without the headers that differ between calls.
-        body: The request's body.
         names: The deployment's header names.
         searcher: Id of the searcher, the only one that may run the request.
         left: Seconds until the reply is no longer awaited.
     """
-    return b"%b%b: %b\r\n%b: %d\r\n\r\n%b" % (
+    return b"%b%b: %b\r\n%b: %d\r\n\r\n" % (
         head,
         names.expected_searcher,
         searcher.encode(),
         names.time_left,
         max(1, int(left * 1000)),
-        body,
     )
--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/sends.py
@@ -14,7 +14,7 @@
     judge,
     load_report_of,
     record_cold_statement,
-    render_call,
+    render_head,
     take_cold_statement,
     verdict_on_failure,
 )
@@ -109,6 +109,7 @@
             self._failed,
             age=self._connection_age(),
             head=outgoing.is_head,
+            body=outgoing.body,
             request_id=outgoing.request_id,
             may_send=outgoing.permit.may_send,
         )
@@ -196,7 +197,7 @@
         names = self._owner.dispatch.names
         report_if_leaving(self._owner.dispatch, self.replica, outgoing.request_id, self.started)
         left = outgoing.deadline - self._now()
-        return render_call(outgoing.head, outgoing.body, names, self.replica.searcher.id, left)
+        return render_head(outgoing.head, names, self.replica.searcher.id, left)
 
     def _replied(self, reply: Reply) -> None:
         names = self._owner.dispatch.names
--- a/tests/system/platform/test_large_transfers.py
+++ b/tests/system/platform/test_large_transfers.py
@@ -6,12 +6,14 @@
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
-from tests.standins.backends import Endless
+from tests.standins.backends import BackendStandIn, Endless
 from tests.support.platforms import (
     HOST,
     PlatformInstance,
     PlatformSystem,
+    configuration,
     forward_route,
+    search_route,
 )
 from tests.support.processes import wait_for
 
@@ -110,3 +112,33 @@
             wait_settled(instance)
             assert instance.ask("/get/x").status == 200
         assert_within_limits(instance)
+
+
+class Unreading(BackendStandIn):
+    """A searcher whose kernel accepts connections, but which reads nothing from them."""
+
+    def _accept(self) -> None:
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+
+class TestRequests:
+    """Guards against a copy of a request's body for each of the searchers that it goes to."""
+
+    BODY = b"x" * (4 * MEGABYTE)
+
+    def test_searchers_that_read_nothing_leave_an_instance_within_its_memory(self, system):
+        shards = [f"s{number}" for number in range(40)]
+        with ExitStack() as stack:
+            for shard in shards:
+                searcher = stack.enter_context(Unreading(shard, f"{shard}-a"))
+                system.store.put("servers", searcher.name, searcher.entry())
+            system.backend("desk", "i-1")
+            routes = [search_route(shards, timeoutMs=8000, sloMs=8000), forward_route("desk")]
+            content = configuration(1, *routes)
+            content["limits"]["maxBodyBytes"] = 2 * len(self.BODY)
+            system.store.put("config", "main", content)
+            instance = limited(system, memoryMb=120)
+            with callers(instance, [request_bytes("/find/x", 1, self.BODY)]):
+                wait_settled(instance)
+                assert instance.ask("/get/x").status == 200
+            assert_within_limits(instance)
--- a/tests/unit/engine/test_pools.py
+++ b/tests/unit/engine/test_pools.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.pools import Call, ConnectionAge, Pool
 
@@ -136,3 +138,38 @@
             return reply.body
 
         assert asyncio.run(run()) == b"ok"
+
+
+class TestLongRequests:
+    @pytest.mark.parametrize(("head", "body"), [(200, 9000), (20_000, 30), (100, 3_000_000)])
+    def test_head_and_body_arrive_whole_at_a_slow_reader(self, head, body):
+        """Guards against pieces that are lost or swapped where one of them ends."""
+
+        async def run() -> bytes:
+            received = bytearray()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                while len(received) < len(sent):
+                    received.extend(await reader.read(50_000))
+                    await asyncio.sleep(0)
+                writer.write(ANSWER)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+            host, port = server.sockets[0].getsockname()
+            pool = Pool(f"{host}:{port}", 1, lambda error: None)
+            replied = asyncio.get_running_loop().create_future()
+            call = Call(
+                lambda: sent[:head],
+                replied.set_result,
+                replied.set_exception,
+                head=False,
+                body=sent[head:],
+            )
+            async with server:
+                pool.send(call)
+                await asyncio.wait_for(replied, 8.0)
+                pool.close()
+            return bytes(received)
+
+        sent = bytes(index * 7 % 251 for index in range(head + body))
+        assert asyncio.run(run()) == sent
