Links to instances: one bound for the memory and the connections of all

What callers saw: a process took 178 MB with 40 connections to the peers' port that stop short in a frame, 122 MB with five peers that ask for versions and read none, and 421 and 425 descriptors with 400 connections that say nothing (test_large_transfers.py, one run each; the settings allow 120 MB, 100 MB and 300 descriptors).

Cause: frames were limited one by one and by their number on a link, and an address was compared with the instances only after the handshake.

Change: PeerGate checks the address and the number of connections without a name as soon as one is made, and holds memory pools for frames that have arrived in part and for frames that wait to be sent. Peers.serve takes a listener.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import WebSocketException
 
+from limpethollow_node.engine.connection.peergate import DialledConnection, PeerGate
 from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS
 from limpethollow_node.process import events
 from limpethollow_policy.process.backoffs import Backoff
@@ -25,14 +27,18 @@
     Args:
         rng: Source for jitter.
         on_open: Runs an open link until it closes.
+        gate: Limits the memory of all links.
 
     Attributes:
         refused_addresses: Addresses that refused a connection and accepted none since then.
     """
 
-    __slots__ = ("_backoffs", "_on_open", "_rng", "_tasks", "refused_addresses")
+    __slots__ = ("_backoffs", "_gate", "_on_open", "_rng", "_tasks", "refused_addresses")
 
-    def __init__(self, rng: Random, on_open: Callable[[Connection], Awaitable[None]]) -> None:
+    def __init__(
+        self, rng: Random, on_open: Callable[[Connection], Awaitable[None]], gate: PeerGate
+    ) -> None:
+        self._gate = gate
         self._rng = rng
         self._on_open = on_open
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -50,7 +56,11 @@
         backoff = self._backoffs.setdefault(address, Backoff(_MIN_BACKOFF, _MAX_BACKOFF, self._rng))
         try:
             socket = await connect(
-                f"ws://{address}/", open_timeout=_CONNECT_SECONDS, proxy=None, **LINK_OPTIONS
+                f"ws://{address}/",
+                open_timeout=_CONNECT_SECONDS,
+                proxy=None,
+                create_connection=partial(DialledConnection, self._gate),
+                **LINK_OPTIONS,
             )
         except (OSError, WebSocketException) as error:
             if isinstance(error, ConnectionRefusedError):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/peers.py
@@ -1,6 +1,7 @@
 """Links to other instances: failure detection, heartbeats and the routing of frames."""
 
 import asyncio
+import socket
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from random import Random
@@ -8,6 +9,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import serve
 
+from limpethollow_node.engine.connection.peergate import AcceptedConnection, PeerGate
 from limpethollow_node.engine.connection.peerlinks import LINK_OPTIONS, PeerLink
 from limpethollow_node.engine.frames import (
     AnyFrame,
@@ -73,6 +75,7 @@
         metrics: The process's metrics.
         quarantines: The evidence about requests that crash searchers.
         seeds: IP addresses of instances to connect to before any is known from the store.
+        gate: Limits the memory and the connections of all links; None for the default limits.
     """
 
     def __init__(
@@ -84,14 +87,17 @@
         metrics: Metrics,
         quarantines: Quarantines,
         seeds: Collection[str] = (),
+        gate: PeerGate | None = None,
     ) -> None:
+        self._gate = gate or PeerGate(metrics)
+        self._gate.is_member = self._is_member
         self._roster = roster
         self._metrics = metrics
         self._catalog = catalog
         self._role = role
         self._seeds = frozenset(seeds)
         self._links: dict[str, PeerLink] = {}
-        self._dialler = Dialler(rng, lambda socket: self._run(socket, dialled=True))
+        self._dialler = Dialler(rng, lambda link: self._run(link, dialled=True), self._gate)
         self._failure_detector = FailureDetector(roster, self._links)
         self._state_exchange = StateExchange(catalog, self._links)
         self._crash_reports = CrashReportExchange(quarantines, self._links)
@@ -117,10 +123,14 @@
     def follows(self, follows: bool) -> None:
         self._heartbeats.follows = follows
 
-    async def serve(self, host: str, port: int) -> None:
-        """Start accepting links; returns once the listener is bound."""
+    async def serve(self, listener: socket.socket) -> None:
+        """Start accepting links on a bound listener."""
         self._server = await serve(
-            self._on_accepted, host, port, open_timeout=_HANDSHAKE_SECONDS, **LINK_OPTIONS
+            self._on_accepted,
+            sock=listener,
+            open_timeout=_HANDSHAKE_SECONDS,
+            create_connection=partial(AcceptedConnection, self._gate),
+            **LINK_OPTIONS,
         )
 
     async def run(self) -> None:
@@ -271,13 +281,8 @@
             if link.is_silent(now):
                 link.close()
 
-    async def _on_accepted(self, socket: Connection) -> None:
-        host = socket.remote_address[0]
-        if not self._is_member(host):
-            events.PEER_REFUSED.log(address=host, reason="not a member")
-            socket.transport.abort()
-            return
-        await self._run(socket, dialled=False)
+    async def _on_accepted(self, connection: Connection) -> None:
+        await self._run(connection, dialled=False)
 
     def _is_member(self, host: str) -> bool:
         """Return whether an address belongs to an instance that the store lists.
@@ -291,9 +296,16 @@
         )
         return host in self._member_hosts
 
-    async def _run(self, socket: Connection, *, dialled: bool) -> None:
+    async def _run(self, connection: Connection, *, dialled: bool) -> None:
         loop = asyncio.get_running_loop()
-        link = PeerLink(socket, self._on_frame, self._metrics, loop.time(), dialled=dialled)
+        link = PeerLink(
+            connection,
+            self._on_frame,
+            self._metrics,
+            loop.time(),
+            dialled=dialled,
+            gate=self._gate,
+        )
         own = self._roster.own
         link.send(Hello(own.name, own.incarnation, own.failure_domain, self._catalog.known))
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/stateexchange.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/stateexchange.py
@@ -11,6 +11,7 @@
     InstanceUpdate,
     SearcherUpdate,
     VersionUpdate,
+    encode_frame,
 )
 from limpethollow_node.engine.process.catalog import Catalog
 from limpethollow_policy.process.catchups import (
@@ -19,6 +20,7 @@
     KnownState,
     choose_source,
 )
+from limpethollow_policy.version.routes import RoutingVersion
 
 
 class StateExchange:
@@ -29,12 +31,13 @@
         links: The links to other instances, by name.
     """
 
-    __slots__ = ("_catalog", "_catch_up_timer", "_handlers", "_links")
+    __slots__ = ("_catalog", "_catch_up_timer", "_encoded_version", "_handlers", "_links")
 
     def __init__(self, catalog: Catalog, links: Mapping[str, PeerLink]) -> None:
         self._catalog = catalog
         self._links = links
         self._catch_up_timer: asyncio.TimerHandle | None = None
+        self._encoded_version: tuple[VersionUpdate, bytes] | None = None
         self._handlers: dict[type, Callable] = {
             VersionUpdate: self._apply_version,
             SearcherUpdate: self._handler_for(lambda news: catalog.apply_searchers(news)),
@@ -107,8 +110,16 @@
         if catalog.evacuations.changed_at > evacuations:
             link.send(catalog.evacuations_since(evacuations))
         if catalog.version is not None and catalog.version_number > known.version:
-            link.send(VersionUpdate(catalog.version))
+            self._send_version(link, catalog.version)
         if catalog.searchers.changed_at > searchers:
             link.send(catalog.searchers_since(searchers))
         if catalog.instances.changed_at > instances:
             link.send(catalog.instances_since(instances))
+
+    def _send_version(self, link: PeerLink, version: RoutingVersion) -> None:
+        """Send the version, encoded once for all instances that request it, as at their start."""
+        if self._encoded_version is None or self._encoded_version[0].version is not version:
+            update = VersionUpdate(version)
+            self._encoded_version = (update, encode_frame(update))
+        update, data = self._encoded_version
+        link.send_encoded(data, update)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -9,6 +9,7 @@
 
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
+from limpethollow_node.engine.connection.peergate import PeerGate
 from limpethollow_node.engine.connection.replylimits import searcher_limits
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.access import KeyBounds
@@ -34,6 +35,7 @@
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
 from limpethollow_node.platform.settings import (
+    FILE_DESCRIPTORS,
     Bounds,
     Limits,
     PlatformSettings,
@@ -130,6 +132,11 @@
             self.metrics,
             self._dispatch.quarantines,
             settings.seed_hosts,
+            PeerGate(
+                self.metrics,
+                settings.limits.memory_mb,
+                settings.limits.max_fds - FILE_DESCRIPTORS,
+            ),
         )
         self._engine.desk = BatchManager(self._dispatch, self._peers)
         self._engine.quotas.join(
@@ -311,7 +318,7 @@
         ready = self._add_server(ReadinessHandler(lambda: self._lifecycle.is_ready).handle)
         await ready.serve(open_listener(*split_address(listen.ready)))
         first, last = self._settings.internal_port_range
-        await self._peers.serve(self._settings.ip, first)
+        await self._peers.serve(open_listener(self._settings.ip, first))
         await self._add_server(self._serve_metrics).serve(open_listener("0.0.0.0", last))
 
     def _restart_feeds(self) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/settings.py
@@ -11,6 +11,8 @@
 # Maximum time for which a removed searcher is kept. An entry that lapsed only because the store was
 # unavailable may reappear within about two seconds.
 _MAX_REMOVAL_DELAY = 2.2
+# Of `limits.maxFds`, descriptors that are reserved for files.
+FILE_DESCRIPTORS = 200
 # The contract under which operators may evacuate failure domains.
 _EVACUATION_CONTRACT = "places"
 # Margin in seconds subtracted from the time after which a draining searcher must get no requests.
--- a/tests/system/platform/test_large_transfers.py
+++ b/tests/system/platform/test_large_transfers.py
@@ -1,11 +1,18 @@
 """Many large transfers at once, between an instance and its searchers and peers."""
 
 import socket
+import struct
 import time
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
+from random import Random
 
+import pytest
+
+from limpethollow_node.engine.frames import Ask, Frame, Hello, encode_frame
+from limpethollow_policy.process.catchups import KnownState
+from limpethollow_wire.limits import MAX_FRAME_BYTES
 from tests.standins.backends import BackendStandIn, Endless
 from tests.support.platforms import (
     HOST,
@@ -142,3 +149,102 @@
                 wait_settled(instance)
                 assert instance.ask("/get/x").status == 200
             assert_within_limits(instance)
+
+
+class PeerSocket:
+    """A link to an instance, on which nothing is sent or read by itself.
+
+    Args:
+        instance: The instance.
+        source: Own address.
+    """
+
+    _HANDSHAKE = (
+        b"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        b"Sec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\nSec-WebSocket-Version: 13\r\n\r\n"
+    )
+
+    def __init__(self, instance: PlatformInstance, source: str = "127.0.0.1") -> None:
+        port = instance.settings["internalPortRange"][0]
+        self.socket = socket.create_connection(
+            ("127.0.0.1", port), timeout=10.0, source_address=(source, 0)
+        )
+
+    def __enter__(self) -> "PeerSocket":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.socket.close()
+
+    def shake_hands(self) -> None:
+        self.socket.sendall(self._HANDSHAKE)
+        while b"\r\n\r\n" not in (answer := self.socket.recv(4096, socket.MSG_PEEK)):
+            if not answer:
+                raise ConnectionError("The instance closed the connection.")
+
+    def send(self, frame: Frame) -> None:
+        data = encode_frame(frame)
+        self.start_frame(len(data), data)
+
+    def start_frame(self, length: int, data: bytes) -> None:
+        """Send a frame's header and the first of its bytes."""
+        self.socket.sendall(struct.pack("!BBQI", 0x82, 0x80 | 127, length, 0) + data)
+
+
+class TestPeers:
+    def ordinary(self, system: PlatformSystem, **limits: int) -> PlatformInstance:
+        system.backend("desk", "i-1")
+        system.configure(1, forward_route("desk"))
+        return limited(system, **limits)
+
+    def test_frames_that_stop_short_leave_an_instance_within_its_memory(self, system):
+        """Guards against connections that name no instance and send the start of a long frame."""
+        instance = self.ordinary(system, memoryMb=120)
+        length = MAX_FRAME_BYTES * 9 // 10
+        with ExitStack() as stack:
+            for _ in range(40):
+                with suppress(OSError):
+                    peer = stack.enter_context(PeerSocket(instance))
+                    peer.shake_hands()
+                    peer.start_frame(length + 1, b"x" * length)
+            wait_settled(instance)
+            assert instance.ask("/get/x").status == 200
+        assert_within_limits(instance)
+
+    def test_peers_that_read_nothing_leave_an_instance_within_its_memory(self, system):
+        """Guards against frames that wait for a peer, of which only the number was limited."""
+        system.backend("desk", "i-1")
+        rng = Random(1)
+        routes = [
+            forward_route("desk", name=f"route-{n}", pathPrefix=f"/{rng.randbytes(200).hex()}/")
+            for n in range(1200)
+        ]
+        system.configure(1, *routes, forward_route("desk"))
+        instance = limited(system, memoryMb=100)
+        with ExitStack() as stack:
+            peers = [stack.enter_context(PeerSocket(instance)) for _ in range(5)]
+            for number, peer in enumerate(peers):
+                peer.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                peer.shake_hands()
+                peer.send(Hello(f"front-{number + 10}", 1, "zone-b", KnownState()))
+            for peer in peers:
+                with suppress(OSError):
+                    for _ in range(60):
+                        peer.send(Ask(KnownState()))
+            wait_settled(instance)
+            assert instance.ask("/get/x").status == 200
+        assert_within_limits(instance)
+
+    @pytest.mark.parametrize("source", ["127.0.0.1", "127.0.0.2"], ids=["member", "stranger"])
+    def test_connections_leave_an_instance_descriptors(self, system, source):
+        """Guards against connections to peers' port that take all descriptors of a process."""
+        instance = self.ordinary(system, maxFds=300)
+        most = 0
+        with ExitStack() as stack:
+            for _ in range(400):
+                with suppress(OSError):
+                    stack.enter_context(PeerSocket(instance, source))
+                most = max(most, open_descriptors(instance))
+            assert instance.ask("/get/x").status == 200
+        assert most < instance.settings["limits"]["maxFds"]
+        assert_within_limits(instance)
