Links to instances: room for several long frames in one read

What was seen: an instance closed the link of a peer that sent three frames of 3.5 MiB in a row. uvloop reads up to 8 MiB from a socket before the first of the frames is handled.

Change: the memory for received frames is 16 MiB at least instead of 8.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peergate.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peergate.py
@@ -38,7 +38,7 @@
     Attributes:
         is_member: Returns whether an address belongs to an instance.
         sending: Memory of the frames that wait to be sent.
-        receiving: Memory of the frames that have arrived in part.
+        receiving: Memory of the frames that have arrived, in part or whole, and are not read yet.
     """
 
     __slots__ = (
@@ -65,9 +65,11 @@
         self._unnamed_of_host: Counter[str] = Counter()
         self._unread: dict[Connection, int] = {}
         self.is_member: Callable[[str], bool] = lambda host: True
-        # A complete state of a large deployment takes several frames of the largest size.
-        self.sending: MemoryPool[Any] = MemoryPool(max(share, 4 * MAX_FRAME_BYTES), _OWN_BYTES)
-        self.receiving: MemoryPool[Any] = MemoryPool(max(share, 2 * MAX_FRAME_BYTES), _OWN_BYTES)
+        # A complete state of a large deployment takes several frames of the largest size, which
+        # may arrive before the first of them is read.
+        limit = max(share, 4 * MAX_FRAME_BYTES)
+        self.sending: MemoryPool[Any] = MemoryPool(limit, _OWN_BYTES)
+        self.receiving: MemoryPool[Any] = MemoryPool(limit, _OWN_BYTES)
 
     def accept(self, connection: Connection, host: str) -> bool:
         """Count a new connection without a name; return False if it is refused."""
