Batches: those that are being executed share a sixteenth of the memory

Cause: each batch keeps its body until all its calls have ended, and nothing limited the number of batches. A number that was used again left the earlier execution without an end.

Change: a memory pool for head, body and calls of all batches. Calls of a batch that finds no room are answered as not sent, as those to unknown searchers are.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/request/batches.py
@@ -19,7 +19,9 @@
 )
 from limpethollow_node.engine.process.dispatch import Dispatch
 from limpethollow_node.engine.request.batchexecutions import BatchExecution
+from limpethollow_policy.process.memorypools import MemoryPool
 from limpethollow_policy.request.verdicts import Verdict
+from limpethollow_wire.limits import MAX_FRAME_BYTES
 
 # Fewer calls than this to a failure domain are made directly, since a pair of frames costs about as
 # much as one call.
@@ -32,6 +34,13 @@
 # calls half a second after the caller has disconnected.
 MAX_BATCH_DELAY = 0.3
 
+_MEGABYTE = 1024 * 1024
+_DEFAULT_MEMORY_MB = 256
+# Share of the memory for the batches of other instances that are being executed.
+_MEMORY_SHARE = 1 / 16
+# Memory of a call, without its connection and its reply.
+_CALL_BYTES = 1024
+
 OnParts = Callable[[BatchParts], None]
 OnFailure = Callable[[str, Verdict, int, str, int | None], None]
 
@@ -128,11 +137,16 @@
     Args:
         dispatch: State shared by the process.
         links: The links to other instances.
+        memory_mb: Memory of the process in megabytes.
     """
 
-    __slots__ = ("_batch_numbers", "_dispatch", "_executing", "_links", "_sent")
+    __slots__ = ("_batch_numbers", "_dispatch", "_executing", "_links", "_memory", "_sent")
 
-    def __init__(self, dispatch: Dispatch, links: Links) -> None:
+    def __init__(
+        self, dispatch: Dispatch, links: Links, memory_mb: float = _DEFAULT_MEMORY_MB
+    ) -> None:
+        limit = max(int(memory_mb * _MEMORY_SHARE * _MEGABYTE), 2 * MAX_FRAME_BYTES)
+        self._memory: MemoryPool[tuple[int, int]] = MemoryPool(limit, 0)
         self._dispatch = dispatch
         self._links = links
         self._batch_numbers = itertools.count(1)
@@ -179,9 +193,7 @@
         if isinstance(frame, Batch):
             self._execute(link, frame)
         elif isinstance(frame, BatchCancel):
-            worked = self._executing.pop((id(link), frame.number), None)
-            if worked is not None:
-                worked.end()
+            self._end((id(link), frame.number))
         elif isinstance(frame, BatchParts | BatchFailure):
             self._on_result(frame)
 
@@ -191,16 +203,30 @@
             # caller may have disconnected: the frame that cancels the batch would be behind it on
             # the same link.
             self._dispatch.metrics.count("batches_late")
-            for call in frame.calls:
-                verdict = Verdict.NOT_SENT.value
-                failure = BatchFailure(frame.number, call.shard, verdict, 0, "came_too_late")
-                link.send(failure)
+            _refuse(link, frame, "came_too_late")
             return
         key = (id(link), frame.number)
-        worked = BatchExecution(self._dispatch, link, frame, lambda: self._executing.pop(key, None))
+        # A number that is used again would leave the earlier execution without an end.
+        self._end(key)
+        size = len(frame.head) + len(frame.body) + _CALL_BYTES * len(frame.calls)
+        if self._memory.resize(key, size, self._dispatch.loop.time(), evictable=False):
+            self._dispatch.metrics.count("batches_refused")
+            _refuse(link, frame, "too_many_batches_there")
+            return
+        worked = BatchExecution(self._dispatch, link, frame, lambda: self._forget_executing(key))
         self._executing[key] = worked
         worked.start()
 
+    def _end(self, key: tuple[int, int]) -> None:
+        worked = self._executing.get(key)
+        if worked is not None:
+            worked.end()
+            self._forget_executing(key)
+
+    def _forget_executing(self, key: tuple[int, int]) -> None:
+        self._executing.pop(key, None)
+        self._memory.release(key)
+
     def _on_result(self, frame: BatchParts | BatchFailure) -> None:
         sent = self._sent.get(frame.number)
         if sent is None:
@@ -214,4 +240,10 @@
         for sent in [sent for sent in self._sent.values() if sent.link is link]:
             sent.lost()
         for key in [key for key in self._executing if key[0] == id(link)]:
-            self._executing.pop(key).end()
+            self._end(key)
+
+
+def _refuse(link: PeerLink, frame: Batch, reason: str) -> None:
+    """Report all calls of a batch as not sent."""
+    for call in frame.calls:
+        link.send(BatchFailure(frame.number, call.shard, Verdict.NOT_SENT.value, 0, reason))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -138,7 +138,7 @@
                 settings.limits.max_fds - FILE_DESCRIPTORS,
             ),
         )
-        self._engine.desk = BatchManager(self._dispatch, self._peers)
+        self._engine.desk = BatchManager(self._dispatch, self._peers, settings.limits.memory_mb)
         self._engine.quotas.join(
             self._roster,
             self._peers,
--- a/tests/system/platform/test_large_transfers.py
+++ b/tests/system/platform/test_large_transfers.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from limpethollow_node.engine.frames import Ask, Frame, Hello, encode_frame
+from limpethollow_node.engine.frames import Ask, Batch, BatchCall, Frame, Hello
 from limpethollow_policy.process.catchups import KnownState
+from limpethollow_wire.codecs import to_cbor
 from limpethollow_wire.limits import MAX_FRAME_BYTES
 from tests.standins.backends import BackendStandIn, Endless
 from tests.support.platforms import (
@@ -183,7 +184,7 @@
                 raise ConnectionError("The instance closed the connection.")
 
     def send(self, frame: Frame) -> None:
-        data = encode_frame(frame)
+        data = to_cbor(frame)
         self.start_frame(len(data), data)
 
     def start_frame(self, length: int, data: bytes) -> None:
@@ -248,3 +249,32 @@
             assert instance.ask("/get/x").status == 200
         assert most < instance.settings["limits"]["maxFds"]
         assert_within_limits(instance)
+
+
+class TestBatches:
+    """Guards against batches of other instances, each of which holds a body."""
+
+    BODY = b"x" * (MEGABYTE * 7 // 2)
+
+    def test_many_with_long_bodies_leave_an_instance_within_its_memory(self, system):
+        with Unreading("slow", "s-1") as searcher:
+            system.store.put("servers", searcher.name, searcher.entry())
+            system.backend("desk", "i-1")
+            system.configure(1, forward_route("slow", pathPrefix="/s/"), forward_route("desk"))
+            instance = limited(system, memoryMb=120)
+            with PeerSocket(instance) as peer:
+                peer.shake_hands()
+                peer.send(Hello("front-9", 1, "zone-b", KnownState()))
+                with suppress(OSError):
+                    for number in range(40):
+                        peer.send(self.batch(number))
+                        time.sleep(0.05)
+                wait_settled(instance)
+                assert instance.ask("/get/x").status == 200
+            assert_within_limits(instance)
+
+    def batch(self, number: int) -> Batch:
+        calls = [BatchCall("slow", "s-1")]
+        head = b"POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % len(self.BODY)
+        id = b"b%d" % number
+        return Batch(number, head, self.BODY, id, calls, 5, 8.0, 8.0, time.monotonic())
--- a/tests/unit/engine/test_batchworks.py
+++ b/tests/unit/engine/test_batchworks.py
@@ -1,6 +1,13 @@
 """Batches that this instance works on: what it sends back, and when."""
 
-from limpethollow_node.engine.frames import Batch, BatchCall, BatchFailure, BatchParts
+from limpethollow_node.engine.frames import (
+    Batch,
+    BatchCall,
+    BatchCancel,
+    BatchFailure,
+    BatchParts,
+)
+from limpethollow_node.engine.request.batches import BatchManager
 from limpethollow_node.engine.request.batchexecutions import BatchExecution
 from limpethollow_policy.request.verdicts import Verdict
 from tests.support.virtual import VirtualDispatch, reply_of
@@ -15,6 +22,9 @@
     def send(self, frame) -> None:
         self.sent.append(frame)
 
+    def lag(self, sent_at: float) -> float:
+        return 0.0
+
 
 class Play:
     """A batch of six calls."""
@@ -102,3 +112,32 @@
         play.worked.end()
         play.run(1.0)
         assert play.parts == []
+
+
+class Links:
+    on_batch_frame = on_link_lost = None
+
+
+class TestMemory:
+    """Guards against bodies of batches that together exceed the memory of an instance."""
+
+    def batch(self, number: int, body: bytes) -> Batch:
+        calls = [BatchCall("s", "s-1")]
+        return Batch(number, b"POST / HTTP/1.1\r\n", body, b"r1", calls, 5, 1.0, MERGE_FOR, 100.0)
+
+    def test_a_batch_without_room_is_answered_as_not_sent_until_another_ends(self):
+        dispatch, links, link = VirtualDispatch(), Links(), RecordingLink()
+        dispatch.add("s", "s-1")
+        desk = BatchManager(dispatch, links, memory_mb=64)
+        body = b"x" * 3_000_000
+        for number in range(3):
+            links.on_batch_frame(link, self.batch(number, body))
+        (failure,) = link.sent
+        assert (failure.number, failure.verdict) == (2, Verdict.NOT_SENT.value)
+        assert len(dispatch.played) == 2
+        assert dispatch.metrics.value("batches_refused") == 1
+        links.on_batch_frame(link, BatchCancel(0))
+        links.on_batch_frame(link, self.batch(3, body))
+        assert len(dispatch.played) == 3
+        links.on_link_lost(link)
+        assert desk._memory.used == 0
