Searchers: one limit on the connections of all pools

Cause: each searcher's pool had a limit, all together had none. A connect that failed for want of descriptors counted against the searcher.

Change: half of the sockets are for searchers. At the limit the connection that has been idle for the longest makes place, else calls wait until one closes. A shortage of this machine is event 412 and leaves the searcher in service.

The test failed before with 429 descriptors, and passes now.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dispatch.py
@@ -1,15 +1,18 @@
 """State shared by all requests of a process: searchers, connections, send budget, timings."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
+from limpethollow_node.engine.connection.clients import ClientConnection
 from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import HeaderNames
-from limpethollow_node.engine.process.pools import Call, Pool
+from limpethollow_node.engine.process.pools import Call, Pool, is_own_shortage
 from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_policy.process.connectionbudgets import ConnectionBudget
 from limpethollow_policy.process.fleets import Fleet
 from limpethollow_policy.process.homes import Regions
 from limpethollow_policy.process.isolation import Isolation
@@ -41,6 +44,7 @@
         metrics: The process's metrics.
         regions: Regions of the failure domains; None if they are not known.
         reply_limits: Limits on searchers' replies.
+        max_connections: Connections to all searchers together.
 
     Attributes:
         clock: Returns the monotonic time in seconds. `loop.time` does not advance while a callback
@@ -50,6 +54,7 @@
     """
 
     __slots__ = (
+        "_connections",
         "_pools",
         "_probe_count",
         "_reply_limits",
@@ -79,7 +84,11 @@
         metrics: Metrics,
         regions: Regions | None = None,
         reply_limits: ReplyLimits = SEARCHER_LIMITS,
+        max_connections: float = math.inf,
     ) -> None:
+        self._connections: ConnectionBudget[ClientConnection, Pool] = ConnectionBudget(
+            max_connections
+        )
         self._reply_limits = reply_limits
         self.fleet = fleet
         self.budget = budget
@@ -191,6 +200,10 @@
 
     def _new_pool(self, replica: Replica) -> Pool:
         def unreachable(error: Exception) -> None:
+            if is_own_shortage(error):
+                self.metrics.count("connects_without_descriptor")
+                events.NO_DESCRIPTOR.log(searcher=replica.searcher.id, error=repr(error))
+                return
             is_first = self.fleet.unreachable(replica, self.loop.time())
             self.metrics.count("searcher_connect_failures")
             if not is_first:
@@ -210,6 +223,7 @@
             unreachable,
             self.isolation.answered,
             self._reply_limits,
+            self._connections,
         )
 
     def _remove_pool(self, searcher_id: str) -> None:
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/pools.py
@@ -1,6 +1,7 @@
 """Pools of persistent connections to searchers, within the limit that each searcher allows."""
 
 import asyncio
+import errno
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -8,6 +9,7 @@
 from limpethollow_node.engine.connection.clients import ClientConnection
 from limpethollow_node.engine.connection.replylimits import SEARCHER_LIMITS, ReplyLimits
 from limpethollow_node.engine.messages import Reply
+from limpethollow_policy.process.connectionbudgets import ConnectionBudget
 from limpethollow_policy.request.permits import always
 
 # A connect takes a round trip and a handshake of about 6 ms. An unreachable searcher never answers;
@@ -22,6 +24,11 @@
 # Idle connections to a searcher that announces no idle timeout are closed after this time.
 _IDLE_SECONDS = 45.0
 
+# Errors of a connect that are due to this process or machine, whatever the searcher does.
+_OWN_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
+
 RenderCall = Callable[[], bytes]
 
 
@@ -180,9 +187,11 @@
         on_unreachable: Called with the error when a connection can't be opened.
         on_alive: Called when the searcher accepted a connection or replied.
         limits: Limits on replies.
+        budget: Counts the connections of all pools of the process; None for no limit.
     """
 
     __slots__ = (
+        "_budget",
         "_closed",
         "_host",
         "_idle",
@@ -204,7 +213,9 @@
         on_unreachable: Callable[[Exception], None],
         on_alive: Callable[[], None] = lambda: None,
         limits: ReplyLimits = SEARCHER_LIMITS,
+        budget: ConnectionBudget[ClientConnection, "Pool"] | None = None,
     ) -> None:
+        self._budget = budget or ConnectionBudget()
         self._limits = limits
         self._on_alive = on_alive
         self._host, _, port = address.rpartition(":")
@@ -281,20 +292,39 @@
         self._idle.clear()
         self._fail_waiting(ConnectionError("The searcher was removed."))
 
-    def _start_connect(self) -> None:
-        task = self._loop.create_task(self._connect())
+    def _start_connect(self) -> bool:
+        """Open a connection; return False if another one of the process has to close first."""
+        connection = ClientConnection(self._on_idle, self._on_closed, self._limits)
+        if not self._budget.open(connection, self):
+            idle = self._budget.take_longest_idle()
+            if idle is not None:
+                idle.close()
+            return False
+        task = self._loop.create_task(self._connect(connection))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
-
-    async def _connect(self) -> None:
+        return True
+
+    def _connect_waiting(self) -> None:
+        """Open connections for the waiting calls, now that others have closed."""
+        for _ in range(len(self._waiting) - len(self._opening)):
+            if self._closed or len(self._open) + len(self._opening) >= self.limit:
+                return
+            if not self._start_connect():
+                return
+
+    def _release(self, connection: ClientConnection) -> None:
+        """Let other pools use the place of a closed connection."""
+        self._budget.closed(connection)
+        while (pool := self._budget.next_waiting()) is not None:
+            pool._connect_waiting()
+
+    async def _connect(self, connection: ClientConnection) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._on_idle, self._on_closed, self._limits),
-                    self._host,
-                    self._port,
-                )
+                await self._loop.create_connection(lambda: connection, self._host, self._port)
         except (OSError, TimeoutError) as error:
+            self._release(connection)
             self._on_unreachable(error)
             self._fail_waiting(error)
             return
@@ -319,14 +349,21 @@
         if call is not None:
             call.write_to(connection)
             return
-        if self._waiting or not self.keeps_idle or connection.carried.is_full:
+        if (
+            self._waiting
+            or not self.keeps_idle
+            or connection.carried.is_full
+            or self._budget.is_short
+        ):
             connection.close()
             return
         connection.idle_since = self._loop.time()
+        self._budget.set_idle(connection)
         self._idle.append(connection)
 
     def _on_closed(self, connection: ClientConnection) -> None:
         self._open.discard(connection)
+        self._release(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         # A call that is no longer allowed needs no connection; the one behind it does.
@@ -361,6 +398,7 @@
             if not call.may_use(connection):
                 continue
             self._idle.remove(connection)
+            self._budget.set_busy(connection)
             if connection.usable and not _is_stale(connection, now):
                 return connection
             connection.close()
@@ -372,6 +410,11 @@
             call.on_failed(error)
 
 
+def is_own_shortage(error: Exception) -> bool:
+    """Return whether a connect failed because this process or machine lacks something."""
+    return isinstance(error, OSError) and error.errno in _OWN_ERRORS
+
+
 def _is_stale(connection: ClientConnection, now: float) -> bool:
     max_idle = _IDLE_SECONDS
     if connection.idle_timeout is not None:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -73,6 +73,8 @@
 _RETRY_WITHOUT_INSTANCE = 0.5
 # Bandwidth that one core can use: about 9,000 calls a second of 400 bytes, which is 30 Mbit/s.
 _MBPS_PER_CORE = 30.0
+# Share of the sockets for connections to searchers. The rest is for callers and other instances.
+_SEARCHER_SOCKET_SHARE = 1 / 2
 
 
 class PlatformProcess:
@@ -112,6 +114,7 @@
             self.metrics,
             Regions(settings.zones),
             searcher_limits(settings.limits.memory_mb),
+            max(1, int((settings.limits.max_fds - FILE_DESCRIPTORS) * _SEARCHER_SOCKET_SHARE)),
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
         self._set_key_bounds(bounds)
--- a/packages/limpethollow-node/src/limpethollow_node/process/events.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/events.py
@@ -122,6 +122,9 @@
 LOAD_UNREADABLE = _event(409, logging.DEBUG, "load report of a searcher can't be read")
 SEARCHERS_LOST = _event(410, logging.WARNING, "connections to searchers lost during a request")
 CALL_TO_LEAVING_SEARCHER = _event(411, logging.INFO, "call sent to a searcher that is leaving")
+NO_DESCRIPTOR = _event(
+    412, logging.WARNING, "no connection to a searcher, as this machine lacks descriptors or ports"
+)
 REPLY_CUT_OFF = _event(420, logging.WARNING, "reply exceeded a limit; its connection was closed")
 
 # 500: requests
--- a/tests/system/platform/test_large_transfers.py
+++ b/tests/system/platform/test_large_transfers.py
@@ -278,3 +278,26 @@
         head = b"POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % len(self.BODY)
         id = b"b%d" % number
         return Batch(number, head, self.BODY, id, calls, 5, 8.0, 8.0, time.monotonic())
+
+
+class TestConnections:
+    def test_searches_leave_an_instance_descriptors(self, system):
+        """Guards against connections to searchers that take all descriptors of a process."""
+        shards = [f"s{number}" for number in range(100)]
+        most = 0
+        with ExitStack() as stack:
+            for shard in shards:
+                searcher = stack.enter_context(Unreading(shard, f"{shard}-a"))
+                system.store.put("servers", searcher.name, searcher.entry())
+            system.backend("desk", "i-1")
+            routes = [search_route(shards, timeoutMs=8000, sloMs=8000), forward_route("desk")]
+            system.configure(1, *routes)
+            instance = limited(system, maxFds=280)
+            searches = [request_bytes("/find/x", number) for number in range(4)]
+            with callers(instance, searches):
+                until = time.monotonic() + 2.0
+                while time.monotonic() < until:
+                    most = max(most, open_descriptors(instance))
+            assert instance.ask("/get/x").status == 200
+        assert most < instance.settings["limits"]["maxFds"]
+        assert_within_limits(instance)
--- a/tests/unit/engine/test_pools.py
+++ b/tests/unit/engine/test_pools.py
@@ -153,6 +153,8 @@
                     received.extend(await reader.read(50_000))
                     await asyncio.sleep(0)
                 writer.write(ANSWER)
+                await reader.read()
+                writer.close()
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
             host, port = server.sockets[0].getsockname()
@@ -169,6 +171,7 @@
                 pool.send(call)
                 await asyncio.wait_for(replied, 8.0)
                 pool.close()
+                await asyncio.sleep(0.05)
             return bytes(received)
 
         sent = bytes(index * 7 % 251 for index in range(head + body))
--- a/tests/unit/engine/test_replymemory.py
+++ b/tests/unit/engine/test_replymemory.py
@@ -45,6 +45,7 @@
         held.cancel() if not held.done() else None
         (error,) = await asyncio.gather(held, return_exceptions=True)
         client.close()
+        await asyncio.sleep(0.05)
         return error, len(reply.body)
 
 
