Links to instances: 32 connections from an address, named or not

What callers saw: nothing yet; found while reading the change. A peer that names another instance on each of its connections met no limit on their number.

Change: connections from one address are counted until they close. A link that has closed encodes no more frames, and its address may be unknown by then.

The unit test for it fails on the commit before, which counts unnamed ones only.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peergate.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peergate.py
@@ -24,7 +24,8 @@
 # 195 instances starts, all dial the relays in the same second, each from its own address.
 _UNNAMED_SHARE = 1 / 8
 _MAX_UNNAMED = 512
-_MAX_UNNAMED_OF_HOST = 32
+# Connections that may be open from one address, where one instance runs.
+_MAX_OF_HOST = 32
 
 
 class PeerGate:
@@ -42,10 +43,11 @@
     """
 
     __slots__ = (
+        "_count_of_host",
+        "_hosts",
         "_max_unnamed",
         "_metrics",
         "_unnamed",
-        "_unnamed_of_host",
         "_unread",
         "is_member",
         "receiving",
@@ -61,8 +63,9 @@
         share = int(memory_mb * _MEMORY_SHARE * _MEGABYTE)
         self._metrics = metrics
         self._max_unnamed = max(1, min(_MAX_UNNAMED, int(sockets * _UNNAMED_SHARE)))
-        self._unnamed: dict[Connection, str] = {}
-        self._unnamed_of_host: Counter[str] = Counter()
+        self._unnamed: set[Connection] = set()
+        self._hosts: dict[Connection, str] = {}
+        self._count_of_host: Counter[str] = Counter()
         self._unread: dict[Connection, int] = {}
         self.is_member: Callable[[str], bool] = lambda host: True
         # A complete state of a large deployment takes several frames of the largest size, which
@@ -77,17 +80,14 @@
         if reason is not None:
             self.report(host, reason)
             return False
-        self._unnamed[connection] = host
-        self._unnamed_of_host[host] += 1
+        self._unnamed.add(connection)
+        self._hosts[connection] = host
+        self._count_of_host[host] += 1
         return True
 
     def named(self, connection: Connection) -> None:
         """Count a connection no longer as one without a name."""
-        host = self._unnamed.pop(connection, None)
-        if host is not None:
-            self._unnamed_of_host[host] -= 1
-            if not self._unnamed_of_host[host]:
-                del self._unnamed_of_host[host]
+        self._unnamed.discard(connection)
 
     def received(self, connection: Connection, count: int) -> None:
         """Count bytes that arrived on a connection."""
@@ -96,7 +96,7 @@
             return
         now = asyncio.get_running_loop().time()
         for evicted in self.receiving.resize(connection, unread, now):
-            self.report(evicted.remote_address[0], "frames_received")
+            self.report(host_of(evicted), "frames_received")
             evicted.transport.abort()
 
     def read(self, connection: Connection) -> None:
@@ -107,7 +107,12 @@
 
     def lost(self, connection: Connection) -> None:
         """Forget a closed connection."""
-        self.named(connection)
+        self._unnamed.discard(connection)
+        host = self._hosts.pop(connection, None)
+        if host is not None:
+            self._count_of_host[host] -= 1
+            if not self._count_of_host[host]:
+                del self._count_of_host[host]
         self._unread.pop(connection, None)
         self.receiving.release(connection)
 
@@ -119,14 +124,19 @@
     def _refusal(self, host: str) -> str | None:
         if not self.is_member(host):
             return "not_a_member"
-        if (
-            len(self._unnamed) >= self._max_unnamed
-            or self._unnamed_of_host[host] >= _MAX_UNNAMED_OF_HOST
-        ):
+        if len(self._unnamed) >= self._max_unnamed:
             return "too_many_unnamed"
+        if self._count_of_host[host] >= _MAX_OF_HOST:
+            return "too_many_of_one_peer"
         return None
 
 
+def host_of(connection: Connection) -> str:
+    """Return the IP address of a connection's other end; empty if it has closed."""
+    address = connection.remote_address
+    return address[0] if address else ""
+
+
 class AcceptedConnection(ServerConnection):
     """A connection that another instance opened; refused ones are closed before the handshake."""
 
--- a/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/connection/peerlinks.py
@@ -7,7 +7,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
-from limpethollow_node.engine.connection.peergate import PeerGate
+from limpethollow_node.engine.connection.peergate import PeerGate, host_of
 from limpethollow_node.engine.connection.sockets import enable_keepalive
 from limpethollow_node.engine.frames import AnyFrame, Frame, decode_frame, encode_frame
 from limpethollow_node.process.metrics import Metrics
@@ -112,7 +112,7 @@
     @property
     def host(self) -> str:
         """Return the other end's IP address."""
-        return self._socket.remote_address[0]
+        return host_of(self._socket)
 
     def is_silent(self, now: float) -> bool:
         """Return whether the other instance missed enough heartbeats to be considered down."""
@@ -133,8 +133,9 @@
 
     def send(self, frame: Frame) -> None:
         """Queue a frame for sending without blocking."""
-        data = encode_frame(frame)
-        self._queue(data, frame, len(data))
+        if not self._closed:
+            data = encode_frame(frame)
+            self._queue(data, frame, len(data))
 
     def send_encoded(self, data: bytes, frame: Frame) -> None:
         """Queue an already encoded frame, whose bytes are shared with other links."""
@@ -181,8 +182,6 @@
                 self._on_frame(self, decode_frame(data))
                 if self.name is not None:
                     self._gate.named(self._socket)
-                if self._closed:
-                    return
         except (ConnectionClosed, OSError):
             return
         finally:
--- a/tests/unit/engine/test_peergate.py
+++ b/tests/unit/engine/test_peergate.py
@@ -41,15 +41,24 @@
 class TestUnnamed:
     """Guards against connections that never say who they are and take all descriptors."""
 
-    def test_a_host_may_have_a_few_until_they_are_named(self):
+    def test_a_host_may_have_a_few_named_or_not(self):
+        """Guards against a peer that states another name on each connection."""
         gate = PeerGate(Metrics())
         connections = [object() for _ in range(32)]
         assert all(gate.accept(connection, "a") for connection in connections)
+        gate.named(connections[0])
         assert not gate.accept(object(), "a")
         assert gate.accept(object(), "b")
-        gate.named(connections[0])
+        gate.lost(connections[0])
         assert gate.accept(object(), "a")
 
+    def test_those_that_are_named_make_place(self):
+        gate = PeerGate(Metrics(), sockets=16)
+        assert gate.accept(1, "a") and gate.accept(2, "b")
+        assert not gate.accept(3, "c")
+        gate.named(1)
+        assert gate.accept(3, "c")
+
     def test_195_instances_may_connect_in_the_same_second(self):
         """Guards against a limit that keeps a large deployment from starting."""
         gate = PeerGate(Metrics(), sockets=4100 - 200)
