Merge bounds on the side of searchers and instances

One division of the sockets for both sides: callers' listeners 15/32, searchers 5/16, unnamed instances 1/8; before the merge each side counted on half.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -11,6 +11,8 @@
 from limpethollow_node.engine.connection.callerresources import CallerResources
 from limpethollow_node.engine.connection.callers import CallerServer, Exchange
 from limpethollow_node.engine.connection.listeners import open_listener
+from limpethollow_node.engine.connection.peergate import PeerGate
+from limpethollow_node.engine.connection.replylimits import searcher_limits
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.access import KeyBounds
 from limpethollow_node.engine.process.catalog import Catalog
@@ -35,6 +37,7 @@
 from limpethollow_node.platform.pauses import RetryPause
 from limpethollow_node.platform.quarantines import QuarantineSync
 from limpethollow_node.platform.settings import (
+    FILE_DESCRIPTORS,
     Bounds,
     Limits,
     PlatformSettings,
@@ -77,6 +80,8 @@
 # Share of the memory limit from which on the use of memory is logged.
 _MEMORY_HIGH_SHARE = 0.8
 _MEGABYTE = 1024 * 1024
+# Share of the sockets for connections to searchers; see also `ListenerKind`.
+_SEARCHER_SOCKET_SHARE = 5 / 16
 
 
 class PlatformProcess:
@@ -116,6 +121,8 @@
             HEADERS,
             self.metrics,
             Regions(settings.zones),
+            searcher_limits(settings.limits.memory_mb),
+            max(1, int((settings.limits.max_fds - FILE_DESCRIPTORS) * _SEARCHER_SOCKET_SHARE)),
         )
         self._engine = Engine(self._dispatch, CurrentVersion())
         self._set_key_bounds(bounds)
@@ -138,8 +145,13 @@
             self.metrics,
             self._dispatch.quarantines,
             settings.seed_addresses,
+            PeerGate(
+                self.metrics,
+                settings.limits.memory_mb,
+                settings.limits.max_fds - FILE_DESCRIPTORS,
+            ),
         )
-        self._engine.desk = BatchManager(self._dispatch, self._peers)
+        self._engine.desk = BatchManager(self._dispatch, self._peers, settings.limits.memory_mb)
         self._engine.quotas.join(
             self._roster,
             self._peers,
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/callerbounds.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/callerbounds.py
@@ -39,13 +39,13 @@
 class ListenerKind(Enum):
     """What a listener for callers serves, and its share of the process's sockets.
 
-    The rest of the sockets, 5 of 16, is for connections to searchers, the store and other
+    The rest of the sockets, 17 of 32, is for connections to searchers, the store and other
     instances.
     """
 
-    FRONT = "front", 1 / 2
-    DIRECTORY = "directory", 1 / 8
-    INTERNAL = "internal", 1 / 32
+    FRONT = "front", 3 / 8
+    DIRECTORY = "directory", 1 / 16
+    INTERNAL = "internal", 1 / 64
 
     def __init__(self, label: str, share: float) -> None:
         self.label = label
