Tests: children import from the tree of the process that starts them

Processes that tests start were given a search path of the root only, so a test run in another work tree ran the node of the tree that is installed. The children now inherit the search path of the process that starts them.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -38,7 +38,7 @@
             stdout=subprocess.PIPE,
             stderr=self._stderr,
             cwd=ROOT,
-            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            env={**os.environ, "PYTHONPATH": _search_path()},
         )
         self.ready = self._read_ready(arguments)
 
@@ -97,6 +97,11 @@
         return json.loads(line)["ready"]
 
 
+def _search_path() -> str:
+    """Return where children import from: this tree first, then where this process does."""
+    return os.pathsep.join(filter(None, [str(ROOT), os.environ.get("PYTHONPATH", "")]))
+
+
 class StandIn(Process):
     """A stand-in with a control listener."""
 
