Crowds at the callers' and operators' listeners leave room for others

Callers saw connections that were accepted and never answered while other clients sent heads and bodies that stopped short of their end, read nothing or were only connected; at the limit on open files the instance accepted no one and every call out failed.

Cause: each connection held one of 52 threads for up to 5 s from its first moment, replies were written by blocking sends whose timeout began anew with each progress, and connections were accepted without a bound.

Change: an event loop for each listener reads requests and sends replies without blocking; a thread gets a connection once its request is complete or can be refused by its head. Connections, bytes of requests and bytes of unsent replies have limits; at a limit, those that keep the listener waiting longest are closed. `listeners.connections` is new. A refused body is dropped after the reply, by the loop instead of a thread.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -9,7 +9,7 @@
 from limpethollow_node.connection.servers import REQUEST_KEY, TypedServer
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
-from limpethollow_node.process.timers import Timers
+from limpethollow_policy.connection.listener_limits import ListenerLimits
 from limpethollow_wire.codecs import to_json
 from limpethollow_wire.exceptions import (
     BadFraming,
@@ -17,7 +17,6 @@
     InstanceBusy,
     InternalError,
     LimpethollowError,
-    SlowSender,
     TooLarge,
 )
 from limpethollow_wire.limits import MAX_BODY_BYTES
@@ -25,10 +24,7 @@
 Environ = dict[str, Any]
 
 _SPARE_THREADS = 4
-_READ_SECONDS = 5.0
 _RETRY_AFTER = 0.1
-_MAX_DRAINED_BYTES = 4 * 1024 * 1024
-_DRAIN_CHUNK_BYTES = 64 * 1024
 _CLOSING_CODES = frozenset({"too_large", "slow_sender", "bad_framing"})
 _REASONS = {
     200: "OK",
@@ -57,7 +53,8 @@
 class Listener:
     """One HTTP listener with its routes.
 
-    A few threads more than `threads` read requests. What arrives while `threads` requests are being
+    A thread gets a request once it has arrived in full, and never waits for a slow reader. A few
+    threads more than `threads` read requests. What arrives while `threads` requests are being
     handled is refused at once by a spare one, instead of waiting unseen in the server's queue
     until its caller has given up.
 
@@ -68,7 +65,7 @@
         routes: The handlers.
         context: Handed to every handler.
         gate: Whether connections should close.
-        timers: Where bounds on slow senders are set.
+        limits: What the clients may hold.
         metrics: Where refusals are counted.
     """
 
@@ -80,7 +77,7 @@
         routes: Routes,
         context: Any,
         gate: Gate,
-        timers: Timers,
+        limits: ListenerLimits,
         metrics: Metrics,
     ) -> None:
         self._routes = routes
@@ -96,9 +93,9 @@
             (host, port),
             self._serve,
             threads + _SPARE_THREADS,
-            _READ_SECONDS,
-            timers.call_at,
+            limits,
             self._count_refusal,
+            lambda reason: metrics.count("connections_evicted", reason),
             _log_server_message,
         )
         self._thread = threading.Thread(target=self._server.serve, name="listener", daemon=True)
@@ -119,8 +116,8 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests that have no answer yet, those waiting for a thread included."""
-        return self._open + self._server.requests.qsize
+        """Requests without a whole answer, those waiting for a thread included."""
+        return self._open + self._server.requests.qsize + self._server.unsent_replies
 
     @property
     def last_arrival(self) -> float:
@@ -191,7 +188,6 @@
     def _read(self, environ: Environ) -> HttpRequest:
         length = _body_length(environ)
         if length > MAX_BODY_BYTES:
-            self._drain(environ, length)
             raise TooLarge(f"The body has {length} bytes; {MAX_BODY_BYTES} are allowed.")
         body = self._read_body(environ, length) if length else b""
         return HttpRequest(
@@ -202,30 +198,10 @@
             connection=environ[REQUEST_KEY].conn.socket,
         )
 
-    def _drain(self, environ: Environ, length: int) -> None:
-        """Read a body that is too large, and drop it.
-
-        A connection closed with bytes unread is reset, and the reset can overtake our reply: the
-        sender would see a broken connection instead of the reason.
-        """
-        if environ.get("HTTP_EXPECT") or length > _MAX_DRAINED_BYTES:
-            return
-        with self._server.guard(environ[REQUEST_KEY].conn.socket):
-            try:
-                while environ["wsgi.input"].read(_DRAIN_CHUNK_BYTES):
-                    continue
-            except OSError:
-                return
-
     def _read_body(self, environ: Environ, length: int) -> bytes:
-        with self._server.guard(environ[REQUEST_KEY].conn.socket) as guard:
-            try:
-                body = environ["wsgi.input"].read(length)
-            except OSError:
-                raise SlowSender("The body did not arrive in time.") from None
-        if guard.expired:
-            raise SlowSender("The body did not arrive in time.")
+        body = environ["wsgi.input"].read(length)
         if len(body) != length:
+            environ[REQUEST_KEY].close_connection = True
             raise BadRequest("The body is shorter than its Content-Length.")
         return body
 
--- a/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
@@ -1,15 +1,23 @@
 """The HTTP server library, made to answer its own refusals with typed JSON errors."""
 
+import contextlib
 import json
-import socket
 import threading
 import time
 from collections.abc import Callable
 from typing import Any
 
 from cheroot import wsgi
-from cheroot.server import HTTPConnection, HTTPRequest
-
+from cheroot.server import HeaderReader, HTTPRequest
+
+from limpethollow_node.connection.connection_loops import (
+    IDLE_SECONDS,
+    ConnectionLoop,
+    Evicted,
+    LoopConnection,
+    send_all,
+)
+from limpethollow_policy.connection.listener_limits import ListenerLimits
 from limpethollow_wire.exceptions import (
     BadRequest,
     InstanceBusy,
@@ -22,8 +30,10 @@
 
 REQUEST_KEY = "limpethollow.request"
 
-_SOCKET_TIMEOUT = 5
-_BACKLOG = 128
+# Connections over the limit wait here in turn; where this queue overflows, it is luck who gets in.
+_BACKLOG = 1024
+_PARSING_THREADS = 2
+_LAST_SEND_SECONDS = 0.5
 _REFUSALS: dict[str, type[LimpethollowError]] = {
     "408": SlowSender,
     "413": TooLarge,
@@ -32,70 +42,31 @@
     "503": InstanceBusy,
 }
 
-CallLater = Callable[[float, Callable[[], None]], None]
 Refused = Callable[[LimpethollowError], None]
 
 
-class ReadGuard:
-    """Ends the reading of one request's bytes after a bound.
-
-    A sender that drips a byte every few seconds never meets the socket's own timeout, which starts
-    anew with every byte, and so holds a thread for as long as it likes; a few dozen of them stop
-    the instance. The guard shuts the reading side of the socket down, so that the blocked read
-    returns at once whatever the sender does.
-
-    Args:
-        sock: The connection's socket.
-        seconds: The bound.
-        call_later: Runs a callback at a monotonic second.
-    """
-
-    __slots__ = ("_lock", "_reading", "_socket", "expired")
-
-    def __init__(self, sock: socket.socket, seconds: float, call_later: CallLater) -> None:
-        self._socket = sock
-        self._lock = threading.Lock()
-        self._reading = True
-        self.expired = False
-        call_later(time.monotonic() + seconds, self._expire)
-
-    def __enter__(self) -> "ReadGuard":
-        return self
+class _HeadersWithoutExpect(HeaderReader):
+    """Reads the headers of a request whose `Expect` header was answered already."""
 
-    def __exit__(self, *_: object) -> None:
-        with self._lock:
-            self._reading = False
-
-    def _expire(self) -> None:
-        with self._lock:
-            if not self._reading:
-                return
-            self.expired = True
-            try:
-                self._socket.shutdown(socket.SHUT_RD)
-            except OSError:
-                return
+    def _allow_header(self, key_name: bytes) -> bool:
+        return key_name != b"Expect"
 
 
 class TypedRequest(HTTPRequest):
-    """Parses a request under a time bound and refuses with a typed JSON error."""
-
-    _guard: ReadGuard | None = None
+    """Parses a request and refuses with a typed JSON error."""
 
     def parse_request(self) -> None:
         """Read the request line and the headers."""
-        with self.server.guard(self.conn.socket) as self._guard:
-            super().parse_request()
-        if self._guard.expired and not self.ready:
+        if self.conn.is_late:
             self.simple_response("408 Request Timeout")
+            return
+        if self.conn.is_told_to_continue:
+            self.header_reader = _HeadersWithoutExpect()
+        with self.server.parsing:
+            super().parse_request()
 
     def simple_response(self, status: Any, msg: Any = "") -> None:
-        """Write a refusal of the library's own as a typed JSON error, and close.
-
-        A request cut off by the guard looks malformed to the parser; its real fault is named.
-        """
-        if self._guard is not None and self._guard.expired:
-            status, msg = "408 Request Timeout", ""
+        """Write a refusal of the library's own as a typed JSON error, and close."""
         if self.sent_headers:
             return
         self.sent_headers = True
@@ -113,7 +84,7 @@
             return
 
 
-class TypedConnection(HTTPConnection):
+class TypedConnection(LoopConnection):
     """A connection whose requests are typed."""
 
     RequestHandlerClass = TypedRequest
@@ -136,9 +107,9 @@
         bind: Host and port.
         application: The WSGI application.
         threads: Requests read and handled at once.
-        read_seconds: Bound on the reading of one request's headers, and of its body.
-        call_later: Runs a callback at a monotonic second.
+        limits: What the clients may hold.
         refused: Told of every refusal that the library itself makes.
+        evicted: Told why a connection was closed to make room.
         log: Told of messages of the library.
     """
 
@@ -149,9 +120,9 @@
         bind: tuple[str, int],
         application: Any,
         threads: int,
-        read_seconds: float,
-        call_later: CallLater,
+        limits: ListenerLimits,
         refused: Refused,
+        evicted: Evicted,
         log: Callable[..., None],
     ) -> None:
         super().__init__(
@@ -160,18 +131,37 @@
             numthreads=threads,
             max=threads,
             request_queue_size=_BACKLOG,
-            timeout=_SOCKET_TIMEOUT,
+            timeout=IDLE_SECONDS,
         )
         self.gateway = TypedGateway
         self.max_request_header_size = MAX_HEADER_BYTES
         self.error_log = log
         self.refused = refused
-        self._read_seconds = read_seconds
-        self._call_later = call_later
-
-    def guard(self, sock: socket.socket) -> ReadGuard:
-        """Return a guard for reading from a connection."""
-        return ReadGuard(sock, self._read_seconds, self._call_later)
+        # Parsing never waits, so more threads at it would only keep those that drive searches from
+        # the interpreter.
+        self.parsing = threading.BoundedSemaphore(_PARSING_THREADS)
+        self._limits = limits
+        self._evicted = evicted
+
+    @property
+    def unsent_replies(self) -> int:
+        """Replies that their callers have not taken in full."""
+        return self._connections.unsent_replies
+
+    def prepare(self) -> None:
+        """Bind the socket and start the worker threads."""
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = ConnectionLoop(self, self._limits, self._evicted)
+
+    def put_conn(self, conn: TypedConnection) -> None:
+        """Take a connection back from a worker thread; while stopping, send its reply and close."""
+        if self.ready:
+            self._connections.put(conn)
+            return
+        with contextlib.suppress(OSError):
+            send_all(conn, time.monotonic() + _LAST_SEND_SECONDS)
+        conn.close()
 
 
 def _error_for(status: str, message: str) -> LimpethollowError:
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -1,6 +1,8 @@
 """Wires the components of one instance together and runs them."""
 
+import resource
 import secrets
+import sys
 from contextlib import ExitStack
 from random import Random
 
@@ -26,6 +28,7 @@
 from limpethollow_node.request.peers import PeerContext, answer_peer
 from limpethollow_node.request.searches import Coordinator
 from limpethollow_node.version.planners import Planner
+from limpethollow_policy.connection.listener_limits import ProcessLimits
 from limpethollow_policy.process.shutdowns import InstanceState, OpenWork
 from limpethollow_wire.instances import InstanceStatus
 from limpethollow_wire.peers import Acknowledgement, Hello, Leaving, RouteHoldTime
@@ -115,6 +118,7 @@
         keys, listener_settings = settings.keys, settings.listeners
         platform = PlatformClient(settings.platform, metrics)
         timers = Timers()
+        limits = ProcessLimits.of(listener_settings.connections, _descriptor_limit())
         self._members = MembershipTracker(
             self._id, settings.instance.failure_domain, platform, self._rng
         )
@@ -185,7 +189,7 @@
             callers.ROUTES,
             caller_context,
             self._lifecycle,
-            timers,
+            limits.callers,
             metrics,
         )
         self._operators = Listener(
@@ -195,7 +199,7 @@
             operators.ROUTES,
             operator_context,
             self._lifecycle,
-            timers,
+            limits.operators,
             metrics,
         )
         self._components = (
@@ -257,3 +261,8 @@
         self._groups.give_up()
         self._bookings.give_up()
         self._links.give_up()
+
+
+def _descriptor_limit() -> int:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit == resource.RLIM_INFINITY else limit
--- a/packages/limpethollow-wire/src/limpethollow_wire/settings.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/settings.py
@@ -13,6 +13,8 @@
 
 _MIN_KEY_LENGTH = 16
 _MAX_THREADS = 512
+_MIN_CONNECTIONS = 64
+_MAX_CONNECTIONS = 65536
 _SHORT_KEY = f"is shorter than {_MIN_KEY_LENGTH} characters; set a longer random key"
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -33,6 +35,8 @@
         operator_port: HTTP port for operators.
         peer_port: WebSocket port for other instances.
         threads: Maximum number of caller requests handled concurrently.
+        connections: Maximum number of connections to all listeners together; half of the process's
+            limit on open files where that is less.
     """
 
     host: str = "127.0.0.1"
@@ -40,6 +44,7 @@
     operator_port: int = 0
     peer_port: int = 0
     threads: int = 48
+    connections: int = 4096
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -146,6 +151,11 @@
                 for name in ports
             ),
             (1 <= listeners.threads <= _MAX_THREADS, "listeners.threads", "must be 1 to 512"),
+            (
+                _MIN_CONNECTIONS <= listeners.connections <= _MAX_CONNECTIONS,
+                "listeners.connections",
+                f"must be {_MIN_CONNECTIONS} to {_MAX_CONNECTIONS}",
+            ),
             (bool(host) and port.isdigit(), "platform.address", "must be host:port"),
             (self.platform.timeout > 0, "platform.timeout", "must be above 0"),
             (self.platform.watch_timeout > 0, "platform.watch_timeout", "must be above 0"),
