Crowds at the peers' listener leave room for peers

Peers could not link, and after a crowd not at all: the websocket library ends its listener at the first error of accept, such as one for lack of descriptors, and each connection without a key had two threads for up to 10 s. Control frames of a link were queued without a bound.

Change: connections are counted and those without a hello closed when room is needed; accept waits instead of failing; the handshake has 1 s; a link with 64 control frames waiting for a thread is read no further.

The peers' cases of tests/system/lifecycle/test_crowds.py failed before in 5 of 7 cases (no link within 30 s, during or after the crowd).

--- a/packages/limpethollow-node/src/limpethollow_node/connection/peer_listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peer_listeners.py
@@ -1,5 +1,6 @@
 """The listener for other instances: keys, frames, and threads that no peer can take alone."""
 
+import socket
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -9,6 +10,7 @@
 from websockets.http11 import Request, Response
 from websockets.sync.server import ServerConnection, serve
 
+from limpethollow_node.connection.peer_sockets import PeerConnections, PeerServerSocket
 from limpethollow_node.connection.peers import OPEN_TIMEOUT, PING_SECONDS, limit_send
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
@@ -27,12 +29,16 @@
 
 _WORKERS = 64
 _CONTROL_WORKERS = 4
+_CONTROL_BACKLOG = 64
 _REQUESTS_OF_ONE_PEER = 32
 _WORK_KINDS = ("group.", "booking.")
+_CONNECTIONS = 1024
+_HANDSHAKE_SECONDS = 1.0
 _SEND_SECONDS = 2.0
 _RETRY_AFTER = 0.1
 _CLOSE_CODE_TOO_LARGE = 1009
 
+ConnectionHandler = Callable[[socket.socket, Any], None]
 Answer = Callable[[str, str, Any], Any]
 
 
@@ -47,6 +53,7 @@
         hello_received: Told of each peer's hello.
         answer: Called with peer id, kind and plain body; returns the reply's message.
         metrics: Where refusals are counted.
+        connections: Connections open at once.
     """
 
     def __init__(
@@ -58,6 +65,7 @@
         hello_received: Callable[[Hello], None],
         answer: Answer,
         metrics: Metrics,
+        connections: int = _CONNECTIONS,
     ) -> None:
         self._key = key
         self._hello = hello
@@ -68,17 +76,21 @@
         self._control = ThreadPoolExecutor(_CONTROL_WORKERS, thread_name_prefix="peer-control")
         self._open = PeerRequestLimiter(_REQUESTS_OF_ONE_PEER)
         self._open_lock = threading.Lock()
+        self._connections = PeerConnections(
+            connections, lambda reason: metrics.count("connections_evicted", reason)
+        )
         self._server = serve(
             self._handle,
-            host,
-            port,
+            sock=PeerServerSocket(host, port, self._connections),
             process_request=self._check_key,
+            open_timeout=_HANDSHAKE_SECONDS,
             ping_interval=PING_SECONDS,
             ping_timeout=PING_SECONDS,
             close_timeout=OPEN_TIMEOUT,
             max_size=MAX_FRAME_BYTES,
             compression=None,
         )
+        self._server.handler = self._counted(self._server.handler)
         self._thread = threading.Thread(
             target=self._server.serve_forever, name="peer-listener", daemon=True
         )
@@ -104,6 +116,17 @@
         with self._open_lock:
             return self._open.total
 
+    def _counted(self, handle: ConnectionHandler) -> ConnectionHandler:
+        """Return a handler after which its connection counts no more."""
+
+        def handle_and_uncount(sock: socket.socket, address: Any) -> None:
+            try:
+                handle(sock, address)
+            finally:
+                self._connections.ended(sock)
+
+        return handle_and_uncount
+
     def _check_key(self, connection: ServerConnection, request: Request) -> Response | None:
         try:
             given = parse_bearer_key(request.headers.get("Authorization"))
@@ -115,18 +138,20 @@
         events.PEER_REFUSED.log(reason="unauthorized")
         return connection.respond(401, "The peers' key is missing or wrong.\n")
 
-    def _handle(self, socket: ServerConnection) -> None:
+    def _handle(self, link: ServerConnection) -> None:
         try:
             # A peer that is frozen reads no replies; without a limit it would hold the threads
             # that send them, one after the other, until none is left for the other peers.
-            limit_send(socket.socket, _SEND_SECONDS)
-            hello = convert(from_cbor(_frame_bytes(socket.recv(OPEN_TIMEOUT))), Hello)
-            socket.send(to_cbor(self._hello()))
+            limit_send(link.socket, _SEND_SECONDS)
+            hello = convert(from_cbor(_frame_bytes(link.recv(OPEN_TIMEOUT))), Hello)
+            self._connections.greeted(link.socket)
+            link.send(to_cbor(self._hello()))
             self._greeted(hello)
             events.PEER_LINKED.log(peer=hello.instance)
-            for data in socket:
+            backlog = threading.BoundedSemaphore(_CONTROL_BACKLOG)
+            for data in link:
                 frame = convert(from_cbor(_frame_bytes(data)), Frame)
-                self._take(socket, hello.instance, frame)
+                self._take(link, hello.instance, frame, backlog)
         except BadRequest as error:
             self._refuse("bad_frame", str(error))
         except ConnectionClosedError as error:
@@ -139,32 +164,47 @@
         self._metrics.count("peers_refused", reason)
         events.PEER_REFUSED.log(reason=reason, error=error)
 
-    def _take(self, socket: ServerConnection, peer: str, frame: Frame) -> None:
+    def _take(
+        self,
+        link: ServerConnection,
+        peer: str,
+        frame: Frame,
+        backlog: threading.BoundedSemaphore,
+    ) -> None:
         """Hand a request to the threads of its lane.
 
         Searches and bookings may take seconds. Hellos, configuration and notices have threads of
-        their own, so that they never wait behind them.
+        their own, so that they never wait behind them. A link whose `backlog` is full is not read
+        until some of its frames were handled.
         """
         if not frame.kind.startswith(_WORK_KINDS):
-            self._control.submit(self._reply, socket, peer, frame)
+            self._submit_control(backlog, self._reply, link, peer, frame)
             return
         with self._open_lock:
             is_taken = self._open.begin(peer)
         if is_taken:
-            self._workers.submit(self._work, socket, peer, frame)
+            self._workers.submit(self._work, link, peer, frame)
             return
         self._metrics.count("peer_requests_refused", "too_many_of_one_peer")
         error = Overloaded("The peer has too many requests open here.", retry_after=_RETRY_AFTER)
-        self._control.submit(self._send, socket, Frame(frame.id, error=error.to_body()))
+        reply = Frame(frame.id, error=error.to_body())
+        self._submit_control(backlog, self._send, link, reply)
+
+    def _submit_control(
+        self, backlog: threading.BoundedSemaphore, call: Callable[..., None], *arguments: Any
+    ) -> None:
+        backlog.acquire()
+        future = self._control.submit(call, *arguments)
+        future.add_done_callback(lambda _: backlog.release())
 
-    def _work(self, socket: ServerConnection, peer: str, frame: Frame) -> None:
+    def _work(self, link: ServerConnection, peer: str, frame: Frame) -> None:
         try:
-            self._reply(socket, peer, frame)
+            self._reply(link, peer, frame)
         finally:
             with self._open_lock:
                 self._open.end(peer)
 
-    def _reply(self, socket: ServerConnection, peer: str, frame: Frame) -> None:
+    def _reply(self, link: ServerConnection, peer: str, frame: Frame) -> None:
         try:
             reply = Frame(frame.id, body=self._answer(peer, frame.kind, frame.body))
         except LimpethollowError as error:
@@ -174,11 +214,11 @@
                 where="peer request", kind=frame.kind, error=repr(error), exc_info=True
             )
             reply = Frame(frame.id, error=InternalError("The peer has a defect.").to_body())
-        self._send(socket, reply)
+        self._send(link, reply)
 
-    def _send(self, socket: ServerConnection, reply: Frame) -> None:
+    def _send(self, link: ServerConnection, reply: Frame) -> None:
         try:
-            socket.send(to_cbor(reply))
+            link.send(to_cbor(reply))
         except (WebSocketException, OSError):
             return
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -181,6 +181,7 @@
             self._links.hello_received,
             lambda peer, kind, body: answer_peer(peers, kind, body),
             metrics,
+            limits.peers,
         )
         self._callers = Listener(
             listener_settings.host,
