Responses of the platform that never end hold no thread and little memory

Operators saw an instance that heard of no change any more, or whose memory rose, while the platform's address sent bytes that were no response. Its socket timeout began anew with each byte of a head, interim replies and trailers were read without end, and a body could have 256 MiB for each of several calls at a time.

Change: a guard shuts the socket down 0.1 s after the call's time; bodies have 1 MiB each and 32 MiB together; compressed bodies, which were never asked for, are not decoded. The allocator gives large blocks back at once: glibc kept as much again for its threads.

--- a/packages/limpethollow-node/src/limpethollow_node/process/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/main.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+from limpethollow_node.process.allocators import return_large_blocks
 from limpethollow_node.process.node import Node
 from limpethollow_node.process.stderrlogs import configure_logging
 from limpethollow_wire.exceptions import SettingsError
@@ -30,6 +31,7 @@
         return EXIT_SETTINGS
     if options.check:
         return EXIT_OK
+    return_large_blocks()
     configure_logging(settings.log.level, settings.instance.id)
     return _serve(settings)
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -7,8 +7,11 @@
 import msgspec
 import urllib3
 
+from limpethollow_node.connection.guards import CallAt, DeadlineGuard
+from limpethollow_node.connection.reply_bytes import ReplyBody, ReplyBytes, ReplyTooLarge
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
+from limpethollow_node.process.timers import Timers
 from limpethollow_policy.process.callbudgets import DEFAULT_RATES, CallBudget, RetryBudget
 from limpethollow_policy.process.revisions import UNKNOWN_ERA
 from limpethollow_wire.codecs import to_json
@@ -24,13 +27,48 @@
 _MAX_SAVED_RETRIES = 10.0
 _MAX_CONNECTIONS = 8
 _CHUNK_BYTES = 64 * 1024
-_MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+# For two lists at a time of 310 services of 41 KB, which have 13 MB each.
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+_OWN_BYTES = 1024 * 1024
+_OVERTIME_SECONDS = 0.1
 
 
 class CallBudgetSpent(Unavailable):
     """The call budget of this instance is exhausted; nothing was sent."""
 
 
+class _GuardedConnection(urllib3.connection.HTTPConnection):
+    """A connection whose calls end soon after their time, wherever their response stands.
+
+    Args:
+        call_at: Runs a callback at a monotonic second.
+
+    Attributes:
+        guard: Guards the call that was made last.
+    """
+
+    guard: DeadlineGuard
+
+    def __init__(self, *args: Any, call_at: CallAt, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._call_at = call_at
+
+    def getresponse(self) -> urllib3.HTTPResponse:
+        """Read the response's head."""
+        assert isinstance(self.timeout, float)
+        deadline = time.monotonic() + self.timeout + _OVERTIME_SECONDS
+        self.guard = DeadlineGuard(self.sock, deadline, self._call_at)
+        try:
+            return super().getresponse()
+        except BaseException:
+            self.guard.end()
+            raise
+
+
+class _GuardedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _GuardedConnection
+
+
 class PlatformObject(msgspec.Struct, frozen=True):
     """One stored object with its version, which increases with every write.
 
@@ -107,13 +145,17 @@
         self._retries = RetryBudget(_RETRY_RATIO, _MAX_SAVED_RETRIES)
         self._is_failing = False
         self._era = UNKNOWN_ERA
+        self._bytes = ReplyBytes(_MAX_RESPONSE_BYTES, _OWN_BYTES, _MAX_RESPONSE_BYTES)
+        self._timers = Timers()
         self._pool = self._new_pool()
 
     def __enter__(self) -> "PlatformClient":
+        self._timers.__enter__()
         return self
 
     def __exit__(self, *_: object) -> None:
         self._pool.close()
+        self._timers.__exit__()
 
     def read(self, kind: str, name: str) -> PlatformObject:
         """Read one object.
@@ -199,8 +241,9 @@
         deadline = time.monotonic() + self._settings.timeout + extra_wait
         pool = self._pool
         try:
-            status, data = self._send_request(pool, method, path, body, deadline)
-            result = _decode_response(status, data, kind)
+            with self._bytes.body() as response_body:
+                status = self._send_request(pool, method, path, body, deadline, response_body)
+                result = _decode_response(status, response_body.data, kind)
         except (urllib3.exceptions.HTTPError, Unavailable) as error:
             self._record_failure(call, error)
             self._replace_pool(pool)
@@ -218,8 +261,9 @@
         path: str,
         body: bytes | None,
         deadline: float,
-    ) -> tuple[int, bytes]:
-        """Send a request and read the whole response by the deadline.
+        response_body: ReplyBody,
+    ) -> int:
+        """Send a request, read the whole response by the deadline and return its status.
 
         The socket timeout alone restarts with every byte received, so a platform that sends its
         response a few bytes at a time could block the caller indefinitely.
@@ -229,22 +273,35 @@
         response = pool.urlopen(
             method, path, body=body, timeout=timeout, retries=False, preload_content=False
         )
+        connection = response.connection
+        assert isinstance(connection, _GuardedConnection)
         try:
-            data = bytearray()
-            while chunk := response.read1(_CHUNK_BYTES):
-                data += chunk
-                if time.monotonic() > deadline or len(data) > _MAX_RESPONSE_BYTES:
-                    raise Unavailable("The response took too long or is too large.")
+            with connection.guard:
+                while chunk := response.read1(_CHUNK_BYTES, decode_content=False):
+                    response_body.add(chunk)
+                    if time.monotonic() > deadline:
+                        raise Unavailable("The response took too long.")
+        except ReplyTooLarge:
+            self._metrics.count("replies_cut_off", "body")
+            events.REPLY_CUT_OFF.log(searcher="platform", limit="body")
+            response.close()
+            raise Unavailable("The response is too large.") from None
         except BaseException:
             # Unread bytes of the response may still arrive, so the connection can't be reused.
             response.close()
             raise
         response.release_conn()
-        return response.status, bytes(data)
+        return response.status
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self._settings.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=_MAX_CONNECTIONS, retries=False)
+        return _GuardedPool(
+            host,
+            int(port),
+            maxsize=_MAX_CONNECTIONS,
+            retries=False,
+            call_at=self._timers.call_at,
+        )
 
     def _replace_pool(self, pool: urllib3.HTTPConnectionPool) -> None:
         """Replace the connection pool after a failure.
@@ -302,7 +359,7 @@
     return {"if_version": number_of(version), "if_era": era_of(version)}
 
 
-def _decode_response(status: int, data: bytes, kind: type[T]) -> T:
+def _decode_response(status: int, data: bytearray, kind: type[T]) -> T:
     if status == 404:
         raise NotFound("The object does not exist on the platform.")
     if status == 409:
