Searchers' bodies that never end are bounded together

An instance's memory rose with the number of faulty searchers: each reply could take 4 MiB for the whole time of its call, and the pieces of a body were kept in a list, which takes 50 bytes for a chunk of two.

Change: a body has 1 MiB, and up to 4 MiB while 32 MiB shared by all are free; it is read into one buffer; compressed bodies are not decoded. A reply over its limit counts as broken, is logged as event 420 and counted in `replies_cut_off`.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/pools.py
@@ -12,6 +12,7 @@
 
 from urllib3.connection import HTTPConnection
 
+from limpethollow_node.connection.reply_bytes import ReplyBytes
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.timers import Timers
@@ -22,9 +23,12 @@
     WaitForConnection,
     connections_per_searcher,
 )
+from limpethollow_wire.limits import MAX_REPLY_BYTES
 from limpethollow_wire.services import SearcherSpec
 
 _COUNTER = "searcher_connections"
+_OWN_REPLY_BYTES = 1024 * 1024
+_SHARED_REPLY_BYTES = 32 * 1024 * 1024
 
 
 class NoConnection(Exception):
@@ -271,6 +275,9 @@
         timers: Where the closing of idle connections is set.
         metrics: Where connections are counted.
         idle_seconds: Seconds after which an unused connection is closed.
+
+    Attributes:
+        reply_bytes: Memory for the replies of all searchers.
     """
 
     def __init__(
@@ -279,6 +286,7 @@
         self._timers = timers
         self._metrics = metrics
         self._idle_seconds = idle_seconds
+        self.reply_bytes = ReplyBytes(MAX_REPLY_BYTES, _OWN_REPLY_BYTES, _SHARED_REPLY_BYTES)
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
 
--- a/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/searchers.py
@@ -11,6 +11,8 @@
 from urllib3.exceptions import HTTPError
 
 from limpethollow_node.connection.pools import ConnectionPools, Lease, NoConnection
+from limpethollow_node.connection.reply_bytes import ReplyBody, ReplyTooLarge
+from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_node.process.timers import Timers
 from limpethollow_policy.request.events import Failure
@@ -89,6 +91,7 @@
         metrics: Metrics,
     ) -> None:
         self._pools = pools
+        self._id = searcher.id
         self._pool = pools.acquire(searcher)
         self._timers = timers
         self._metrics = metrics
@@ -199,16 +202,20 @@
             lease = self._pool.lease(deadline, control=control)
         except NoConnection:
             raise CallFailed(Failure.REFUSED) from None
-        with lease:
+        with self._pools.reply_bytes.body() as reply_body, lease:
             call.lease = lease
             _open(lease, call, deadline)
             try:
-                response, data = _exchange(lease, path, to_json(body), deadline)
+                response = _exchange(lease, path, to_json(body), deadline, reply_body)
+            except ReplyTooLarge:
+                self._metrics.count("replies_cut_off", "body")
+                events.REPLY_CUT_OFF.log(searcher=self._id, limit="body")
+                raise CallFailed(Failure.BROKEN) from None
             except CallFailed:
                 if lease.aborted and time.monotonic() >= deadline:
                     raise CallFailed(Failure.TIMEOUT) from None
                 raise
-            reply = _read(response, data, kind) if response.status == 200 else None
+            reply = _read(reply_body.data, kind) if response.status == 200 else None
             if reply is not None and not echoes(reply):
                 raise CallFailed(Failure.MISMATCHED)
             lease.completed()
@@ -232,15 +239,16 @@
 
 
 def _exchange(
-    lease: Lease, path: str, body: bytes, deadline: float
-) -> tuple[BaseHTTPResponse, bytes]:
+    lease: Lease, path: str, body: bytes, deadline: float, reply_body: ReplyBody
+) -> BaseHTTPResponse:
     """Send a request and read its whole reply; from here on it may have run."""
     connection = lease.connection
     connection.timeout = max(deadline - time.monotonic(), _SMALLEST_TIMEOUT)
     sock = connection.sock
     try:
         response = _response(connection, path, body)
-        return response, _read_body(response, sock, deadline)
+        _read_body(response, sock, deadline, reply_body)
+        return response
     except TimeoutError:
         raise CallFailed(Failure.TIMEOUT) from None
     except (OSError, HTTPException, HTTPError, ValueError) as error:
@@ -260,22 +268,24 @@
         raise CallFailed(Failure.LOST) from None
 
 
-def _read_body(response: BaseHTTPResponse, sock: Any, deadline: float) -> bytes:
-    """Read a body within the deadline and its bound, however small its pieces are."""
-    chunks: list[bytes] = []
-    size = 0
+def _read_body(response: BaseHTTPResponse, sock: Any, deadline: float, body: ReplyBody) -> None:
+    """Read a body within the deadline and its bound, however small its pieces are.
+
+    Raises:
+        ReplyTooLarge: It is over its bound.
+        CallFailed: It is not complete at the deadline.
+    """
     while True:
         sock.settimeout(max(deadline - time.monotonic(), _SMALLEST_TIMEOUT))
-        chunk = response.read1(_CHUNK_BYTES)
+        chunk = response.read1(_CHUNK_BYTES, decode_content=False)
         if not chunk:
-            return b"".join(chunks)
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_REPLY_BYTES or time.monotonic() >= deadline:
-            raise CallFailed(Failure.BROKEN if size > MAX_REPLY_BYTES else Failure.TIMEOUT)
+            return
+        body.add(chunk)
+        if time.monotonic() >= deadline:
+            raise CallFailed(Failure.TIMEOUT)
 
 
-def _read(response: BaseHTTPResponse, data: bytes, kind: type[T]) -> T:
+def _read(data: bytearray, kind: type[T]) -> T:
     try:
         return from_json(data, kind, MAX_REPLY_BYTES)
     except BadRequest:
