Large frames of peers take bounded memory before they are handled

Memory of an instance rose with the frames that its peers sent faster than it handled them: each link queued 16 frames of up to 4 MiB, and further ones waited for a thread in decoded form without a bound.

Change: a link queues one frame, and four large frames of control requests are handled at a time over all links; links with further ones are not read.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/peer_listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peer_listeners.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 from websockets.exceptions import ConnectionClosedError, WebSocketException
@@ -11,7 +11,12 @@
 from websockets.sync.server import ServerConnection, serve
 
 from limpethollow_node.connection.peer_sockets import PeerConnections, PeerServerSocket
-from limpethollow_node.connection.peers import OPEN_TIMEOUT, PING_SECONDS, limit_send
+from limpethollow_node.connection.peers import (
+    MAX_QUEUED_FRAMES,
+    OPEN_TIMEOUT,
+    PING_SECONDS,
+    limit_send,
+)
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.connection.links import PeerRequestLimiter
@@ -30,6 +35,8 @@
 _WORKERS = 64
 _CONTROL_WORKERS = 4
 _CONTROL_BACKLOG = 64
+_LARGE_FRAME_BYTES = 64 * 1024
+_LARGE_FRAMES = 4
 _REQUESTS_OF_ONE_PEER = 32
 _WORK_KINDS = ("group.", "booking.")
 _CONNECTIONS = 1024
@@ -76,6 +83,7 @@
         self._control = ThreadPoolExecutor(_CONTROL_WORKERS, thread_name_prefix="peer-control")
         self._open = PeerRequestLimiter(_REQUESTS_OF_ONE_PEER)
         self._open_lock = threading.Lock()
+        self._large_frames = threading.BoundedSemaphore(_LARGE_FRAMES)
         self._connections = PeerConnections(
             connections, lambda reason: metrics.count("connections_evicted", reason)
         )
@@ -88,6 +96,7 @@
             ping_timeout=PING_SECONDS,
             close_timeout=OPEN_TIMEOUT,
             max_size=MAX_FRAME_BYTES,
+            max_queue=MAX_QUEUED_FRAMES,
             compression=None,
         )
         self._server.handler = self._counted(self._server.handler)
@@ -150,8 +159,7 @@
             events.PEER_LINKED.log(peer=hello.instance)
             backlog = threading.BoundedSemaphore(_CONTROL_BACKLOG)
             for data in link:
-                frame = convert(from_cbor(_frame_bytes(data)), Frame)
-                self._take(link, hello.instance, frame, backlog)
+                self._take(link, hello.instance, _frame_bytes(data), backlog)
         except BadRequest as error:
             self._refuse("bad_frame", str(error))
         except ConnectionClosedError as error:
@@ -165,37 +173,39 @@
         events.PEER_REFUSED.log(reason=reason, error=error)
 
     def _take(
-        self,
-        link: ServerConnection,
-        peer: str,
-        frame: Frame,
-        backlog: threading.BoundedSemaphore,
+        self, link: ServerConnection, peer: str, data: bytes, backlog: threading.BoundedSemaphore
     ) -> None:
         """Hand a request to the threads of its lane.
 
         Searches and bookings may take seconds. Hellos, configuration and notices have threads of
-        their own, so that they never wait behind them. A link whose `backlog` is full is not read
-        until some of its frames were handled.
+        their own, so that they never wait behind them. A link whose `backlog` is full, or whose
+        large frame finds too many of them being handled, is not read until some were.
         """
+        slots = self._large_frames if len(data) > _LARGE_FRAME_BYTES else backlog
+        slots.acquire()
+        try:
+            frame = convert(from_cbor(data), Frame)
+            call = self._lane(link, peer, frame)
+        except BaseException:
+            slots.release()
+            raise
+        call.add_done_callback(lambda _: slots.release())
+
+    def _lane(self, link: ServerConnection, peer: str, frame: Frame) -> "Future[None]":
+        """Submit a frame; return the call that ends once the frame no longer takes memory."""
         if not frame.kind.startswith(_WORK_KINDS):
-            self._submit_control(backlog, self._reply, link, peer, frame)
-            return
+            return self._control.submit(self._reply, link, peer, frame)
         with self._open_lock:
             is_taken = self._open.begin(peer)
         if is_taken:
             self._workers.submit(self._work, link, peer, frame)
-            return
+            # The number of these requests is limited for each peer.
+            done: Future[None] = Future()
+            done.set_result(None)
+            return done
         self._metrics.count("peer_requests_refused", "too_many_of_one_peer")
         error = Overloaded("The peer has too many requests open here.", retry_after=_RETRY_AFTER)
-        reply = Frame(frame.id, error=error.to_body())
-        self._submit_control(backlog, self._send, link, reply)
-
-    def _submit_control(
-        self, backlog: threading.BoundedSemaphore, call: Callable[..., None], *arguments: Any
-    ) -> None:
-        backlog.acquire()
-        future = self._control.submit(call, *arguments)
-        future.add_done_callback(lambda _: backlog.release())
+        return self._control.submit(self._send, link, Frame(frame.id, error=error.to_body()))
 
     def _work(self, link: ServerConnection, peer: str, frame: Frame) -> None:
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -28,6 +28,7 @@
 
 OPEN_TIMEOUT = 0.5
 PING_SECONDS = 5.0
+MAX_QUEUED_FRAMES = 1
 
 _RETRY_AFTER = 0.5
 _SMALLEST_TIMEOUT = 0.001
@@ -83,6 +84,7 @@
                 ping_interval=PING_SECONDS,
                 ping_timeout=PING_SECONDS,
                 max_size=MAX_FRAME_BYTES,
+                max_queue=MAX_QUEUED_FRAMES,
                 compression=None,
                 proxy=None,
                 # The link outlives this call, so its socket can't live in a `with` block.
--- a/tests/system/lifecycle/test_crowds.py
+++ b/tests/system/lifecycle/test_crowds.py
@@ -9,7 +9,7 @@
 
 from limpethollow_wire.codecs import to_cbor
 from limpethollow_wire.limits import MAX_BODY_BYTES, MAX_FRAME_BYTES
-from limpethollow_wire.peers import Hello
+from limpethollow_wire.peers import Frame, Hello
 from tests.support.clusters import CALLER_KEY, OPERATOR_KEY, PEER_KEY, Cluster
 from tests.support.crowds import Client, Crowd, Watch, descriptor_limit
 from tests.support.processes import wait_for
@@ -22,6 +22,8 @@
 OPEN_DESCRIPTORS = DESCRIPTORS - 16
 PEAK_BYTES = 200 * 1024 * 1024
 LARGE_REPLY_ROWS = 20_000
+LINKS = 16
+LARGE_FRAME_BYTES = 4_000_000
 
 
 def head(path: str, key: str, framing: str) -> bytes:
@@ -136,7 +138,6 @@
     "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Version: 13\r\n"
 )
 KEYED = f"{UPGRADE}Authorization: Bearer {PEER_KEY}\r\n\r\n".encode()
-# A final binary frame of the largest size; its mask of zeros leaves the payload as it is.
 LARGE_FRAME = b"\x82\xff" + MAX_FRAME_BYTES.to_bytes(8, "big") + bytes(4)
 PEERS = {
     "silent": Client(b""),
@@ -149,9 +150,23 @@
 }
 
 
+def frame(payload: bytes) -> bytes:
+    """Return a final binary frame; its mask of zeros leaves the payload as it is."""
+    return b"\x82\xff" + len(payload).to_bytes(8, "big") + bytes(4) + payload
+
+
 class TestPeers:
     """Guards against a thread and a descriptor for each connection without a bound."""
 
     @pytest.mark.parametrize("name", PEERS)
     def test_crowd_of_one_kind_leaves_room_for_others(self, cluster, name):
         meet(cluster, "peer_address", [PEERS[name]] * CLIENTS, is_linked)
+
+    def test_links_with_large_frames_leave_room_for_others(self, cluster):
+        """Guards against frames that wait in queues without a bound on their bytes."""
+        large = to_cbor(Frame(1, "config.nothing", "x" * LARGE_FRAME_BYTES))
+        clients = [
+            Client(KEYED + frame(to_cbor(Hello(f"m{n}", "run", "lton-b"))) + frame(large) * 8)
+            for n in range(LINKS)
+        ]
+        meet(cluster, "peer_address", clients, is_linked)
