Requests that come late in a shutdown are refused before they are passed on

In a planned stop, bookings that came late and named another instance's token were passed on and got outcome_unknown at the end of the grace, also those that came after it was over and that no searcher had seen; the connection of a request that was half read ended without a reply.

Change: from 0.75 of `shutdown.bound` on, and after giving up, new searches, bookings and operators' changes get 503 instance_busy, which says that they were not run. As a listener closes, complete requests that have arrived are answered by its threads, and incomplete ones refused.

TestLateRequests of tests/system/lifecycle/test_shutdown.py failed before: 504 outcome_unknown instead of 503, and an end of the connection instead of a reply.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/connection_loops.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/connection_loops.py
@@ -94,9 +94,12 @@
         server: The HTTP server, prepared.
         limits: What its clients may hold.
         evicted: Told why a connection was closed to make room.
+        last_refusal: The reply to requests that are not complete when the listener closes.
     """
 
-    def __init__(self, server: Any, limits: ListenerLimits, evicted: Evicted) -> None:
+    def __init__(
+        self, server: Any, limits: ListenerLimits, evicted: Evicted, last_refusal: bytes
+    ) -> None:
         super().__init__(server)
         # The library's own selector can't change what is waited for.
         self._selector.close()
@@ -106,6 +109,7 @@
         self._selector.register(server.socket, selectors.EVENT_READ, server)
         self._limits = limits
         self._evicted = evicted
+        self._last_refusal = last_refusal
         self._connections: set[LoopConnection] = set()
         self._returned: deque[LoopConnection] = deque()
         self._held = 0
@@ -131,18 +135,30 @@
         self._wake()
 
     def stop(self) -> None:
-        """End the loop and wait for its end."""
+        """End the loop, and hand over the complete requests that have arrived by then."""
         self._stop_requested = True
         self._wake()
         super().stop()
+        self._take_returned()
+        if self._accepts:
+            self._accept()
+        for conn in self._in_phase(Phase.READING):
+            self._serve(conn)
 
     def close(self) -> None:
         """Send what callers take within a short time, and close the connections.
 
-        Connections that a worker thread has are closed by it.
+        A request that is not complete is refused. Connections that a worker thread has are closed
+        by it.
         """
         for conn in self._returned:
             conn.phase = Phase.SENDING
+        for conn in self._in_phase(Phase.READING):
+            if conn.rfile:
+                conn.rfile.read()
+                conn.phase = Phase.SENDING
+                with contextlib.suppress(OSError):
+                    conn.wfile.write(self._last_refusal)
         until = time.monotonic() + _CLOSING_SECONDS
         for conn in self._in_phase(Phase.SENDING):
             with contextlib.suppress(OSError):
--- a/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/listeners.py
@@ -49,6 +49,10 @@
     def closing(self) -> bool:
         """Whether the listener is about to close."""
 
+    @property
+    def refusing(self) -> bool:
+        """Whether too little time is left for further requests."""
+
 
 class Listener:
     """One HTTP listener with its routes.
@@ -64,7 +68,7 @@
         threads: Requests handled at once.
         routes: The handlers.
         context: Handed to every handler.
-        gate: Whether connections should close.
+        gate: What the process's shutdown asks for.
         limits: What the clients may hold.
         metrics: Where refusals are counted.
     """
@@ -159,12 +163,16 @@
         After a body that was not read in full, the rest of it would be taken for the next request.
         """
         error = reply.body if isinstance(reply.body, dict) else {}
-        return self._gate.closing or error.get("code") in _CLOSING_CODES
+        if self._gate.closing or self._gate.refusing:
+            return True
+        return error.get("code") in _CLOSING_CODES
 
     def _reply(self, environ: Environ) -> HttpReply:
         try:
             request = self._read(environ)
             handler, request.names = self._routes.find(request.method, request.path)
+            if self._gate.refusing and request.method != "GET":
+                raise InstanceBusy("The instance is shutting down.", retry_after=_RETRY_AFTER)
             return self._handle(handler, request)
         except LimpethollowError as error:
             self._count_refusal(error, environ.get("PATH_INFO", ""))
--- a/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
@@ -73,13 +73,8 @@
         self.close_connection = True
         error = _error_for(str(status), str(msg))
         self.server.refused(error)
-        body = json.dumps(error.to_body()).encode()
-        head = (
-            f"{self.server.protocol} {status}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
         try:
-            self.conn.wfile.write(head.encode("latin-1") + body)
+            self.conn.wfile.write(_refusal(str(status), error))
         except OSError:
             return
 
@@ -152,7 +147,9 @@
         """Bind the socket and start the worker threads."""
         super().prepare()
         self._connections._selector.close()
-        self._connections = ConnectionLoop(self, self._limits, self._evicted)
+        error = InstanceBusy("The instance is shutting down.")
+        refusal = _refusal("503 Service Unavailable", error)
+        self._connections = ConnectionLoop(self, self._limits, self._evicted, refusal)
 
     def put_conn(self, conn: TypedConnection) -> None:
         """Take a connection back from a worker thread; while stopping, send its reply and close."""
@@ -164,6 +161,15 @@
         conn.close()
 
 
+def _refusal(status: str, error: LimpethollowError) -> bytes:
+    body = json.dumps(error.to_body()).encode()
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode("latin-1") + body
+
+
 def _error_for(status: str, message: str) -> LimpethollowError:
     kind = _REFUSALS.get(status[:3], BadRequest)
     return kind(f"{message.rstrip('.') or status[4:]}.")
--- a/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/lifecycles.py
@@ -127,6 +127,11 @@
         """Whether callers should close their connections."""
         return self._shutdown.asks_to_close
 
+    @property
+    def refusing(self) -> bool:
+        """Whether requests that change something or take long are refused at once."""
+        return self._shutdown.refuses_work(time.monotonic())
+
     def started(self) -> None:
         """Record that all listeners are bound."""
         with self._lock:
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/shutdowns.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/shutdowns.py
@@ -19,6 +19,9 @@
 TRANSIT_SECONDS = 0.5
 NOTIFY_SECONDS = 2.0
 QUIET_PERIOD_SECONDS = 0.5
+# Share of the time limit after which requests are refused. What begins later has little time left,
+# and where it may not be repeated, its outcome would be unknown.
+REFUSE_SHARE = 0.75
 
 
 class InstanceState(StrEnum):
@@ -144,6 +147,7 @@
         "_seen_peers",
         "_linger",
         "_reason",
+        "_refuse_at",
         "_state",
         "_state_since",
         "_untold",
@@ -158,6 +162,7 @@
         self._reason = ExitReason.DRAINED
         self._held_until = 0.0
         self._abort_at = float("inf")
+        self._refuse_at = float("inf")
         self._untold: set[str] = set()
         self._seen_peers: set[str] = set()
         self._untold_ttl = 0.0
@@ -181,6 +186,12 @@
         """
         return self.is_leaving and self._state is not InstanceState.LEAVING
 
+    def refuses_work(self, now: float) -> bool:
+        """Return whether searches and bookings are refused before anything is done for them."""
+        if self._state in (InstanceState.GIVEN_UP, InstanceState.EXITED):
+            return True
+        return self.is_leaving and now >= self._refuse_at
+
     @property
     def held_until(self) -> float:
         """Monotonic time in seconds until which callers may hold this instance's address."""
@@ -205,6 +216,7 @@
         if self.is_leaving:
             return self._give_up(ExitReason.SECOND_SIGNAL, now)
         self._enter(InstanceState.LEAVING, now)
+        self._refuse_at = now + self._bound * REFUSE_SHARE
         self._abort_at = now + max(self._bound - ABORT_RESERVE_SECONDS, self._bound / 2)
         self._held_until = now + max(self._linger, held + TRANSIT_SECONDS if held else 0.0)
         self._untold_ttl = longest_ttl
--- a/tests/system/lifecycle/test_shutdown.py
+++ b/tests/system/lifecycle/test_shutdown.py
@@ -1,5 +1,6 @@
 """Graceful shutdown of real instances under real callers."""
 
+import socket
 import threading
 import time
 
@@ -354,6 +355,50 @@
             searcher.resume()
 
 
+class TestLateRequests:
+    FOREVER = 600.0
+    DEADLINE = 60.0
+    BOUND_SECONDS = 20.0
+    LATE_SECONDS = 0.8 * BOUND_SECONDS
+
+    def test_booking_that_comes_late_is_refused_before_it_is_passed_on(self, cluster):
+        """Guards against bookings whose time is cut by the exit, with an outcome nobody knows."""
+        start(cluster, instances=2, service_time=self.FOREVER)
+        token = token_of(cluster, "n1", "late")
+        with (
+            KeptConnection(address(cluster, "n0")) as long,
+            KeptConnection(address(cluster, "n0")) as caller,
+        ):
+            search = Background(long.search, SERVICE, self.DEADLINE)
+            wait_for(lambda: running(cluster), "the search runs")
+            cluster.instances["n0"].terminate()
+            time.sleep(self.LATE_SECONDS)
+            status, answer = caller.book(SERVICE, token, self.DEADLINE)
+            assert (status, answer["code"]) == (503, "instance_busy")
+            assert executions(cluster, token) == 0
+            assert caller.headers["Connection"] == "close"
+            assert search.result()[0] == 503
+        assert cluster.instances["n0"].wait(EXIT_SECONDS) == 0
+
+    def test_request_that_is_half_read_at_the_exit_is_refused(self, cluster):
+        """Guards against connections that end without a word in the middle of a request."""
+        start(cluster, instances=2, service_time=self.FOREVER)
+        host, _, port = address(cluster, "n0").rpartition(":")
+        with (
+            KeptConnection(address(cluster, "n0")) as long,
+            socket.create_connection((host, int(port)), timeout=EXIT_SECONDS) as half,
+        ):
+            search = Background(long.search, SERVICE, self.DEADLINE)
+            wait_for(lambda: running(cluster), "the search runs")
+            half.sendall(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhello")
+            cluster.instances["n0"].terminate()
+            wait_for(lambda: cluster.status("n0").state != "serving", "n0 leaves")
+            cluster.instances["n0"].terminate()
+            assert half.recv(4096).startswith(b"HTTP/1.1 503")
+            assert search.result()[0] == 503
+        assert cluster.instances["n0"].wait(EXIT_SECONDS) == 0
+
+
 class TestSignalDuringTheStart:
     def test_signal_right_after_the_ready_line_ends_in_a_clean_exit(self, cluster):
         start(cluster, instances=1)
--- a/tests/unit/lifecycle/test_listeners.py
+++ b/tests/unit/lifecycle/test_listeners.py
@@ -32,6 +32,7 @@
 
 class Open:
     closing = False
+    refusing = False
 
 
 @pytest.fixture
--- a/tests/unit/lifecycle/test_shutdowns.py
+++ b/tests/unit/lifecycle/test_shutdowns.py
@@ -8,6 +8,7 @@
     ABORT_RESERVE_SECONDS,
     NOTIFY_SECONDS,
     QUIET_PERIOD_SECONDS,
+    REFUSE_SHARE,
     TRANSIT_SECONDS,
     Exit,
     ExitReason,
@@ -203,3 +204,22 @@
         given_here.answered(("n0",), 5.0, 0.0)
         given_here.forget_expired(5.0)
         assert given_here.held("n0", 0.0) == 0.0
+
+
+class TestLateWork:
+    """Guards against requests that are passed on with less time left than they may take."""
+
+    def test_work_is_refused_in_the_last_part_of_the_grace(self):
+        shutdown = leaving(held=BOUND)
+        assert not shutdown.refuses_work(REFUSE_SHARE * BOUND - 0.1)
+        assert shutdown.refuses_work(REFUSE_SHARE * BOUND)
+
+    def test_work_is_refused_after_giving_up(self):
+        shutdown = leaving()
+        shutdown.asked(1.0, held=0.0, peers=(), longest_ttl=0.0)
+        assert shutdown.refuses_work(1.0)
+
+    def test_instance_that_serves_refuses_none(self):
+        shutdown = Shutdown(linger=0.0, bound=BOUND)
+        shutdown.started(0.0)
+        assert not shutdown.refuses_work(10 * BOUND)
