A link reads no frame of a peer while one is waiting

test_links_with_large_frames_leave_room_for_others passed with 159 MiB and later failed with 205 of 200 MiB: a link could hold two frames that nobody had looked at, beside the one it received. Now it holds one.

--- a/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/peers.py
@@ -28,7 +28,7 @@
 
 OPEN_TIMEOUT = 0.5
 PING_SECONDS = 5.0
-MAX_QUEUED_FRAMES = 1
+MAX_QUEUED_FRAMES = 0
 
 _RETRY_AFTER = 0.5
 _SMALLEST_TIMEOUT = 0.001
