Store: an object that can't be decoded no longer hides the others

An operator saw instances that stopped following the searchers, or read the list again without end, after another writer had left one odd entry.

A page or a watch answer was decoded as a whole. One object that is nested too deeply, or contains NaN or a lone surrogate, made the whole answer fail. RecursionError is no MsgspecError, so it also ended the task that synchronizes the quarantined requests. A change to an entry that can't be decoded, or its deletion, was dropped, and the entry's last state remained.

An answer that can't be decoded is now split into its objects without decoding them. An object of which only the name can be decoded has no content, so its entry counts as removed, and event 211 names it.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -38,7 +38,9 @@
     released: bool
 
 
-class _Meta(msgspec.Struct, frozen=True):
+class ObjectMeta(msgspec.Struct, frozen=True):
+    """What the store keeps about each object, whatever its kind."""
+
     name: str
     revision: int = 0
 
@@ -46,7 +48,7 @@
 class StoredObject(msgspec.Struct, frozen=True):
     """An object of the store; what `spec` holds depends on its kind."""
 
-    meta: _Meta
+    meta: ObjectMeta
     spec: Any = None
 
     @property
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import contextlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -9,7 +10,8 @@
 from limpethollow_node.engine.connection.replylimits import STORE_LIMITS, report_exceeded
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.httpclients import HttpClient
-from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.platform.codec import ObjectMeta, StoredObject
+from limpethollow_node.platform.jsonparts import split_array, split_object
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.revisions import UNKNOWN_ERA, Revision
@@ -23,6 +25,8 @@
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
 _CONNECTIONS = 7
+# An object may have a name of up to its full size.
+_LOGGED_NAME_CHARACTERS = 100
 _JSON = (b"Content-Type", b"application/json")
 # Header with the store's era: how often the store was restored from an older copy.
 _ERA_HEADER = b"store-era"
@@ -140,11 +144,8 @@
         """
         target = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
         found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
-        changes = [
-            Change(stored, event.deleted)
-            for event in found.events
-            for stored in _decode_each([event.object])
-        ]
+        decoded = [(_decode_object(event.object), event.deleted) for event in found.events]
+        changes = [Change(stored, deleted) for stored, deleted in decoded if stored is not None]
         return Changes(changes, Revision(era, found.revision))
 
     async def check(self, kind: str, name: str, timeout: float) -> None:
@@ -174,8 +175,11 @@
         Raises:
             NotFound: No object has this name.
         """
-        found, _ = await self._get("read", f"/objects/{kind}/{name}", StoredObject, timeout)
-        return found
+        answer = await self._request("read", b"GET", f"/objects/{kind}/{name}", timeout)
+        stored = _decode_object(answer.reply.body)
+        if stored is None:
+            raise Unavailable("Invalid answer from the store: it is no object with a name.")
+        return stored
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -278,17 +282,65 @@
 def _decode(reply: Reply, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
+        split = _SPLITTERS.get(kind)
+        if split is not None:
+            # One object that can't be decoded must not hide the others.
+            with contextlib.suppress(KeyError, ValueError, RecursionError):
+                return split(reply.body)
         raise Unavailable(f"Invalid answer from the store: {error}.") from None
 
 
+def _split_page(body: bytes) -> _Page:
+    """Decode a page of objects of which one can't be decoded.
+
+    Raises:
+        KeyError: A field is missing.
+        ValueError: Another field is invalid.
+    """
+    fields = split_object(body)
+    items = [msgspec.Raw(item) for item in split_array(fields["items"])]
+    revision = msgspec.json.decode(fields["currentRev"], type=int)
+    more = msgspec.json.decode(fields.get("more", b"false"), type=bool)
+    return _Page(items, revision, more)
+
+
+def _split_events(body: bytes) -> _Events:
+    """Decode the answer to a watch with an object that can't be decoded; see `_split_page`."""
+    fields = split_object(body)
+    events = []
+    for event in map(split_object, split_array(fields["events"])):
+        deleted = msgspec.json.decode(event.get("deleted", b"false"), type=bool)
+        events.append(_Event(msgspec.Raw(event["object"]), deleted))
+    return _Events(events, msgspec.json.decode(fields["currentRev"], type=int))
+
+
+_SPLITTERS: dict[type, Callable[[bytes], Any]] = {_Page: _split_page, _Events: _split_events}
+
+
 def _decode_each(raws: list[msgspec.Raw]) -> list[StoredObject]:
     """Decode objects one by one, so that an invalid one doesn't hide the others."""
-    objects = []
-    for raw in raws:
-        try:
-            objects.append(msgspec.json.decode(raw, type=StoredObject))
-        except msgspec.MsgspecError as error:
-            # The content is not logged, since a configuration contains the teams' keys.
-            events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw))
-    return objects
+    return [stored for stored in map(_decode_object, raws) if stored is not None]
+
+
+def _decode_object(raw: msgspec.Raw | bytes) -> StoredObject | None:
+    """Decode an object.
+
+    Returns:
+        The object, without a `spec` if only its name can be decoded; None if not even that.
+    """
+    try:
+        return msgspec.json.decode(raw, type=StoredObject)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        meta = _decode_meta(bytes(raw))
+        # The content is not logged, since a configuration contains the teams' keys.
+        start = None if meta is None else meta.name[:_LOGGED_NAME_CHARACTERS]
+        events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw), start=start)
+        return None if meta is None else StoredObject(meta)
+
+
+def _decode_meta(raw: bytes) -> ObjectMeta | None:
+    try:
+        return msgspec.json.decode(split_object(raw)["meta"], type=ObjectMeta)
+    except (KeyError, ValueError, RecursionError):
+        return None
