Store: the pages of a list have an end, and names are quoted

Instances asked the store for the same page without end, or took a list for complete at a page of which nothing could be decoded, so that all searchers behind it counted as gone. A name with a space, a line break or '&' changed the call that contained it.

The next page was requested after the last object that could be decoded of any page, which led back to the page just read if that had none. Names were put into targets as they are.

The next page begins after the last usable name of the page before it. A list fails as Unavailable if a page has no such name, leads to a page that was read before, or if the list exceeds 16 MiB. Names are percent-encoded; an object whose name is empty or longer than 512 characters is unreadable.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import Callable
 from typing import Any, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
@@ -25,6 +26,12 @@
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
 _CONNECTIONS = 7
+# Limits the memory of a list whose pages never end. The largest sites list some thousand objects.
+_MAX_LIST_BYTES = 16 * 1024 * 1024
+# Memory that an object takes besides its content.
+_OBJECT_OVERHEAD_BYTES = 256
+# A longer name does not fit into the target of a call.
+_MAX_NAME_CHARACTERS = 512
 # An object may have a name of up to its full size.
 _LOGGED_NAME_CHARACTERS = 100
 _JSON = (b"Content-Type", b"application/json")
@@ -76,6 +83,39 @@
     revision: int = msgspec.field(name="currentRev")
 
 
+class _Pages:
+    """The objects of a list, of which the pages are added one after the other.
+
+    Attributes:
+        objects: The objects that could be decoded.
+    """
+
+    __slots__ = ("_bytes", "_names", "objects")
+
+    def __init__(self) -> None:
+        self._bytes = 0
+        self._names: set[str] = set()
+        self.objects: list[StoredObject] = []
+
+    def add(self, page: _Page) -> str | None:
+        """Add a page; return the name after which the next one begins, None after the last one.
+
+        Raises:
+            Unavailable: The list exceeds its limit, or the pages lead to no end.
+        """
+        self._bytes += sum(_OBJECT_OVERHEAD_BYTES + len(item) for item in page.items)
+        if self._bytes > _MAX_LIST_BYTES:
+            raise Unavailable(f"The store's list has over {_MAX_LIST_BYTES} bytes.")
+        objects = _decode_each(page.items)
+        self.objects += objects
+        if not page.more:
+            return None
+        if not objects or objects[-1].name in self._names:
+            raise Unavailable("The store's list can't be continued after one of its pages.")
+        self._names.add(objects[-1].name)
+        return objects[-1].name
+
+
 class _ReplyWithEra(msgspec.Struct, frozen=True):
     """A reply and the era in it; 0 if there is none."""
 
@@ -120,16 +160,15 @@
         watch from the first page's revision reports such a change again.
         """
         stale = "allowStale=1" if allow_stale else ""
-        page, era = await self._get("list", f"/objects/{kind}?{stale}".rstrip("?"), _Page)
-        objects, revision = _decode_each(page.items), Revision(era, page.revision)
-        while page.more and objects:
-            after = f"after={objects[-1].name}"
-            target = f"/objects/{kind}?{'&'.join(filter(None, (after, stale)))}"
-            page, era = await self._get("list", target, _Page)
+        page, era = await self._get("list", _path(kind, query=stale), _Page)
+        revision = Revision(era, page.revision)
+        pages = _Pages()
+        while (after := pages.add(page)) is not None:
+            query = "&".join(filter(None, (f"after={_quote(after)}", stale)))
+            page, era = await self._get("list", _path(kind, query=query), _Page)
             if era != revision.era:
                 raise Unavailable("The store was restored from an older copy between two pages.")
-            objects += _decode_each(page.items)
-        return Listing(objects, revision)
+        return Listing(pages.objects, revision)
 
     async def watch(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -142,7 +181,7 @@
         Raises:
             HistoryGone: The store no longer has the changes since that revision.
         """
-        target = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
+        target = _path(kind, query=f"watch={revision}&waitMs={int(wait * 1000)}")
         found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
         decoded = [(_decode_object(event.object), event.deleted) for event in found.events]
         changes = [Change(stored, deleted) for stored, deleted in decoded if stored is not None]
@@ -158,7 +197,7 @@
             name: The object's name; it need not exist.
             timeout: Seconds after which the store counts as unavailable.
         """
-        target = f"/objects/{kind}/{name}?allowStale=1"
+        target = _path(kind, name, "allowStale=1")
         try:
             await self._request("check", b"GET", target, timeout)
         except NotFound:
@@ -175,7 +214,7 @@
         Raises:
             NotFound: No object has this name.
         """
-        answer = await self._request("read", b"GET", f"/objects/{kind}/{name}", timeout)
+        answer = await self._request("read", b"GET", _path(kind, name), timeout)
         stored = _decode_object(answer.reply.body)
         if stored is None:
             raise Unavailable("Invalid answer from the store: it is no object with a name.")
@@ -188,7 +227,7 @@
             Conflict: The object exists already.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        return await self._write("create", b"POST", f"/objects/{kind}", body)
+        return await self._write("create", b"POST", _path(kind), body)
 
     async def replace(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Replace the `spec` of an object unconditionally.
@@ -197,7 +236,7 @@
             NotFound: No object has this name.
         """
         body = {"meta": {"name": name, "finalizers": []}, "spec": spec}
-        return await self._write("replace", b"PUT", f"/objects/{kind}/{name}", body)
+        return await self._write("replace", b"PUT", _path(kind, name), body)
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object.
@@ -205,7 +244,7 @@
         Raises:
             NotFound: No object has this name.
         """
-        await self._request("delete", b"DELETE", f"/objects/{kind}/{name}", _TIMEOUT)
+        await self._request("delete", b"DELETE", _path(kind, name), _TIMEOUT)
 
     def close(self) -> None:
         """Close the connections."""
@@ -327,16 +366,24 @@
     """Decode an object.
 
     Returns:
-        The object, without a `spec` if only its name can be decoded; None if not even that.
+        The object, without a `spec` if only its name can be decoded; None if not even that, or if
+        no call could use the name.
     """
     try:
-        return msgspec.json.decode(raw, type=StoredObject)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        stored = msgspec.json.decode(raw, type=StoredObject)
+        error = None
+    except (msgspec.MsgspecError, RecursionError) as caught:
         meta = _decode_meta(bytes(raw))
+        stored = None if meta is None else StoredObject(meta)
+        error = str(caught)
+    start = None if stored is None else stored.name[:_LOGGED_NAME_CHARACTERS]
+    if stored is not None and not 0 < len(stored.name) <= _MAX_NAME_CHARACTERS:
+        error = f"The name has {len(stored.name)} characters."
+        stored = None
+    if error is not None:
         # The content is not logged, since a configuration contains the teams' keys.
-        start = None if meta is None else meta.name[:_LOGGED_NAME_CHARACTERS]
-        events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw), start=start)
-        return None if meta is None else StoredObject(meta)
+        events.OBJECT_UNREADABLE.log(error=error, bytes=len(raw), start=start)
+    return stored
 
 
 def _decode_meta(raw: bytes) -> ObjectMeta | None:
@@ -344,3 +391,13 @@
         return msgspec.json.decode(split_object(raw)["meta"], type=ObjectMeta)
     except (KeyError, ValueError, RecursionError):
         return None
+
+
+def _path(kind: str, name: str = "", query: str = "") -> str:
+    """Return the target of a call for a kind, or for one object of it."""
+    path = f"/objects/{kind}/{_quote(name)}" if name else f"/objects/{kind}"
+    return f"{path}?{query}" if query else path
+
+
+def _quote(name: str) -> str:
+    return quote(name, safe="")
--- a/tests/unit/platform/test_odd_objects.py
+++ b/tests/unit/platform/test_odd_objects.py
@@ -112,6 +112,52 @@
         found = ask(pages(1, *names), "list", "servers")
         assert {"a", "c"} <= specs(found.objects).keys()
 
+    @pytest.mark.parametrize("meta", [b"7", b'{"name": 7}', b'{"name": "%b"}' % (b"b" * 10_000)])
+    def test_pages_go_on_behind_one_without_a_usable_name(self, meta):
+        names = [("a", encoded("a")), ("b", b'{"meta": %b}' % meta), ("c", encoded("c"))]
+        found = ask(pages(2, *names), "list", "servers")
+        assert specs(found.objects) == {"a": "fine", "c": "fine"}
+
+    def test_a_page_without_any_usable_name_is_no_end_of_the_list(self):
+        with pytest.raises(Unavailable):
+            ask(page(b'{"meta": 7}', more=True), "list", "servers")
+
+    def test_a_name_is_quoted_in_the_next_call(self):
+        """Guards against a name that changes the call, or adds one behind it."""
+        odd = "b&allowStale=1 HTTP/1.1\r\nHost: x\r\n\r\nü"
+        names = [("a", encoded("a")), (odd, encoded(odd)), ("c", encoded("c"))]
+        assert specs(ask(pages(1, *names), "list", "servers").objects).keys() == {"a", odd, "c"}
+
+    @pytest.mark.parametrize("call", ["delete", "replace", "read", "check"])
+    def test_a_name_is_quoted_in_the_path(self, call):
+        arguments = {"delete": (), "replace": (None,), "read": (1.0,), "check": (1.0,)}[call]
+        paths = []
+
+        def answer(path: str, query: dict[str, str]) -> bytes:
+            paths.append(path)
+            return encoded("b")
+
+        ask(answer, call, "quarantines", "a/b? c", *arguments)
+        assert paths == ["/objects/quarantines/a%2Fb%3F%20c"]
+
+    @pytest.mark.parametrize("size", [10, 1_000_000])
+    def test_pages_without_an_end_are_given_up(self, size):
+        """Guards against a faulty store that fills the memory of all instances."""
+        per_page = max(1, 1_000_000 // size)
+        spec = b'"%b"' % (b"x" * size)
+
+        def answer(path: str, query: dict[str, str]) -> bytes:
+            first = int(query.get("after", "-1")) + 1
+            items = [encoded(f"{n:09}", spec) for n in range(first, first + per_page)]
+            return page(*items, more=True)
+
+        with pytest.raises(Unavailable):
+            ask(answer, "list", "servers")
+
+    def test_a_page_that_comes_again_and_again_is_given_up(self):
+        with pytest.raises(Unavailable):
+            ask(page(encoded("a"), encoded("b"), more=True), "list", "servers")
+
     @settings(derandomize=True, deadline=None, max_examples=60)
     @given(
         st.lists(st.sampled_from([*ODD_VALUES, *READABLE]), min_size=1, max_size=8),
