Ports, load reports and eras with thousands of digits are invalid

An entry whose port had 5000 digits stopped the instance from following the searchers, a load report like this ended the handling of a valid reply, and an era like this ended the task that checks the store.

They were only checked to be digits. int() raises ValueError for more than 4300 digits, which nothing expected; 400 digits overflow a division later.

Ports have at most 5 ASCII digits, the numbers of a load report 9, an era 18; others are handled as any invalid value.

7 new cases in test_codec.py, test_loadreports.py and test_eras.py failed before (ValueError, or the value was accepted); with the change all 61 tests of these files pass.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -24,6 +24,8 @@
 _READY = "ready"
 _DRAINING = "draining"
 _SAFE = "safe"
+_MAX_LOAD_DIGITS = 9
+_MAX_PORT_DIGITS = 5
 
 
 class StoredQuarantine(msgspec.Struct, frozen=True):
@@ -149,7 +151,8 @@
             f"The searcher entry {stored.name!r} has the unknown state {entry.state!r}."
         )
     host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536 or entry.slots < 1:
+    is_number = port.isascii() and port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
+    if not host or not is_number or not 0 < int(port) < 65536 or entry.slots < 1:
         raise BadRequest(
             f"The searcher entry {stored.name!r} has an invalid address or slot count."
         )
@@ -193,8 +196,12 @@
         BadRequest: The value isn't three or four whole numbers, or the slot count is 0.
     """
     fields = [field.strip() for field in value.split(b",")]
-    if len(fields) not in (3, 4) or not all(field.isdigit() for field in fields):
-        raise BadRequest(f"The load report {value!r} is not a list of three or four whole numbers.")
+    are_numbers = all(field.isdigit() and len(field) <= _MAX_LOAD_DIGITS for field in fields)
+    if len(fields) not in (3, 4) or not are_numbers:
+        raise BadRequest(
+            f"The load report {value[:100]!r} is not a list of three or four whole numbers of at "
+            f"most {_MAX_LOAD_DIGITS} digits."
+        )
     load = LoadReport(*map(int, fields))
     if load.slots < 1:
         raise BadRequest(f"The load report {value!r} has a slot count of 0.")
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -37,6 +37,8 @@
 _JSON = (b"Content-Type", b"application/json")
 # Header with the store's era: how often the store was restored from an older copy.
 _ERA_HEADER = b"store-era"
+# A number of more digits may not fit into 64 bits.
+_MAX_ERA_DIGITS = 18
 
 
 class HistoryGone(LimpethollowError):
@@ -290,9 +292,9 @@
             Unavailable: The answer has an older era than a previous one.
         """
         value = reply.header(_ERA_HEADER)
-        if value is None or not value.isdigit():
+        if value is None or not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
             if value is not None or self.era > 0:
-                events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
+                events.ERA_UNREADABLE.log(call=call, value=repr(value)[:100], known=self.era)
             self.era = max(self.era, 0)
             return 0
         era = int(value)
--- a/tests/unit/engine/test_loadreports.py
+++ b/tests/unit/engine/test_loadreports.py
@@ -36,6 +36,14 @@
             decode_load(value)
         assert load_report_of(Reply(200, [(HEADERS.load, value)]), HEADERS) is None
 
+    @pytest.mark.parametrize("digits", [10, 400, 5000])
+    def test_a_number_out_of_range_is_refused_and_spoils_no_reply(self, digits):
+        """Guards against a conversion error that ends the handling of the reply."""
+        value = b"1," + b"9" * digits + b",2"
+        with pytest.raises(BadRequest):
+            decode_load(value)
+        assert load_report_of(Reply(200, [(HEADERS.load, value)]), HEADERS) is None
+
     def test_a_searcher_may_say_nothing(self):
         assert load_report_of(Reply(200, []), HEADERS) is None
 
--- a/tests/unit/platform/test_codec.py
+++ b/tests/unit/platform/test_codec.py
@@ -45,6 +45,8 @@
             {**ENTRY, "addr": 7},
             {**ENTRY, "addr": "nowhere"},
             {**ENTRY, "addr": "10.0.0.1:99999"},
+            {**ENTRY, "addr": "10.0.0.1:" + "9" * 5000},
+            {**ENTRY, "addr": "10.0.0.1:٨٠"},
             {**ENTRY, "slots": 0},
             {**ENTRY, "slots": "two"},
             {**ENTRY, "service": None},
--- a/tests/unit/platform/test_eras.py
+++ b/tests/unit/platform/test_eras.py
@@ -71,7 +71,7 @@
         assert found == [Revision(2, 5), Unavailable]
         assert told == []
 
-    @pytest.mark.parametrize("value", [None, b"", b"soon", b"-1"])
+    @pytest.mark.parametrize("value", [None, b"", b"soon", b"-1", b"9" * 30, b"9" * 5000])
     def test_an_answer_without_a_readable_era_tells_none(self, value):
         found, told = play((200, b"2", LIST), (200, value, LIST))
         assert found == [Revision(2, 5), Revision(0, 5)]
