Entries with values that can't be used are invalid

An entry of another writer harmed more than itself: an id with a line break added headers to the requests that state it, five entries with large texts made an update that peers refuse, so that their links were closed again and again, and an address with an invalid port or host name let the calls that waited for a connection hang until their deadline.

Only the types of the fields were checked. Peers took all that another instance, perhaps of an older release, had accepted.

The new module entries.py in the policy package limits names, texts, addresses and numbers of searchers and instances. They are checked for entries of the store and for those in updates of peers; an invalid one counts as removed and is named by event 211. Evidence about crashing requests and the number of a version are limited, too. Errors and log lines show at most 100 characters of a value.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/catalog.py
@@ -12,6 +12,7 @@
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.catchups import KnownState
 from limpethollow_policy.process.departures import Departures
+from limpethollow_policy.process.entries import invalid_instance_field, invalid_searcher_field
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.objectcaches import ObjectCache
 from limpethollow_policy.process.placements import Instance
@@ -27,6 +28,7 @@
 
 # Up to this many simultaneous searcher changes are logged one by one; more share one log line.
 _MAX_LOG_LINES = 8
+_LOGGED_NAME_CHARACTERS = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -180,11 +182,13 @@
 
     def apply_searchers(self, news: SearcherUpdate) -> bool:
         """Apply changed searchers; return False if the complete list is needed."""
-        return _apply(self.searchers, news, {searcher.id: searcher for searcher in news.put})
+        put = {searcher.id: searcher for searcher in news.put}
+        return _apply(self.searchers, news, put, invalid_searcher_field)
 
     def apply_instances(self, news: InstanceUpdate) -> bool:
         """Apply changed instances; return False if the complete list is needed."""
-        return _apply(self.instances, news, {instance.name: instance for instance in news.put})
+        put = {instance.name: instance for instance in news.put}
+        return _apply(self.instances, news, put, invalid_instance_field)
 
     def apply_evacuations(self, news: EvacuationUpdate) -> bool:
         """Apply changed evacuations; return False if the complete list is needed."""
@@ -315,11 +319,18 @@
     belief: ObjectCache[T],
     news: SearcherUpdate | InstanceUpdate | EvacuationUpdate,
     put: dict[str, T],
+    invalid_field: Callable[[T], str | None] = lambda item: None,
 ) -> bool:
+    """Apply the updates of a peer, whose release may accept objects that can't be used here."""
     revision = Revision(news.era, news.revision)
+    invalid = {name: field for name, item in put.items() if (field := invalid_field(item))}
+    for name, field in invalid.items():
+        del put[name]
+        error = f"A peer sent an object with an invalid {field}."
+        events.OBJECT_UNREADABLE.log(error=error, start=name[:_LOGGED_NAME_CHARACTERS])
     if news.base is None:
         return belief.replace(put, revision)
-    return belief.change(Revision(news.era, news.base), revision, put, news.gone)
+    return belief.change(Revision(news.era, news.base), revision, put, [*news.gone, *invalid])
 
 
 def _updates_since(kind: type[N], belief: ObjectCache, revision: Revision) -> N:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -1,10 +1,17 @@
 """Decodes objects of the platform's store into the product's types."""
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
+from limpethollow_policy.process.crashes import MAX_SEARCHERS, CrashEvidence, CrashReport
+from limpethollow_policy.process.entries import (
+    MAX_INTEGER,
+    MAX_NAME_CHARACTERS,
+    invalid_instance_field,
+    invalid_searcher_field,
+    is_name,
+)
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
@@ -25,7 +32,7 @@
 _DRAINING = "draining"
 _SAFE = "safe"
 _MAX_LOAD_DIGITS = 9
-_MAX_PORT_DIGITS = 5
+_SHOWN_CHARACTERS = 100
 
 
 class StoredQuarantine(msgspec.Struct, frozen=True):
@@ -125,17 +132,22 @@
 
 
 class _ConfigurationSpec(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
     routes: list[_RouteSpec]
     services: list[_ServiceSpec]
     limits: _LimitsSpec = _LimitsSpec()
     tenants: list[_TenantSpec] | None = None
 
 
+# A searcher's run is named by its id and the start of its process.
+_Run = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS + 21)]
+_Runs = Annotated[list[_Run], msgspec.Meta(max_length=MAX_SEARCHERS)]
+
+
 class _QuarantineSpec(msgspec.Struct, frozen=True, rename="camel"):
-    searchers: list[str]
-    on_trial: list[str]
-    epoch: int = 0
+    searchers: _Runs
+    on_trial: _Runs
+    epoch: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
     released: bool = False
 
 
@@ -145,18 +157,12 @@
     Raises:
         BadRequest: The entry has a missing or invalid field.
     """
-    entry = _convert(stored, _SearcherSpec, f"Invalid searcher entry {stored.name!r}")
+    entry = _convert(stored, _SearcherSpec, f"Invalid searcher entry {_shown(stored.name)}")
     if entry.state not in (_READY, _DRAINING):
         raise BadRequest(
-            f"The searcher entry {stored.name!r} has the unknown state {entry.state!r}."
-        )
-    host, _, port = entry.addr.rpartition(":")
-    is_number = port.isascii() and port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
-    if not host or not is_number or not 0 < int(port) < 65536 or entry.slots < 1:
-        raise BadRequest(
-            f"The searcher entry {stored.name!r} has an invalid address or slot count."
+            f"The searcher entry {_shown(stored.name)} has the unknown state {_shown(entry.state)}."
         )
-    return Searcher(
+    searcher = Searcher(
         id=stored.name,
         service=entry.service,
         address=entry.addr,
@@ -166,6 +172,10 @@
         incarnation=entry.born,
         cold_left=max(0.0, entry.cold_left_ms / 1000),
     )
+    invalid = invalid_searcher_field(searcher)
+    if invalid is not None:
+        raise BadRequest(f"The searcher entry {_shown(stored.name)} has an invalid {invalid}.")
+    return searcher
 
 
 def decode_version(stored: StoredObject) -> RoutingVersion:
@@ -214,11 +224,15 @@
     Raises:
         BadRequest: A field is missing or invalid.
     """
-    instance = _convert(stored, Instance, f"Invalid instance {stored.name!r}")
+    instance = _convert(stored, Instance, f"Invalid instance {_shown(stored.name)}")
     if instance.name != stored.name:
         raise BadRequest(
-            f"The object of instance {stored.name!r} has the name {instance.name!r} in its spec."
+            f"The object of instance {_shown(stored.name)} has the name {_shown(instance.name)} in "
+            "its spec."
         )
+    invalid = invalid_instance_field(instance)
+    if invalid is not None:
+        raise BadRequest(f"The instance {_shown(stored.name)} has an invalid {invalid}.")
     return instance
 
 
@@ -233,7 +247,11 @@
     Raises:
         BadRequest: A field is missing or invalid.
     """
-    decoded = _convert(stored, _QuarantineSpec, f"Invalid quarantined request {stored.name!r}")
+    decoded = _convert(
+        stored, _QuarantineSpec, f"Invalid quarantined request {_shown(stored.name)}"
+    )
+    if not is_name(stored.name):
+        raise BadRequest(f"The name {_shown(stored.name)} is not the fingerprint of a request.")
     evidence = CrashEvidence(
         frozenset(decoded.searchers), frozenset(decoded.on_trial), decoded.epoch
     )
@@ -247,6 +265,11 @@
     return msgspec.to_builtins(_QuarantineSpec(searchers, on_trial, evidence.epoch))
 
 
+def _shown(text: str) -> str:
+    """Return the beginning of a text that may be large, as it is shown in errors."""
+    return repr(text[:_SHOWN_CHARACTERS])
+
+
 def _convert(stored: StoredObject, kind: type[T], message: str) -> T:
     try:
         return msgspec.convert(stored.spec, kind)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -11,7 +11,7 @@
     encode_quarantine,
 )
 from limpethollow_node.platform.pauses import RetryPause
-from limpethollow_node.platform.store import Store
+from limpethollow_node.platform.store import LOGGED_NAME_CHARACTERS, Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.crashes import CrashReport
 from limpethollow_wire.exceptions import BadRequest, Conflict, LimpethollowError, NotFound
@@ -173,7 +173,9 @@
             try:
                 self._apply(decode_quarantine(stored))
             except BadRequest as error:
-                events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
+                events.OBJECT_UNREADABLE.log(
+                    error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS]
+                )
 
     def _apply(self, stored: StoredQuarantine) -> None:
         report = stored.report
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -18,7 +18,7 @@
     decode_searcher,
     decode_version,
 )
-from limpethollow_node.platform.store import Change
+from limpethollow_node.platform.store import LOGGED_NAME_CHARACTERS, Change
 from limpethollow_node.process import events
 from limpethollow_policy.process.objectcaches import ObjectCache
 from limpethollow_policy.process.revisions import Revision
@@ -172,7 +172,9 @@
         try:
             return stored.name, self._decode(stored)
         except BadRequest as error:
-            events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name)
+            events.OBJECT_UNREADABLE.log(
+                error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS]
+            )
             return stored.name, None
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -33,7 +33,7 @@
 # A longer name does not fit into the target of a call.
 _MAX_NAME_CHARACTERS = 512
 # An object may have a name of up to its full size.
-_LOGGED_NAME_CHARACTERS = 100
+LOGGED_NAME_CHARACTERS = 100
 _JSON = (b"Content-Type", b"application/json")
 # Header with the store's era: how often the store was restored from an older copy.
 _ERA_HEADER = b"store-era"
@@ -378,7 +378,7 @@
         meta = _decode_meta(bytes(raw))
         stored = None if meta is None else StoredObject(meta)
         error = str(caught)
-    start = None if stored is None else stored.name[:_LOGGED_NAME_CHARACTERS]
+    start = None if stored is None else stored.name[:LOGGED_NAME_CHARACTERS]
     if stored is not None and not 0 < len(stored.name) <= _MAX_NAME_CHARACTERS:
         error = f"The name has {len(stored.name)} characters."
         stored = None
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/crashes.py
@@ -10,7 +10,7 @@
 # requests crash searchers, too.
 _QUARANTINE_THRESHOLD = 2
 # Maximum number of ids that are kept and sent for one request; more would add no evidence.
-_MAX_SEARCHERS = 32
+MAX_SEARCHERS = 32
 # Maximum number of requests that are kept. The oldest are evicted first, and suspected ones before
 # quarantined ones.
 _MAX_REQUESTS = 256
@@ -83,13 +83,13 @@
     def merged(self, other: "CrashEvidence") -> "CrashEvidence":
         """Return the union of both if their epochs are equal, otherwise the one of the later epoch.
 
-        At most `_MAX_SEARCHERS` are kept, first those that ran the request on trial.
+        At most `MAX_SEARCHERS` are kept, first those that ran the request on trial.
         """
         if self.epoch != other.epoch:
             return max(self, other, key=lambda evidence: evidence.epoch)
-        on_trial = sorted(self.on_trial | other.on_trial)[:_MAX_SEARCHERS]
+        on_trial = sorted(self.on_trial | other.on_trial)[:MAX_SEARCHERS]
         others = sorted((self.searchers | other.searchers).difference(on_trial))
-        searchers = [*on_trial, *others][:_MAX_SEARCHERS]
+        searchers = [*on_trial, *others][:MAX_SEARCHERS]
         return CrashEvidence(frozenset(searchers), frozenset(on_trial), self.epoch)
 
 
