--- a/tests/standins/https.py
+++ b/tests/standins/https.py
@@ -52,6 +52,10 @@
         """Return what stands in the head of each reply."""
         return {}
 
+    def encode(self, body: Any) -> bytes:
+        """Return the bytes of a reply's body."""
+        return json.dumps(body).encode()
+
     def find(self, method: str, path: str) -> tuple[Handler | None, str]:
         """Return the handler with the longest registered prefix, and the rest of the path."""
         parts = path.strip("/").split("/")
@@ -134,7 +138,7 @@
             self.close_connection = True
 
     def _send(self, status: int, body: Any, part: float = 1.0) -> None:
-        data = json.dumps(body).encode()
+        data = self.server.encode(body)
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -8,6 +8,7 @@
 """
 
 import copy
+import json
 import threading
 import time
 from collections import Counter
@@ -40,6 +41,7 @@
         self.oldest = FIRST_REVISION
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.raw: dict[bytes, bytes] = {}
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
         self.era: int | None = 1
@@ -61,6 +63,19 @@
 
     # What tests do as operator or as searchers.
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose content no JSON library would write."""
+        mark = f"raw {len(self.raw)}"
+        self.raw[json.dumps(mark).encode()] = spec
+        self.put(kind, name, mark)
+
+    def encode(self, body: Any) -> bytes:
+        """Return the bytes of a reply's body, with what `put_raw` wrote."""
+        data = super().encode(body)
+        for mark, spec in self.raw.items():
+            data = data.replace(mark, spec)
+        return data
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as somebody else does."""
         with self.changed:
