Store check, quarantines and dialling go on after unexpected errors

An answer with status 409 or 410 to the check of the store, or an unexpected error in it or in the synchronization of quarantined requests, ended the task until the next start of the process. An instance whose listed address has an invalid port or host name was dialled in each cycle, without a pause.

Dialling counts ValueError as a failed attempt.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
@@ -52,7 +52,8 @@
             socket = await connect(
                 f"ws://{address}/", open_timeout=_CONNECT_SECONDS, proxy=None, **LINK_OPTIONS
             )
-        except (OSError, WebSocketException) as error:
+        except (OSError, WebSocketException, ValueError) as error:
+            # ValueError: the address has an invalid port or host name.
             if isinstance(error, ConnectionRefusedError):
                 self.refused_addresses.add(address)
             events.SEED_FAILED.log(address=address, error=repr(error))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -107,6 +107,10 @@
             except LimpethollowError as error:
                 events.PLATFORM_FAILED.log(call=KIND, error=str(error))
                 await self._pause.after_failure()
+            except Exception as error:
+                # If this task ended, operators could no longer release requests.
+                events.UNEXPECTED_ERROR.log(where=KIND, error=repr(error), exc_info=True)
+                await self._pause.after_failure()
             else:
                 self._pause.succeeded()
                 await self._wait_for_changes()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/storechecks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/storechecks.py
@@ -5,7 +5,7 @@
 
 from limpethollow_node.platform.store import Store
 from limpethollow_node.process import events
-from limpethollow_wire.exceptions import Unavailable
+from limpethollow_wire.exceptions import LimpethollowError
 
 # A configuration must be in force on every instance within 3 s of its write to the store. An outage
 # is detected after at most the interval plus the timeout below; the remaining time is needed for
@@ -90,7 +90,10 @@
         timeout = URGENT_CHECK_TIMEOUT_SECONDS if self.urgent else CHECK_TIMEOUT_SECONDS
         try:
             await self._store.check(self._kind, self._name, timeout)
-        except Unavailable as error:
+        except Exception as error:
+            # If this task ended, the instance would never again notice that the store is away.
+            if not isinstance(error, LimpethollowError):
+                events.UNEXPECTED_ERROR.log(where="store check", error=repr(error), exc_info=True)
             self.answers = False
             if not self.away:
                 self.away = True
