Own interface: an odd object no longer hides the others in a list

One object or instance that another writer left in the platform's lists, with deep nesting, a wrong type or a number beyond 64 bits, kept the whole list from being read; deep nesting ended the thread that reads it, and the instance kept its last configuration or list without any sign of it. An instance with an invalid address made each attempt to reach it raise an unexpected error.

Lists were decoded as a whole, and the threads expected only typed errors.

Objects, instances and searchers of a list are decoded one by one, as those of the users' platform; splitting moved from the platform folder to the wire package for that (decode_parts). Versions and eras are limited to what can be combined into one version.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's metadata store."""
 
-import contextlib
 from collections.abc import Callable
 from typing import Any, TypeVar
 from urllib.parse import quote
@@ -12,13 +11,13 @@
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.httpclients import HttpClient
 from limpethollow_node.platform.codec import ObjectMeta, StoredObject
-from limpethollow_node.platform.jsonparts import split_array, split_object
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.revisions import UNKNOWN_ERA, Revision
 from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
+from limpethollow_wire.jsonparts import decode_parts
 
-T = TypeVar("T")
+T = TypeVar("T", bound=msgspec.Struct)
 
 # The store answers in 4 ms; a slow one takes 60 times as long. A longer wait counts as no answer.
 _TIMEOUT = 1.0
@@ -80,8 +79,12 @@
     deleted: bool = False
 
 
+class _Named(msgspec.Struct, frozen=True):
+    meta: ObjectMeta
+
+
 class _Events(msgspec.Struct, frozen=True):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     revision: int = msgspec.field(name="currentRev")
 
 
@@ -185,7 +188,8 @@
         """
         target = _path(kind, query=f"watch={revision}&waitMs={int(wait * 1000)}")
         found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
-        decoded = [(_decode_object(event.object), event.deleted) for event in found.events]
+        changed = [_decode_parts(event, _Event) for event in found.events]
+        decoded = [(_decode_object(event.object), event.deleted) for event in changed]
         changes = [Change(stored, deleted) for stored, deleted in decoded if stored is not None]
         return Changes(changes, Revision(era, found.revision))
 
@@ -321,42 +325,21 @@
 
 
 def _decode(reply: Reply, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        split = _SPLITTERS.get(kind)
-        if split is not None:
-            # One object that can't be decoded must not hide the others.
-            with contextlib.suppress(KeyError, ValueError, RecursionError):
-                return split(reply.body)
-        raise Unavailable(f"Invalid answer from the store: {error}.") from None
+    return _decode_parts(reply.body, kind)
+
 
+def _decode_parts(text: bytes | msgspec.Raw, kind: type[T]) -> T:
+    """Decode an answer or an event but not the objects in it.
 
-def _split_page(body: bytes) -> _Page:
-    """Decode a page of objects of which one can't be decoded.
+    One that can't be decoded must not hide the others.
 
     Raises:
-        KeyError: A field is missing.
-        ValueError: Another field is invalid.
+        Unavailable: It is invalid.
     """
-    fields = split_object(body)
-    items = [msgspec.Raw(item) for item in split_array(fields["items"])]
-    revision = msgspec.json.decode(fields["currentRev"], type=int)
-    more = msgspec.json.decode(fields.get("more", b"false"), type=bool)
-    return _Page(items, revision, more)
-
-
-def _split_events(body: bytes) -> _Events:
-    """Decode the answer to a watch with an object that can't be decoded; see `_split_page`."""
-    fields = split_object(body)
-    events = []
-    for event in map(split_object, split_array(fields["events"])):
-        deleted = msgspec.json.decode(event.get("deleted", b"false"), type=bool)
-        events.append(_Event(msgspec.Raw(event["object"]), deleted))
-    return _Events(events, msgspec.json.decode(fields["currentRev"], type=int))
-
-
-_SPLITTERS: dict[type, Callable[[bytes], Any]] = {_Page: _split_page, _Events: _split_events}
+    try:
+        return decode_parts(text, kind)
+    except ValueError as error:
+        raise Unavailable(f"Invalid answer from the store: {error}.") from None
 
 
 def _decode_each(raws: list[msgspec.Raw]) -> list[StoredObject]:
@@ -375,7 +358,7 @@
         stored = msgspec.json.decode(raw, type=StoredObject)
         error = None
     except (msgspec.MsgspecError, RecursionError) as caught:
-        meta = _decode_meta(bytes(raw))
+        meta = _decode_meta(raw)
         stored = None if meta is None else StoredObject(meta)
         error = str(caught)
     start = None if stored is None else stored.name[:LOGGED_NAME_CHARACTERS]
@@ -388,10 +371,10 @@
     return stored
 
 
-def _decode_meta(raw: bytes) -> ObjectMeta | None:
+def _decode_meta(raw: msgspec.Raw | bytes) -> ObjectMeta | None:
     try:
-        return msgspec.json.decode(split_object(raw)["meta"], type=ObjectMeta)
-    except (KeyError, ValueError, RecursionError):
+        return decode_parts(raw, _Named).meta
+    except ValueError:
         return None
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/process/configs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/configs.py
@@ -253,6 +253,11 @@
         except LimpethollowError:
             self._stopped.wait(self._backoff.failed())
             return
+        except Exception as error:
+            # If this thread ended, the instance would keep a stale configuration.
+            events.UNEXPECTED_ERROR.log(where="configs", error=repr(error), exc_info=True)
+            self._stopped.wait(self._backoff.failed())
+            return
         self._backoff.succeeded()
 
     def _fetch(self, call: Callable[[], ObjectList]) -> None:
@@ -267,7 +272,7 @@
         for stored in objects:
             try:
                 records.append(decode_record(stored))
-            except BadRequest as error:
+            except (BadRequest, RecursionError) as error:
                 self._metrics.count("records_unreadable", "platform")
                 events.RECORD_UNREADABLE.log(service=stored.name, error=str(error))
         return records
--- a/packages/limpethollow-node/src/limpethollow_node/process/members.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/members.py
@@ -207,11 +207,19 @@
                 self._stopped.wait(_IDLE_POLL_SECONDS)
                 continue
             try:
-                response = self._platform.instances(self.revision)
+                self._update_once()
             except LimpethollowError:
                 self._stopped.wait(self._backoff.failed())
                 continue
+            except Exception as error:
+                # If this thread ended, the instance would keep a stale list.
+                events.UNEXPECTED_ERROR.log(where="members", error=repr(error), exc_info=True)
+                self._stopped.wait(self._backoff.failed())
+                continue
             self._backoff.succeeded()
-            self.listed(InstanceListUpdate(WHOLE_LIST, response.revision, response.instances))
-            for listener in self._searcher_listeners:
-                listener(response.searchers)
+
+    def _update_once(self) -> None:
+        response = self._platform.instances(self.revision)
+        self.listed(InstanceListUpdate(WHOLE_LIST, response.revision, response.instances))
+        for listener in self._searcher_listeners:
+            listener(response.searchers)
--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 import urllib3
@@ -10,19 +10,22 @@
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.callbudgets import DEFAULT_RATES, CallBudget, RetryBudget
+from limpethollow_policy.process.entries import is_address
 from limpethollow_policy.process.revisions import UNKNOWN_ERA
 from limpethollow_wire.codecs import to_json
 from limpethollow_wire.exceptions import Conflict, NotFound, Unavailable
 from limpethollow_wire.instances import InstanceInfo, InstanceList, SearcherListing
+from limpethollow_wire.jsonparts import decode_parts
 from limpethollow_wire.settings import PlatformSettings
-from limpethollow_wire.versions import era_of, number_of, version_of
+from limpethollow_wire.versions import MAX_ERA, MAX_NUMBER, era_of, number_of, version_of
 
-T = TypeVar("T")
+T = TypeVar("T", bound=msgspec.Struct)
 
 _RETRY_AFTER_SECONDS = 1.0
 _RETRY_RATIO = 0.1
 _MAX_SAVED_RETRIES = 10.0
 _MAX_CONNECTIONS = 8
+_LOGGED_NAME_CHARACTERS = 100
 _CHUNK_BYTES = 64 * 1024
 _MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 
@@ -54,14 +57,19 @@
     objects: tuple[PlatformObject, ...]
 
 
+# Versions and eras beyond this can't be combined into one that peers can decode.
+_Number = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
+_Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
+
+
 class _ObjectResponse(msgspec.Struct, frozen=True):
     """An object as the platform sends it; the version counts within the era of its write."""
 
     kind: str
     name: str
-    version: int
+    version: _Number
     value: dict[str, Any]
-    era: int = 0
+    era: _Era = 0
 
     def to_result(self) -> PlatformObject:
         version = version_of(self.era, self.version)
@@ -69,23 +77,31 @@
 
 
 class _ListResponse(msgspec.Struct, frozen=True):
-    revision: int
-    objects: tuple[_ObjectResponse, ...]
-    era: int = 0
+    revision: _Number
+    objects: list[msgspec.Raw]
+    era: _Era = 0
 
     def to_result(self) -> ObjectList:
-        objects = tuple(stored.to_result() for stored in self.objects)
+        found = _decode_each(self.objects, _ObjectResponse)
+        objects = tuple(stored.to_result() for stored in found)
         return ObjectList(version_of(self.era, self.revision), objects)
 
 
 class _InstancesResponse(msgspec.Struct, frozen=True):
-    revision: int
-    instances: tuple[InstanceInfo, ...]
-    searchers: tuple[SearcherListing, ...] = ()
-    era: int = 0
+    revision: _Number
+    instances: list[msgspec.Raw]
+    searchers: list[msgspec.Raw] = []
+    era: _Era = 0
 
     def to_result(self) -> InstanceList:
-        return InstanceList(version_of(self.era, self.revision), self.instances, self.searchers)
+        instances = tuple(filter(_can_be_reached, _decode_each(self.instances, InstanceInfo)))
+        searchers = tuple(_decode_each(self.searchers, SearcherListing))
+        return InstanceList(version_of(self.era, self.revision), instances, searchers)
+
+
+class _Named(msgspec.Struct, frozen=True):
+    name: str = ""
+    id: str = ""
 
 
 L = TypeVar("L", _ListResponse, _InstancesResponse)
@@ -310,7 +326,36 @@
     if status != 200:
         raise Unavailable(f"The platform responded with status {status}.")
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_parts(data, kind)
+    except ValueError as error:
         # Reported as unavailable, not as a bad request: the write may have taken effect.
         raise Unavailable(f"The platform's response could not be decoded: {error}.") from None
+
+
+def _decode_each(raws: list[msgspec.Raw], kind: type[T]) -> list[T]:
+    """Decode the parts of a list one by one, so that an invalid one doesn't hide the others."""
+    decoded = []
+    for raw in raws:
+        try:
+            decoded.append(msgspec.json.decode(raw, type=kind))
+        except (msgspec.MsgspecError, RecursionError) as error:
+            events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw), start=_name_of(raw))
+    return decoded
+
+
+def _name_of(raw: msgspec.Raw) -> str | None:
+    """Return the name of an object, or the id of an instance, if it can be decoded."""
+    try:
+        named = decode_parts(raw, _Named)
+    except ValueError:
+        return None
+    return (named.name or named.id)[:_LOGGED_NAME_CHARACTERS]
+
+
+def _can_be_reached(instance: InstanceInfo) -> bool:
+    """Return whether an instance's addresses are valid; log it otherwise."""
+    if is_address(instance.peer_address) and is_address(instance.address):
+        return True
+    error = "The instance has an invalid address."
+    events.OBJECT_UNREADABLE.log(error=error, start=instance.id[:_LOGGED_NAME_CHARACTERS])
+    return False
--- a/packages/limpethollow-node/src/limpethollow_node/platform/jsonparts.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/jsonparts.py
@@ -1,14 +1,46 @@
 """Splits JSON text into its parts, whatever these contain and however deep they are nested."""
 
 import re
+from typing import Any, TypeVar
 
 import msgspec
 
+T = TypeVar("T", bound=msgspec.Struct)
+
 # Brackets in a row are one token, as a million of them is a valid object of the store.
 _TOKENS = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]++|[\]}]++|[,"]', re.DOTALL)
 _KEY = re.compile(rb'("[^"\\]*+(?:\\.[^"\\]*+)*+")\s*+:\s*+', re.DOTALL)
 
 
+def decode_parts(text: bytes | msgspec.Raw, kind: type[T]) -> T:
+    """Decode a JSON object, of which some parts are not decoded.
+
+    Args:
+        text: The JSON text.
+        kind: The message class. Its fields of the types `Raw` and `list[Raw]` take any text, also
+            text that no decoder accepts.
+
+    Raises:
+        ValueError: Another field is missing or invalid.
+    """
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except (msgspec.MsgspecError, RecursionError):
+        members = split_object(bytes(text))
+    try:
+        return kind(
+            **{
+                field.name: _decode_field(members[field.encode_name], field.type)
+                for field in msgspec.structs.fields(kind)
+                if field.encode_name in members
+            }
+        )
+    except RecursionError:
+        raise ValueError("A field of the JSON object is nested too deeply.") from None
+    except TypeError as error:
+        raise ValueError(f"The JSON object lacks a field: {error}.") from None
+
+
 def split_array(text: bytes) -> list[bytes]:
     """Return the elements of a JSON array as they are written.
 
@@ -33,6 +65,14 @@
     return found
 
 
+def _decode_field(text: bytes, kind: Any) -> Any:
+    if kind is msgspec.Raw:
+        return msgspec.Raw(text)
+    if kind == list[msgspec.Raw]:
+        return [msgspec.Raw(part) for part in split_array(text)]
+    return msgspec.json.decode(text, type=kind)
+
+
 def _split(text: bytes, opening: bytes) -> list[bytes]:
     text = text.strip()
     if text[:1] != opening:
--- a/packages/limpethollow-wire/src/limpethollow_wire/versions.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/versions.py
@@ -10,6 +10,8 @@
 # the integers that JSON parsers represent exactly.
 _NUMBER_BITS = 40
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+MAX_NUMBER = _NUMBER_MASK
+MAX_ERA = (1 << 53 - _NUMBER_BITS) - 1
 
 
 def version_of(era: int, number: int) -> int:
