Stop: requests that would be cut off are refused before they are passed on

In a planned stop, requests that came late in the grace were passed on and then cut at 0.93 of it, unsafe ones among them, which nobody may repeat.

Only the time of arrival decided: up to 0.75 of the grace all requests were passed on, also those that usually take longer than what was left. A process that resumed after a suspension passed on what had arrived meanwhile.

A request begins only if the time that it usually takes is left: the median of the route's calls, or the 97 % quantile if it may run once. Otherwise it gets 503, as it has not run, and its caller may repeat it elsewhere. The decision is in the policy package (Stop), and is made when the request would begin, so also after a wait for a team's quota.

--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/engine.py
@@ -14,6 +14,7 @@
 from limpethollow_node.engine.request.outgoing import Outgoing
 from limpethollow_node.engine.request.searches import RETRY_ELSEWHERE, STOPPING, Search
 from limpethollow_node.process import events
+from limpethollow_policy.process.stops import Stop
 from limpethollow_policy.request.permits import Permit
 from limpethollow_policy.version.routes import (
     CurrentVersion,
@@ -49,7 +50,8 @@
         access: Checks the keys of requests.
         desk: Sends batches of calls to instances near the searchers; set before the first request.
         quotas: Applies the teams' quotas.
-        refuses: Whether new requests are rejected because they might not finish before shutdown.
+        refuses: Whether all new requests are rejected because the process is about to exit.
+        stop: The graceful stop that was requested; None if none was.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "desk",
         "quotas",
         "refuses",
+        "stop",
         "versions",
     )
 
@@ -76,6 +79,7 @@
         self.desk: BatchManager | None = None
         self._running: set[Search | Forward] = set()
         self.refuses = False
+        self.stop: Stop | None = None
         self.versions = versions
 
     def use_version(self, version: RoutingVersion) -> bool:
@@ -166,7 +170,7 @@
             Unavailable: This instance is stopping, is isolated, or may lack the route.
             NoRoute: No route matches the request.
         """
-        if self.refuses:
+        if self.refuses or self.stop is not None and self.stop.refuses_all(self.access.uptime()):
             raise Unavailable(STOPPING, retry_after=RETRY_ELSEWHERE)
         if self._dispatch.isolation.is_isolated:
             raise Unavailable(_ISOLATED, retry_after=RETRY_ELSEWHERE)
@@ -193,7 +197,9 @@
             Quarantined: Earlier attempts of the request crashed searchers.
             NoHome: Too few of the route's services have a searcher where the request may run.
             Overloaded: The route's searchers can't answer the request in time.
+            Unavailable: This instance stops before the request would end.
         """
+        self._check_stop(route)
         outgoing = Outgoing.of(exchange, route, self._dispatch, permit)
         log = self._logger(exchange, route)
         running: Search | Forward
@@ -219,6 +225,18 @@
         self._running.add(running)
         running.start()
 
+    def _check_stop(self, route: Route) -> None:
+        """Check that a request on a route would end before this instance stops.
+
+        Raises:
+            Unavailable: It would be cut off.
+        """
+        if self.stop is None:
+            return
+        expected = self._dispatch.timings(route).expected(repeatable=route.idempotent)
+        if not self.stop.may_start(expected, self.access.uptime()):
+            raise Unavailable(STOPPING, retry_after=RETRY_ELSEWHERE)
+
     def end_forbidden(self) -> None:
         """Answer all requests that are no longer allowed and that no searcher may have run."""
         for running in list(self._running):
--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/lifecycle.py
@@ -13,21 +13,12 @@
 from limpethollow_node.engine.process.roster import Roster
 from limpethollow_node.process import events
 from limpethollow_policy.process.stalls import StallDetector
+from limpethollow_policy.process.stops import Stop
 
 # Callers that connect to a starting process wait in the listener's backlog at most this long for
 # the first configuration, which takes 10 ms from a responsive store or peer, and for the first
 # lease of the keys. Without them they are rejected after that.
 FIRST_CONFIGURATION_SECONDS = 0.25
-# Phases of a graceful shutdown, as fractions of the time until the platform kills the process.
-# Until the first, all requests are accepted: callers cache directory entries for up to three times
-# the requested time, and may still connect here. After it, the process exits as soon as nothing is
-# open. From the second on, new requests are rejected, since they might not finish in time. At the
-# third, requests still open are answered. At the last, the process exits whether or not callers
-# have read their responses.
-_ACCEPT_FRACTION = 0.6
-_REJECT_FRACTION = 0.75
-_DRAIN_FRACTION = 0.93
-_EXIT_FRACTION = 0.96
 _POLL_SECONDS = 0.02
 # Time for the last written bytes to leave the socket.
 _LINGER_SECONDS = 0.1
@@ -142,11 +133,9 @@
         for server in servers:
             server.leaving = True
         self._peers.leave()
-        exit_when_idle_from = begun + grace * _ACCEPT_FRACTION
-        reject_from = begun + grace * _REJECT_FRACTION
-        while (now := _uptime()) < begun + grace * _DRAIN_FRACTION:
-            self._engine.refuses = now > reject_from
-            if now > exit_when_idle_from and self._front.all_idle:
+        stop = self._engine.stop = Stop(begun, grace)
+        while (now := _uptime()) < stop.answers_at:
+            if stop.may_exit(now) and self._front.all_idle:
                 break
             await asyncio.sleep(_POLL_SECONDS)
         self._engine.refuses = True
@@ -154,7 +143,7 @@
         self._front.close_idle()
         events.DRAINED.log(open=len(self._front.connections), after_s=_uptime() - begun)
         self._engine.end_all()
-        await self._flush(begun + grace * _EXIT_FRACTION)
+        await self._flush(stop.exits_at)
 
     async def _flush(self, until: float) -> None:
         """Wait until callers have read their responses, at most until the given uptime."""
--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -224,6 +224,15 @@
         """Return the median time of a call in seconds."""
         return self._usual.value
 
+    def expected(self, *, repeatable: bool) -> float:
+        """Return the seconds that a request may need.
+
+        Args:
+            repeatable: Whether another instance may repeat it if it is cut off. If not, nearly all
+                requests of the route must fit into the time.
+        """
+        return self._usual.value if repeatable else self._late.value
+
     @property
     def hedge_delay(self) -> float:
         """Return the seconds after which a call is slow enough to be hedged."""
--- a/tests/system/platform/test_stops.py
+++ b/tests/system/platform/test_stops.py
@@ -6,11 +6,15 @@
 import threading
 import time
 
+import pytest
+
 from tests.support.platforms import HOST, PlatformInstance, PlatformSystem, forward_route
 from tests.support.processes import wait_for
 
 GRACE_SECONDS = 3
 WORK_SECONDS = 0.3
+# More than is left of the grace when the last requests come that are not refused by their time.
+LONG_WORK_SECONDS = 0.9
 CALLERS = 8
 # A process that is frozen for this part of the grace doesn't know when the signal came.
 FROZEN_SECONDS = 1.2
@@ -105,6 +109,38 @@
         caller.join()
         assert answers == [502]
 
+    @pytest.mark.parametrize("kind", ["safe", "unsafe"])
+    def test_a_request_that_would_not_end_in_time_is_refused_before_it_runs(self, system, kind):
+        """Guards against requests that are passed on late in the grace, and cut at its end."""
+        one = system.backend("desk", "i-1", work=LONG_WORK_SECONDS, slots=30)
+        system.configure(1, forward_route("desk", timeoutMs=8000, sloMs=4000, type=kind))
+        instance = system.instance()
+        answers: dict[str, int] = {}
+
+        def ask(request_id: str, second: float) -> None:
+            wait_until(second)
+            answers[request_id] = instance.ask(
+                "/get/x", request_id=request_id, time_left=8000
+            ).status
+
+        def ask_all(moments: dict[str, float]) -> None:
+            callers = [threading.Thread(target=ask, args=each) for each in moments.items()]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+
+        before = {f"before-{number}": 0.0 for number in range(20)}
+        ask_all(before)
+        assert set(answers.values()) == {200}
+        answers.clear()
+        instance.terminate()
+        stopped_at = time.monotonic()
+        moments = {"early": 0.1, "middle": 0.4, "late": 0.66}
+        ask_all({name: stopped_at + part * GRACE_SECONDS for name, part in moments.items()})
+        assert answers == {"early": 200, "middle": 200, "late": 503}
+        assert {seen.id for seen in one.seen} == {*before, "early", "middle"}
+
     def test_an_answer_that_its_caller_still_reads_is_whole(self, system):
         """Guards against answers that the exit cuts short on the way to slow callers."""
         body = b"x" * LARGE_BYTES
