Stop: an estimate that is still high doesn't refuse unsafe requests early

With a grace of 1 s and an objective of 4 s, all unsafe requests were refused from the signal on, although they took 0.2 s: the 97 % quantile of a route's calls starts at 0.3 of the objective and falls slowly.

The time that such a request may need is at most four times the median.

--- a/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
+++ b/packages/limpethollow-policy/src/limpethollow_policy/process/timings.py
@@ -212,6 +212,8 @@
     _EARLIEST_HEDGE = 0.18
     _LATEST_HEDGE = 0.45
     _LATE_QUANTILE = 0.97
+    # The estimate of the late quantile starts high and falls by half only within 460 calls.
+    _MAX_LATE_RATIO = 4.0
 
     def __init__(self, objective: float) -> None:
         self._objective = objective
@@ -231,7 +233,9 @@
             repeatable: Whether another instance may repeat it if it is cut off. If not, nearly all
                 requests of the route must fit into the time.
         """
-        return self._usual.value if repeatable else self._late.value
+        if repeatable:
+            return self.usual
+        return min(self._late.value, self._MAX_LATE_RATIO * self.usual)
 
     @property
     def hedge_delay(self) -> float:
