Splitting JSON skips nested parts in runs

One entry of 0.7 MB with 170,000 levels of "[1," kept the event loop busy for 1.2 s, eight of them in one answer for 9 s, as each bracket and comma was looked at.

Nested parts are now skipped in runs of brackets, which are counted as a whole, and arrays and objects without others in them count as text.

The 16 tests of test_jsonparts.py compare the parts with those of a JSON decoder; they pass.

--- a/packages/limpethollow-wire/src/limpethollow_wire/jsonparts.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/jsonparts.py
@@ -7,9 +7,17 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
-# Brackets in a row are one token, as a million of them is a valid object of the store.
-_TOKENS = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]++|[\]}]++|[,"]', re.DOTALL)
-_KEY = re.compile(rb'("[^"\\]*+(?:\\.[^"\\]*+)*+")\s*+:\s*+', re.DOTALL)
+_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+_PLAIN = rb'(?:[^\[\]{}"]++|' + _STRING + rb")"
+# Text without brackets, and arrays and objects that contain no others.
+_FILLING = rb"(?:" + _PLAIN + rb"|[\[{]" + _PLAIN + rb"*+[\]}])*+"
+_STRINGS = re.compile(_STRING, re.DOTALL)
+_KEY = re.compile(rb"(" + _STRING + rb")\s*+:\s*+", re.DOTALL)
+# What may stand in an array or object besides the text between: a string, a bracket, a comma.
+_TOKENS = re.compile(_STRING + rb'|[\[\]{},"]', re.DOTALL)
+# Brackets are skipped in runs, since an object of the store may consist of a million of them.
+_OPENING = re.compile(rb"(?:[\[{]" + _FILLING + rb")++", re.DOTALL)
+_CLOSING = re.compile(rb"(?:[\]}]" + _FILLING + rb")++", re.DOTALL)
 
 
 def decode_parts(text: bytes | msgspec.Raw, kind: type[T]) -> T:
@@ -77,21 +85,63 @@
     text = text.strip()
     if text[:1] != opening:
         raise ValueError(f"The JSON text does not begin with {opening.decode()}.")
-    parts, depth, start = [], 0, 1
-    for token in _TOKENS.finditer(text):
-        first = text[token.start()]
-        if first in b"[{":
-            depth += token.end() - token.start()
-        elif first in b"]}":
-            depth -= token.end() - token.start()
-            if depth <= 0:
-                break
-        elif first == b","[0] and depth == 1:
+    parts, start, position = [], 1, 1
+    while (token := _TOKENS.search(text, position)) is not None:
+        position = token.end()
+        symbol = token[0]
+        if symbol in (b"[", b"{"):
+            position = _skip(text, token.start())
+        elif symbol == b",":
             parts.append(text[start : token.start()].strip())
-            start = token.end()
-        elif token[0] == b'"':
+            start = position
+        elif symbol in (b"]", b"}"):
+            break
+        elif symbol == b'"':
             raise ValueError("A string in the JSON text is not closed.")
-    if depth != 0 or token.end() != len(text):
+    if token is None or position != len(text):
         raise ValueError("The brackets of the JSON text don't match.")
     last = text[start:-1].strip()
     return [*parts, last] if parts or last else []
+
+
+def _skip(text: bytes, position: int) -> int:
+    """Return the position behind an array or object that begins at a position.
+
+    Raises:
+        ValueError: It is not closed.
+    """
+    depth = 0
+    while True:
+        opening = _OPENING.match(text, position)
+        if opening is not None:
+            depth += _opened(opening[0])
+            position = opening.end()
+        closing = _CLOSING.match(text, position)
+        if closing is None:
+            raise ValueError("A string or bracket in the JSON text is not closed.")
+        closed = -_opened(closing[0])
+        if closed >= depth:
+            return _end_of(text, position, depth)
+        depth -= closed
+        position = closing.end()
+
+
+def _opened(run: bytes) -> int:
+    """Return how many more brackets a text opens than it closes."""
+    if b'"' in run:
+        run = _STRINGS.sub(b"", run)
+    return run.count(b"[") + run.count(b"{") - run.count(b"]") - run.count(b"}")
+
+
+def _end_of(text: bytes, position: int, depth: int) -> int:
+    """Return the position behind the bracket that closes the outermost of some open ones."""
+    if not text[position : position + depth].strip(b"]}"):
+        return position + depth
+    for token in _TOKENS.finditer(text, position):
+        if token[0] in (b"[", b"{"):
+            depth += 1
+        elif token[0] in (b"]", b"}"):
+            depth -= 1
+            if not depth:
+                return token.end()
+    raise ValueError("A bracket in the JSON text is not closed.")
