Configurations with integers beyond 64 bits are invalid

A number like this in config/main was accepted, and the version became the current one; the connection limit of a service then overflowed a computation, so that the rest of the version was never applied.

All integers of a configuration are limited to 64 bits. An invalid one leaves the version in force, as before.

The 7 new cases of test_odd_entries.py failed before (accepted); with the change all tests of test_odd_entries.py and test_codec.py pass.

--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -71,6 +71,10 @@
         return self.meta.revision
 
 
+# Larger ones overflow in computations and can't be written to log lines.
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+
+
 class _SearcherSpec(msgspec.Struct, frozen=True, rename="camel"):
     service: str
     addr: str
@@ -95,21 +99,21 @@
     type: str
     timeout_ms: float
     slo_ms: float
-    attempts: int = 1
+    attempts: _Integer = 1
     service: str | None = None
     traffic_split: list[_SplitTarget] | None = None
     gather: list[str] | None = None
-    top_k: int = 0
+    top_k: _Integer = 0
     # Minimum share of the shards that an answer must cover; despite its name, not a version.
     min_version: float = 0.0
     public: bool = False
-    priority: int = 0
+    priority: _Integer = 0
     allowed_regions: list[str] | None = None
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    max_conns: int = 16
+    max_conns: _Integer = 16
     cold_start_s: float = 0.0
     # Requests per second that a cold searcher can handle; 0 means no limit.
     cold_per_s: float = 0.0
@@ -118,21 +122,21 @@
 class _TenantSpec(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     api_keys: list[str] = msgspec.field(default_factory=list)
-    priority: int | None = None
+    priority: _Integer | None = None
     rate_per_s: float | None = None
     burst: float | None = None
     allowed_regions: list[str] | None = None
 
 
 class _LimitsSpec(msgspec.Struct, frozen=True, rename="camel"):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 1024 * 1024
+    max_header_bytes: _Integer = 16 * 1024
+    max_body_bytes: _Integer = 1024 * 1024
     header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
 
 
 class _ConfigurationSpec(msgspec.Struct, frozen=True):
-    version: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+    version: _Integer
     routes: list[_RouteSpec]
     services: list[_ServiceSpec]
     limits: _LimitsSpec = _LimitsSpec()
@@ -147,7 +151,7 @@
 class _QuarantineSpec(msgspec.Struct, frozen=True, rename="camel"):
     searchers: _Runs
     on_trial: _Runs
-    epoch: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
+    epoch: _Integer = 0
     released: bool = False
 
 
--- a/tests/unit/engine/test_odd_entries.py
+++ b/tests/unit/engine/test_odd_entries.py
@@ -28,6 +28,15 @@
 
 SEARCHER = {"service": "s", "addr": "10.0.0.1:80", "zone": "a", "slots": 2, "state": "ready"}
 INSTANCE = {"address": "10.0.0.1:1", "peer_address": "10.0.0.1:2", "failure_domain": "a"}
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "pathPrefix": "/",
+    "type": "safe",
+    "timeoutMs": 800,
+    "sloMs": 60,
+    "service": "s",
+}
 LONG = "x" * 1_000_000
 ODD_NAMES = ["i 1", "i\r\nX-Odd: 1", "i\0", "é", "x" * 500]
 ODD_ADDRESSES = [
@@ -103,6 +112,23 @@
         with pytest.raises(BadRequest):
             decode_version(stored({"version": 10**400, "routes": [], "services": []}))
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"services": [{"name": "s", "maxConns": 10**400}]},
+            {"routes": [{**ROUTE, "attempts": 10**400}]},
+            {"routes": [{**ROUTE, "topK": -(10**400)}]},
+            {"routes": [{**ROUTE, "priority": 10**400}]},
+            {"limits": {"maxBodyBytes": 10**400}},
+            {"limits": {"maxHeaderBytes": 10**400}},
+            {"tenants": [{"name": "t", "priority": 10**400}]},
+        ],
+    )
+    def test_no_version_has_integers_beyond_64_bits(self, fields):
+        """Guards against a version that is only partly applied, as a computation overflows."""
+        with pytest.raises(BadRequest):
+            decode_version(stored({"version": 1, "routes": [], "services": [], **fields}))
+
     @pytest.mark.parametrize(
         "fields",
         [
