Own interface: a call to the platform ends with its time, whatever arrives

A platform that sent trailers or interim replies without end, or a head, a chunk line or a trailer byte by byte, held the thread that reads the configuration or the list of instances, which then followed nothing more.

Each byte restarts the socket's timeout, and only the body was read against the deadline. Calls to searchers were limited before, these were not.

Each call is aborted 0.1 s after its deadline, and counts as unanswered.

test_endless_answers.py in unit/configuration: 11 of its 30 tests failed before (the thread was still reading 2 s after the time of the call); with the change all pass, as do 67 system tests of configuration and lifecycle/test_endless_replies.py.

--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -1,11 +1,14 @@
 """Client of the platform's object API."""
 
+import contextlib
+import socket
 import threading
 import time
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
@@ -23,6 +26,8 @@
 
 _RETRY_AFTER_SECONDS = 1.0
 _RETRY_RATIO = 0.1
+# A call ends by its own timeouts at its deadline, unless the platform keeps sending.
+_OVERTIME_SECONDS = 0.1
 _MAX_SAVED_RETRIES = 10.0
 _MAX_CONNECTIONS = 8
 _LOGGED_NAME_CHARACTERS = 100
@@ -30,6 +35,64 @@
 _MAX_RESPONSE_BYTES = 256 * 1024 * 1024
 
 
+class _CallLimit:
+    """Ends the call of this thread at a time, whatever it has received until then.
+
+    Each byte of a head or a trailer restarts the socket's timeout, and `http.client` reads any
+    number of interim responses and trailers.
+
+    Args:
+        until: Monotonic time in seconds.
+
+    Attributes:
+        exceeded: Whether the call was ended.
+    """
+
+    current = threading.local()
+
+    def __init__(self, until: float) -> None:
+        self.exceeded = False
+        self._lock = threading.Lock()
+        self._connection: HTTPConnection | None = None
+        self._timer = threading.Timer(until - time.monotonic(), self._abort)
+        self._timer.daemon = True
+
+    def __enter__(self) -> "_CallLimit":
+        self.current.limit = self
+        self._timer.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._timer.cancel()
+        self.use(None)
+        self.current.limit = None
+
+    def use(self, connection: HTTPConnection | None) -> None:
+        """Record the connection that carries the call; None once the call is over."""
+        with self._lock:
+            self._connection = connection
+
+    def _abort(self) -> None:
+        with self._lock:
+            if self._connection is None:
+                return
+            self.exceeded = True
+            if self._connection.sock is None:
+                return
+            # A mere close would leave the other thread in its receive until the timeout.
+            with contextlib.suppress(OSError):
+                self._connection.sock.shutdown(socket.SHUT_RDWR)
+
+
+class _LimitedConnection(HTTPConnection):
+    """A connection that is shut down when the limit of the call on it is exceeded."""
+
+    def request(self, *arguments: Any, **fields: Any) -> None:
+        """Send a request, and record that this connection carries it."""
+        _CallLimit.current.limit.use(self)
+        super().request(*arguments, **fields)
+
+
 class CallBudgetSpent(Unavailable):
     """The call budget of this instance is exhausted; nothing was sent."""
 
@@ -215,7 +278,10 @@
         deadline = time.monotonic() + self._settings.timeout + extra_wait
         pool = self._pool
         try:
-            status, data = self._send_request(pool, method, path, body, deadline)
+            with _CallLimit(deadline + _OVERTIME_SECONDS) as limit:
+                status, data = self._send_request(pool, method, path, body, deadline)
+            if limit.exceeded:
+                raise Unavailable("The response took too long.")
             result = _decode_response(status, data, kind)
         except (urllib3.exceptions.HTTPError, Unavailable) as error:
             self._record_failure(call, error)
@@ -260,7 +326,9 @@
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self._settings.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=_MAX_CONNECTIONS, retries=False)
+        pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=_MAX_CONNECTIONS, retries=False)
+        pool.ConnectionCls = _LimitedConnection
+        return pool
 
     def _replace_pool(self, pool: urllib3.HTTPConnectionPool) -> None:
         """Replace the connection pool after a failure.
