--- a/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
+++ b/packages/limpethollow-node/src/limpethollow_node/engine/process/dialling.py
@@ -62,7 +62,8 @@
                 create_connection=partial(DialledConnection, self._gate),
                 **LINK_OPTIONS,
             )
-        except (OSError, WebSocketException) as error:
+        except (OSError, WebSocketException, ValueError) as error:
+            # ValueError: the address has an invalid port or host name.
             if isinstance(error, ConnectionRefusedError):
                 self.refused_addresses.add(address)
             events.SEED_FAILED.log(address=address, error=repr(error))
--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -1,10 +1,17 @@
 """Decodes objects of the platform's store into the product's types."""
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from limpethollow_policy.process.crashes import CrashEvidence, CrashReport
+from limpethollow_policy.process.crashes import MAX_SEARCHERS, CrashEvidence, CrashReport
+from limpethollow_policy.process.entries import (
+    MAX_INTEGER,
+    MAX_NAME_CHARACTERS,
+    invalid_instance_field,
+    invalid_searcher_field,
+    is_name,
+)
 from limpethollow_policy.process.evacuations import Evacuation
 from limpethollow_policy.process.loadreports import LoadReport
 from limpethollow_policy.process.placements import Instance
@@ -24,6 +31,8 @@
 _READY = "ready"
 _DRAINING = "draining"
 _SAFE = "safe"
+_MAX_LOAD_DIGITS = 9
+_SHOWN_CHARACTERS = 100
 
 
 class StoredQuarantine(msgspec.Struct, frozen=True):
@@ -38,7 +47,9 @@
     released: bool
 
 
-class _Meta(msgspec.Struct, frozen=True):
+class ObjectMeta(msgspec.Struct, frozen=True):
+    """What the store keeps about each object, whatever its kind."""
+
     name: str
     revision: int = 0
 
@@ -46,7 +57,7 @@
 class StoredObject(msgspec.Struct, frozen=True):
     """An object of the store; what `spec` holds depends on its kind."""
 
-    meta: _Meta
+    meta: ObjectMeta
     spec: Any = None
 
     @property
@@ -60,6 +71,10 @@
         return self.meta.revision
 
 
+# Larger ones overflow in computations and can't be written to log lines.
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+
+
 class _SearcherSpec(msgspec.Struct, frozen=True, rename="camel"):
     service: str
     addr: str
@@ -84,21 +99,21 @@
     type: str
     timeout_ms: float
     slo_ms: float
-    attempts: int = 1
+    attempts: _Integer = 1
     service: str | None = None
     traffic_split: list[_SplitTarget] | None = None
     gather: list[str] | None = None
-    top_k: int = 0
+    top_k: _Integer = 0
     # Minimum share of the shards that an answer must cover; despite its name, not a version.
     min_version: float = 0.0
     public: bool = False
-    priority: int = 0
+    priority: _Integer = 0
     allowed_regions: list[str] | None = None
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    max_conns: int = 16
+    max_conns: _Integer = 16
     cold_start_s: float = 0.0
     # Requests per second that a cold searcher can handle; 0 means no limit.
     cold_per_s: float = 0.0
@@ -107,31 +122,36 @@
 class _TenantSpec(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     api_keys: list[str] = msgspec.field(default_factory=list)
-    priority: int | None = None
+    priority: _Integer | None = None
     rate_per_s: float | None = None
     burst: float | None = None
     allowed_regions: list[str] | None = None
 
 
 class _LimitsSpec(msgspec.Struct, frozen=True, rename="camel"):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 1024 * 1024
+    max_header_bytes: _Integer = 16 * 1024
+    max_body_bytes: _Integer = 1024 * 1024
     header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
 
 
 class _ConfigurationSpec(msgspec.Struct, frozen=True):
-    version: int
+    version: _Integer
     routes: list[_RouteSpec]
     services: list[_ServiceSpec]
     limits: _LimitsSpec = _LimitsSpec()
     tenants: list[_TenantSpec] | None = None
 
 
+# A searcher's run is named by its id and the start of its process.
+_Run = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS + 21)]
+_Runs = Annotated[list[_Run], msgspec.Meta(max_length=MAX_SEARCHERS)]
+
+
 class _QuarantineSpec(msgspec.Struct, frozen=True, rename="camel"):
-    searchers: list[str]
-    on_trial: list[str]
-    epoch: int = 0
+    searchers: _Runs
+    on_trial: _Runs
+    epoch: _Integer = 0
     released: bool = False
 
 
@@ -141,17 +161,12 @@
     Raises:
         BadRequest: The entry has a missing or invalid field.
     """
-    entry = _convert(stored, _SearcherSpec, f"Invalid searcher entry {stored.name!r}")
+    entry = _convert(stored, _SearcherSpec, f"Invalid searcher entry {_shown(stored.name)}")
     if entry.state not in (_READY, _DRAINING):
         raise BadRequest(
-            f"The searcher entry {stored.name!r} has the unknown state {entry.state!r}."
+            f"The searcher entry {_shown(stored.name)} has the unknown state {_shown(entry.state)}."
         )
-    host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536 or entry.slots < 1:
-        raise BadRequest(
-            f"The searcher entry {stored.name!r} has an invalid address or slot count."
-        )
-    return Searcher(
+    searcher = Searcher(
         id=stored.name,
         service=entry.service,
         address=entry.addr,
@@ -161,6 +176,10 @@
         incarnation=entry.born,
         cold_left=max(0.0, entry.cold_left_ms / 1000),
     )
+    invalid = invalid_searcher_field(searcher)
+    if invalid is not None:
+        raise BadRequest(f"The searcher entry {_shown(stored.name)} has an invalid {invalid}.")
+    return searcher
 
 
 def decode_version(stored: StoredObject) -> RoutingVersion:
@@ -191,8 +210,12 @@
         BadRequest: The value isn't three or four whole numbers, or the slot count is 0.
     """
     fields = [field.strip() for field in value.split(b",")]
-    if len(fields) not in (3, 4) or not all(field.isdigit() for field in fields):
-        raise BadRequest(f"The load report {value!r} is not a list of three or four whole numbers.")
+    are_numbers = all(field.isdigit() and len(field) <= _MAX_LOAD_DIGITS for field in fields)
+    if len(fields) not in (3, 4) or not are_numbers:
+        raise BadRequest(
+            f"The load report {value[:100]!r} is not a list of three or four whole numbers of at "
+            f"most {_MAX_LOAD_DIGITS} digits."
+        )
     load = LoadReport(*map(int, fields))
     if load.slots < 1:
         raise BadRequest(f"The load report {value!r} has a slot count of 0.")
@@ -205,11 +228,15 @@
     Raises:
         BadRequest: A field is missing or invalid.
     """
-    instance = _convert(stored, Instance, f"Invalid instance {stored.name!r}")
+    instance = _convert(stored, Instance, f"Invalid instance {_shown(stored.name)}")
     if instance.name != stored.name:
         raise BadRequest(
-            f"The object of instance {stored.name!r} has the name {instance.name!r} in its spec."
+            f"The object of instance {_shown(stored.name)} has the name {_shown(instance.name)} in "
+            "its spec."
         )
+    invalid = invalid_instance_field(instance)
+    if invalid is not None:
+        raise BadRequest(f"The instance {_shown(stored.name)} has an invalid {invalid}.")
     return instance
 
 
@@ -224,7 +251,11 @@
     Raises:
         BadRequest: A field is missing or invalid.
     """
-    decoded = _convert(stored, _QuarantineSpec, f"Invalid quarantined request {stored.name!r}")
+    decoded = _convert(
+        stored, _QuarantineSpec, f"Invalid quarantined request {_shown(stored.name)}"
+    )
+    if not is_name(stored.name):
+        raise BadRequest(f"The name {_shown(stored.name)} is not the fingerprint of a request.")
     evidence = CrashEvidence(
         frozenset(decoded.searchers), frozenset(decoded.on_trial), decoded.epoch
     )
@@ -238,6 +269,11 @@
     return msgspec.to_builtins(_QuarantineSpec(searchers, on_trial, evidence.epoch))
 
 
+def _shown(text: str) -> str:
+    """Return the beginning of a text that may be large, as it is shown in errors."""
+    return repr(text[:_SHOWN_CHARACTERS])
+
+
 def _convert(stored: StoredObject, kind: type[T], message: str) -> T:
     try:
         return msgspec.convert(stored.spec, kind)
--- a/packages/limpethollow-node/src/limpethollow_node/platform/process.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/process.py
@@ -170,7 +170,12 @@
         self._lifecycle = Lifecycle(
             self._dispatch, self._engine, self._catalog, self._roster, self._peers, self._front
         )
-        self._store = Store(settings.platform.addr, self.metrics, self._on_store_restored)
+        self._store = Store(
+            settings.platform.addr,
+            self.metrics,
+            self._on_store_restored,
+            settings.limits.memory_mb,
+        )
         self._store_check = StoreCheck(
             self._store,
             KIND,
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from typing import Any, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
@@ -9,13 +10,14 @@
 from limpethollow_node.engine.connection.replylimits import STORE_LIMITS, report_exceeded
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.httpclients import HttpClient
-from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.platform.codec import ObjectMeta, StoredObject
 from limpethollow_node.process import events
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_policy.process.revisions import UNKNOWN_ERA, Revision
 from limpethollow_wire.exceptions import Conflict, LimpethollowError, NotFound, Unavailable
+from limpethollow_wire.jsonparts import decode_parts
 
-T = TypeVar("T")
+T = TypeVar("T", bound=msgspec.Struct)
 
 # The store answers in 4 ms; a slow one takes 60 times as long. A longer wait counts as no answer.
 _TIMEOUT = 1.0
@@ -23,9 +25,21 @@
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
 _CONNECTIONS = 7
+# Limits the memory of a list whose pages never end: some 30,000 searchers, and more where the
+# machine has more memory.
+_MIN_LIST_BYTES = 16 * 1024 * 1024
+_LIST_MEMORY_SHARE = 1 / 8
+# Memory that an object takes besides its content.
+_OBJECT_OVERHEAD_BYTES = 256
+# A longer name does not fit into the target of a call.
+_MAX_NAME_CHARACTERS = 512
+# An object may have a name of up to its full size.
+LOGGED_NAME_CHARACTERS = 100
 _JSON = (b"Content-Type", b"application/json")
 # Header with the store's era: how often the store was restored from an older copy.
 _ERA_HEADER = b"store-era"
+# A number of more digits may not fit into 64 bits.
+_MAX_ERA_DIGITS = 18
 
 
 class HistoryGone(LimpethollowError):
@@ -67,11 +81,52 @@
     deleted: bool = False
 
 
+class _Named(msgspec.Struct, frozen=True):
+    meta: ObjectMeta
+
+
 class _Events(msgspec.Struct, frozen=True):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     revision: int = msgspec.field(name="currentRev")
 
 
+class _Pages:
+    """The objects of a list, of which the pages are added one after the other.
+
+    Args:
+        max_bytes: Limit on the memory of all pages.
+
+    Attributes:
+        objects: The objects that could be decoded.
+    """
+
+    __slots__ = ("_bytes", "_max_bytes", "_names", "objects")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._bytes = 0
+        self._max_bytes = max_bytes
+        self._names: set[str] = set()
+        self.objects: list[StoredObject] = []
+
+    def add(self, page: _Page) -> str | None:
+        """Add a page; return the name after which the next one begins, None after the last one.
+
+        Raises:
+            Unavailable: The list exceeds its limit, or the pages lead to no end.
+        """
+        self._bytes += sum(_OBJECT_OVERHEAD_BYTES + len(item) for item in page.items)
+        if self._bytes > self._max_bytes:
+            raise Unavailable(f"The store's list has over {self._max_bytes} bytes.")
+        objects = _decode_each(page.items)
+        self.objects += objects
+        if not page.more:
+            return None
+        if not objects or objects[-1].name in self._names:
+            raise Unavailable("The store's list can't be continued after one of its pages.")
+        self._names.add(objects[-1].name)
+        return objects[-1].name
+
+
 class _ReplyWithEra(msgspec.Struct, frozen=True):
     """A reply and the era in it; 0 if there is none."""
 
@@ -89,17 +144,24 @@
         address: The store's address.
         metrics: The process's counters.
         on_restored: Called when an answer shows that the store was restored from an older copy.
+        memory_mb: Memory of the process in megabytes, of which a list may take a share.
 
     Attributes:
         era: The highest era in any answer, 0 if none had one; `UNKNOWN_ERA` before the first
             answer.
     """
 
-    __slots__ = ("_client", "_metrics", "_on_restored", "era")
+    __slots__ = ("_client", "_max_list_bytes", "_metrics", "_on_restored", "era")
 
     def __init__(
-        self, address: str, metrics: Metrics, on_restored: Callable[[], None] = lambda: None
+        self,
+        address: str,
+        metrics: Metrics,
+        on_restored: Callable[[], None] = lambda: None,
+        memory_mb: float = 0.0,
     ) -> None:
+        share = int(memory_mb * _LIST_MEMORY_SHARE * 1024 * 1024)
+        self._max_list_bytes = max(_MIN_LIST_BYTES, share)
         self._client = HttpClient(address, _CONNECTIONS, STORE_LIMITS)
         self._metrics = metrics
         self._on_restored = on_restored
@@ -116,16 +178,15 @@
         watch from the first page's revision reports such a change again.
         """
         stale = "allowStale=1" if allow_stale else ""
-        page, era = await self._get("list", f"/objects/{kind}?{stale}".rstrip("?"), _Page)
-        objects, revision = _decode_each(page.items), Revision(era, page.revision)
-        while page.more and objects:
-            after = f"after={objects[-1].name}"
-            target = f"/objects/{kind}?{'&'.join(filter(None, (after, stale)))}"
-            page, era = await self._get("list", target, _Page)
+        page, era = await self._get("list", _path(kind, query=stale), _Page)
+        revision = Revision(era, page.revision)
+        pages = _Pages(self._max_list_bytes)
+        while (after := pages.add(page)) is not None:
+            query = "&".join(filter(None, (f"after={_quote(after)}", stale)))
+            page, era = await self._get("list", _path(kind, query=query), _Page)
             if era != revision.era:
                 raise Unavailable("The store was restored from an older copy between two pages.")
-            objects += _decode_each(page.items)
-        return Listing(objects, revision)
+        return Listing(pages.objects, revision)
 
     async def watch(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -138,13 +199,11 @@
         Raises:
             HistoryGone: The store no longer has the changes since that revision.
         """
-        target = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
+        target = _path(kind, query=f"watch={revision}&waitMs={int(wait * 1000)}")
         found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
-        changes = [
-            Change(stored, event.deleted)
-            for event in found.events
-            for stored in _decode_each([event.object])
-        ]
+        changed = [_decode_parts(event, _Event) for event in found.events]
+        decoded = [(_decode_object(event.object), event.deleted) for event in changed]
+        changes = [Change(stored, deleted) for stored, deleted in decoded if stored is not None]
         return Changes(changes, Revision(era, found.revision))
 
     async def check(self, kind: str, name: str, timeout: float) -> None:
@@ -157,7 +216,7 @@
             name: The object's name; it need not exist.
             timeout: Seconds after which the store counts as unavailable.
         """
-        target = f"/objects/{kind}/{name}?allowStale=1"
+        target = _path(kind, name, "allowStale=1")
         try:
             await self._request("check", b"GET", target, timeout)
         except NotFound:
@@ -174,8 +233,11 @@
         Raises:
             NotFound: No object has this name.
         """
-        found, _ = await self._get("read", f"/objects/{kind}/{name}", StoredObject, timeout)
-        return found
+        answer = await self._request("read", b"GET", _path(kind, name), timeout)
+        stored = _decode_object(answer.reply.body)
+        if stored is None:
+            raise Unavailable("Invalid answer from the store: it is no object with a name.")
+        return stored
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -184,7 +246,7 @@
             Conflict: The object exists already.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        return await self._write("create", b"POST", f"/objects/{kind}", body)
+        return await self._write("create", b"POST", _path(kind), body)
 
     async def replace(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Replace the `spec` of an object unconditionally.
@@ -193,7 +255,7 @@
             NotFound: No object has this name.
         """
         body = {"meta": {"name": name, "finalizers": []}, "spec": spec}
-        return await self._write("replace", b"PUT", f"/objects/{kind}/{name}", body)
+        return await self._write("replace", b"PUT", _path(kind, name), body)
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object.
@@ -201,7 +263,7 @@
         Raises:
             NotFound: No object has this name.
         """
-        await self._request("delete", b"DELETE", f"/objects/{kind}/{name}", _TIMEOUT)
+        await self._request("delete", b"DELETE", _path(kind, name), _TIMEOUT)
 
     def close(self) -> None:
         """Close the connections."""
@@ -247,9 +309,9 @@
             Unavailable: The answer has an older era than a previous one.
         """
         value = reply.header(_ERA_HEADER)
-        if value is None or not value.isdigit():
+        if value is None or not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
             if value is not None or self.era > 0:
-                events.ERA_UNREADABLE.log(call=call, value=repr(value), known=self.era)
+                events.ERA_UNREADABLE.log(call=call, value=repr(value)[:100], known=self.era)
             self.era = max(self.era, 0)
             return 0
         era = int(value)
@@ -276,19 +338,64 @@
 
 
 def _decode(reply: Reply, kind: type[T]) -> T:
+    return _decode_parts(reply.body, kind)
+
+
+def _decode_parts(text: bytes | msgspec.Raw, kind: type[T]) -> T:
+    """Decode an answer or an event but not the objects in it.
+
+    One that can't be decoded must not hide the others.
+
+    Raises:
+        Unavailable: It is invalid.
+    """
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_parts(text, kind)
+    except ValueError as error:
         raise Unavailable(f"Invalid answer from the store: {error}.") from None
 
 
 def _decode_each(raws: list[msgspec.Raw]) -> list[StoredObject]:
     """Decode objects one by one, so that an invalid one doesn't hide the others."""
-    objects = []
-    for raw in raws:
-        try:
-            objects.append(msgspec.json.decode(raw, type=StoredObject))
-        except msgspec.MsgspecError as error:
-            # The content is not logged, since a configuration contains the teams' keys.
-            events.OBJECT_UNREADABLE.log(error=str(error), bytes=len(raw))
-    return objects
+    return [stored for stored in map(_decode_object, raws) if stored is not None]
+
+
+def _decode_object(raw: msgspec.Raw | bytes) -> StoredObject | None:
+    """Decode an object.
+
+    Returns:
+        The object, without a `spec` if only its name can be decoded; None if not even that, or if
+        no call could use the name.
+    """
+    try:
+        stored = msgspec.json.decode(raw, type=StoredObject)
+        error = None
+    except (msgspec.MsgspecError, RecursionError) as caught:
+        meta = _decode_meta(raw)
+        stored = None if meta is None else StoredObject(meta)
+        error = str(caught)
+    start = None if stored is None else stored.name[:LOGGED_NAME_CHARACTERS]
+    if stored is not None and not 0 < len(stored.name) <= _MAX_NAME_CHARACTERS:
+        error = f"The name has {len(stored.name)} characters."
+        stored = None
+    if error is not None:
+        # The content is not logged, since a configuration contains the teams' keys.
+        events.OBJECT_UNREADABLE.log(error=error, bytes=len(raw), start=start)
+    return stored
+
+
+def _decode_meta(raw: msgspec.Raw | bytes) -> ObjectMeta | None:
+    try:
+        return decode_parts(raw, _Named).meta
+    except ValueError:
+        return None
+
+
+def _path(kind: str, name: str = "", query: str = "") -> str:
+    """Return the target of a call for a kind, or for one object of it."""
+    path = f"/objects/{kind}/{_quote(name)}" if name else f"/objects/{kind}"
+    return f"{path}?{query}" if query else path
+
+
+def _quote(name: str) -> str:
+    return quote(name, safe="")
