--- a/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/servers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -137,6 +138,7 @@
         self.parsing = threading.BoundedSemaphore(_PARSING_THREADS)
         self._limits = limits
         self._evicted = evicted
+        self._bind_error: OSError | None = None
 
     @property
     def unsent_replies(self) -> int:
@@ -144,13 +146,29 @@
         return self._connections.unsent_replies
 
     def prepare(self) -> None:
-        """Bind the socket and start the worker threads."""
-        super().prepare()
+        """Bind the socket and start the worker threads.
+
+        Raises:
+            OSError: The socket can't be bound.
+        """
+        try:
+            super().prepare()
+        except OSError as error:
+            # The library's own error has only a text.
+            raise self._bind_error or error from None
         self._connections._selector.close()
         error = InstanceBusy("The instance is shutting down.")
         refusal = _refusal("503 Service Unavailable", error)
         self._connections = ConnectionLoop(self, self._limits, self._evicted, refusal)
 
+    def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
+        """Bind the socket, and keep the error if that fails."""
+        try:
+            return super().bind(family, type, proto)
+        except OSError as error:
+            self._bind_error = error
+            raise
+
     def put_conn(self, conn: TypedConnection) -> None:
         """Take a connection back from a worker thread; while stopping, send its reply and close."""
         if self.ready:
--- a/packages/limpethollow-node/src/limpethollow_node/process/node.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/node.py
@@ -60,8 +60,10 @@
         self._create_components()
 
     def __enter__(self) -> "Node":
-        for component in self._components:
-            self._stack.enter_context(component)
+        with ExitStack() as stack:
+            for component in self._components:
+                stack.enter_context(component)
+            self._stack = stack.pop_all()
         self._lifecycle.started()
         events.STARTED.log(incarnation=self._incarnation, caller=self._callers.address)
         return self
