Stand-ins of connections take a request's body apart from its head

What was seen: 26 unit tests that play modelled connections failed with a TypeError since calls hand over the body as an argument of its own, as the two stand-ins of ClientConnection.send did not take it.

Change: both take body. They check what they checked before: neither looked at the body.

--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -203,7 +203,9 @@
         self.was_used = False
         self.reply_started = False
 
-    def send(self, data: bytes, on_reply, on_broken, *, head: bool, may_send=None) -> None:
+    def send(
+        self, data: bytes, on_reply, on_broken, *, head: bool, body=b"", may_send=None
+    ) -> None:
         """Take a request's bytes."""
         self._on_reply = on_reply
         target = data.split(b" ", 2)[1].decode()
--- a/tests/unit/engine/test_tries.py
+++ b/tests/unit/engine/test_tries.py
@@ -16,7 +16,9 @@
     def __init__(self) -> None:
         self.closed = False
 
-    def send(self, data: bytes, on_reply, on_broken, *, head: bool, may_send=None) -> None:
+    def send(
+        self, data: bytes, on_reply, on_broken, *, head: bool, body=b"", may_send=None
+    ) -> None:
         """Take the request."""
 
     def close(self) -> None:
