--- a/packages/limpethollow-node/src/limpethollow_node/process/main.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/main.py
@@ -15,6 +15,7 @@
 from contextlib import ExitStack
 
 from limpethollow_node.process import events
+from limpethollow_node.process.allocators import return_large_blocks
 from limpethollow_node.process.node import Node
 from limpethollow_node.process.stderrlogs import configure_logging
 from limpethollow_policy.process.startups import (
@@ -48,6 +49,7 @@
     if options.check:
         return EXIT_OK
     configure_logging(settings.log.level, settings.instance.id)
+    return_large_blocks()
     return _Run(settings).run()
 
 
