--- /dev/null
+++ b/review/standins2/store.py
@@ -0,0 +1,160 @@
+"""Stand-in of the platform's metadata store: objects by kind and name, with watches."""
+
+import asyncio
+import copy
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from standins2.http import Answer, Connection, Request, Server
+
+_PAGE = 500
+_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclass(slots=True)
+class _State:
+    revision: int = 100
+    objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    history: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
+
+
+class Store:
+    """Answers at once and loses nothing, unless it is restored from an older copy.
+
+    Attributes:
+        era: What `Store-Era` says; no answer has the header if it is 0.
+    """
+
+    def __init__(self) -> None:
+        self._state = _State()
+        self._changed = asyncio.Condition()
+        self.server = Server(self._handle)
+        self.era = 0
+        self.restarts = 0
+
+    # What the operator and the searchers do.
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object; its answer is the acknowledgement."""
+        async with self._changed:
+            known = self._state.objects.get((kind, name))
+            if known is not None and known["spec"] == spec:
+                return
+            self._state.revision += 1
+            meta = {
+                "name": name,
+                "revision": self._state.revision,
+                "created": known["meta"]["created"] if known else self._state.revision,
+                "finalizers": [],
+                "deleting": False,
+            }
+            self._note(kind, {"meta": meta, "spec": spec, "status": None}, deleted=False)
+
+    async def remove(self, kind: str, name: str) -> bool:
+        """Remove an object; return whether it was there."""
+        async with self._changed:
+            stored = self._state.objects.get((kind, name))
+            if stored is None:
+                return False
+            self._state.revision += 1
+            meta = {**stored["meta"], "revision": self._state.revision}
+            self._note(kind, {**stored, "meta": meta}, deleted=True)
+            return True
+
+    def copy(self) -> _State:
+        """Return a copy of all that the store has."""
+        return copy.deepcopy(self._state)
+
+    async def restore(self, kept: _State) -> None:
+        """Go on from a copy, in a new era; watches that wait are cut."""
+        async with self._changed:
+            self._state = copy.deepcopy(kept)
+            self._state.history.clear()
+            self.era += 1
+            self.restarts += 1
+            self._changed.notify_all()
+        for connection in tuple(self.server.connections):
+            connection.reset()
+
+    def _note(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
+        key = (kind, stored["meta"]["name"])
+        if deleted:
+            self._state.objects.pop(key, None)
+        else:
+            self._state.objects[key] = stored
+        self._state.history.append((self._state.revision, kind, stored, deleted))
+        self._changed.notify_all()
+
+    # What machines call.
+
+    async def _handle(self, connection: Connection, request: Request) -> Answer:
+        path, _, query = request.target.partition("?")
+        _, _, kind, *rest = path.split("/")
+        name = unquote(rest[0]) if rest else ""
+        values = {key: found[0] for key, found in parse_qs(query).items()}
+        status, body = await self._answer(request, kind, name, values)
+        headers = {**_HEADERS, "Store-Era": str(self.era)} if self.era else _HEADERS
+        return Answer(status, headers, json.dumps(body).encode())
+
+    async def _answer(
+        self, request: Request, kind: str, name: str, values: dict[str, str]
+    ) -> tuple[int, Any]:
+        objects = self._state.objects
+        if request.method == "GET" and name:
+            stored = objects.get((kind, name))
+            return (200, stored) if stored else (404, None)
+        if request.method == "GET" and "watch" in values:
+            return await self._watch(kind, int(values["watch"]), int(values["waitMs"]) / 1000)
+        if request.method == "GET":
+            return 200, self._list(kind, values.get("after", ""))
+        if request.method == "DELETE":
+            return (200, None) if await self.remove(kind, name) else (404, None)
+        body = json.loads(request.body)
+        name = name or body["meta"]["name"]
+        known = objects.get((kind, name))
+        if request.method == "POST" and known is not None:
+            return 409, known
+        if request.method == "PUT" and known is None:
+            return 404, None
+        wanted = body["meta"].get("revision")
+        if wanted is not None and known is not None and wanted != known["meta"]["revision"]:
+            return 409, known
+        await self.put(kind, name, body.get("spec"))
+        return 200, self._state.objects[kind, name]
+
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
+        found = sorted(
+            (name, stored)
+            for (of, name), stored in self._state.objects.items()
+            if of == kind and name > after
+        )
+        items = [stored for _, stored in found[:_PAGE]]
+        return {"items": items, "more": len(found) > _PAGE, "currentRev": self._state.revision}
+
+    async def _watch(self, kind: str, after: int, wait: float) -> tuple[int, Any]:
+        restarts = self.restarts
+        if after > self._state.revision or (self.restarts and not self._covers(after)):
+            return 410, None
+
+        def news() -> list[dict[str, Any]]:
+            return [
+                {"object": stored, "deleted": deleted}
+                for revision, of, stored, deleted in self._state.history
+                if of == kind and revision > after
+            ]
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._changed.wait_for(lambda: news() or self.restarts != restarts)
+            except TimeoutError:
+                pass
+            if self.restarts != restarts:
+                return 410, None
+            return 200, {"events": news(), "currentRev": self._state.revision}
+
+    def _covers(self, after: int) -> bool:
+        history = self._state.history
+        return after == self._state.revision or bool(history) and history[0][0] <= after + 1
