--- a/review/standins2/searchers.py
+++ b/review/standins2/searchers.py
@@ -57,6 +57,7 @@
         self.server = Server(self._handle)
         self.born = int(time.time() * 1000)
         self.ended = False
+        self.draining = False
         self._beats: asyncio.Task[None] | None = None
         self.seq = 0
 
@@ -69,7 +70,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": 4,
-            "state": "ready",
+            "state": "draining" if self.draining else "ready",
             "coldLeftMs": 0,
             "born": self.born,
             "seq": self.seq,
@@ -91,10 +92,15 @@
         self.server.stop()
         asyncio.get_running_loop().create_task(self._expire())
 
+    async def drain(self) -> None:
+        """Report that it leaves; it serves on until it is ended."""
+        self.draining = True
+        await self._store.put("servers", self.name, self.entry)
+
     async def _expire(self) -> None:
         await asyncio.sleep(_SILENT_PINGS * HEARTBEAT_SECONDS)
-        stored = self._store.copy().objects.get(("servers", self.name))
-        if stored is not None and stored["spec"]["born"] == self.born:
+        entry = self._store.get("servers", self.name)
+        if entry is not None and entry["born"] == self.born:
             await self._store.remove("servers", self.name)
 
     async def _beat(self) -> None:
@@ -102,7 +108,7 @@
         # where it is missing.
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            if ("servers", self.name) not in self._store.copy().objects:
+            if self._store.get("servers", self.name) is None:
                 await self._store.put("servers", self.name, self.entry)
 
     async def _handle(self, connection: Connection, request: Request) -> Answer | None:
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -10,6 +10,7 @@
 from standins2.http import Answer, Connection, Request, Server
 
 _PAGE = 500
+_PAGE_BYTES = 1_000_000
 _HEADERS = {"Content-Type": "application/json"}
 
 
@@ -33,6 +34,8 @@
         self.server = Server(self._handle)
         self.era = 0
         self.restarts = 0
+        self._forgotten = 0
+        self._texts: dict[int, tuple[dict[str, Any], str]] = {}
 
     # What the operator and the searchers do.
 
@@ -63,6 +66,11 @@
             self._note(kind, {**stored, "meta": meta}, deleted=True)
             return True
 
+    def get(self, kind: str, name: str) -> Any:
+        """Return the content of an object; None if there is none."""
+        stored = self._state.objects.get((kind, name))
+        return None if stored is None else stored["spec"]
+
     def copy(self) -> _State:
         """Return a copy of all that the store has."""
         return copy.deepcopy(self._state)
@@ -72,12 +80,23 @@
         async with self._changed:
             self._state = copy.deepcopy(kept)
             self._state.history.clear()
+            self._forgotten = self._state.revision
             self.era += 1
             self.restarts += 1
             self._changed.notify_all()
         for connection in tuple(self.server.connections):
             connection.reset()
 
+    def forget(self, before: int) -> None:
+        """Discard the history up to a revision."""
+        self._state.history = [each for each in self._state.history if each[0] > before]
+        self._forgotten = max(self._forgotten, before)
+
+    @property
+    def revision(self) -> int:
+        """Return the newest revision."""
+        return self._state.revision
+
     def _note(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> None:
         key = (kind, stored["meta"]["name"])
         if deleted:
@@ -96,51 +115,64 @@
         values = {key: found[0] for key, found in parse_qs(query).items()}
         status, body = await self._answer(request, kind, name, values)
         headers = {**_HEADERS, "Store-Era": str(self.era)} if self.era else _HEADERS
-        return Answer(status, headers, json.dumps(body).encode())
+        return Answer(status, headers, body.encode())
 
     async def _answer(
         self, request: Request, kind: str, name: str, values: dict[str, str]
-    ) -> tuple[int, Any]:
+    ) -> tuple[int, str]:
         objects = self._state.objects
         if request.method == "GET" and name:
             stored = objects.get((kind, name))
-            return (200, stored) if stored else (404, None)
+            return (200, self._text(stored)) if stored else (404, "null")
         if request.method == "GET" and "watch" in values:
             return await self._watch(kind, int(values["watch"]), int(values["waitMs"]) / 1000)
         if request.method == "GET":
             return 200, self._list(kind, values.get("after", ""))
         if request.method == "DELETE":
-            return (200, None) if await self.remove(kind, name) else (404, None)
+            return (200 if await self.remove(kind, name) else 404), "null"
         body = json.loads(request.body)
         name = name or body["meta"]["name"]
         known = objects.get((kind, name))
         if request.method == "POST" and known is not None:
-            return 409, known
+            return 409, self._text(known)
         if request.method == "PUT" and known is None:
-            return 404, None
+            return 404, "null"
         wanted = body["meta"].get("revision")
         if wanted is not None and known is not None and wanted != known["meta"]["revision"]:
-            return 409, known
+            return 409, self._text(known)
         await self.put(kind, name, body.get("spec"))
-        return 200, self._state.objects[kind, name]
+        return 200, self._text(self._state.objects[kind, name])
 
-    def _list(self, kind: str, after: str) -> dict[str, Any]:
+    def _text(self, stored: dict[str, Any]) -> str:
+        """Return the JSON text of an object, which is made once, so that large ones cost little."""
+        found = self._texts.get(id(stored))
+        if found is None or found[0] is not stored:
+            found = self._texts[id(stored)] = stored, json.dumps(stored)
+        return found[1]
+
+    def _list(self, kind: str, after: str) -> str:
         found = sorted(
             (name, stored)
             for (of, name), stored in self._state.objects.items()
             if of == kind and name > after
         )
-        items = [stored for _, stored in found[:_PAGE]]
-        return {"items": items, "more": len(found) > _PAGE, "currentRev": self._state.revision}
-
-    async def _watch(self, kind: str, after: int, wait: float) -> tuple[int, Any]:
+        items: list[str] = []
+        for _, stored in found[:_PAGE]:
+            items.append(self._text(stored))
+            if sum(map(len, items)) > _PAGE_BYTES:
+                break
+        more = json.dumps(len(items) < len(found))
+        listed = ", ".join(items)
+        return f'{{"items": [{listed}], "more": {more}, "currentRev": {self._state.revision}}}'
+
+    async def _watch(self, kind: str, after: int, wait: float) -> tuple[int, str]:
         restarts = self.restarts
-        if after > self._state.revision or (self.restarts and not self._covers(after)):
-            return 410, None
+        if after > self._state.revision or after < self._forgotten:
+            return 410, "null"
 
-        def news() -> list[dict[str, Any]]:
+        def news() -> list[str]:
             return [
-                {"object": stored, "deleted": deleted}
+                f'{{"object": {self._text(stored)}, "deleted": {json.dumps(deleted)}}}'
                 for revision, of, stored, deleted in self._state.history
                 if of == kind and revision > after
             ]
@@ -152,9 +184,6 @@
             except TimeoutError:
                 pass
             if self.restarts != restarts:
-                return 410, None
-            return 200, {"events": news(), "currentRev": self._state.revision}
-
-    def _covers(self, after: int) -> bool:
-        history = self._state.history
-        return after == self._state.revision or bool(history) and history[0][0] <= after + 1
+                return 410, "null"
+            events = ", ".join(news())
+            return 200, f'{{"events": [{events}], "currentRev": {self._state.revision}}}'
