--- a/review/standins2/machines.py
+++ b/review/standins2/machines.py
@@ -16,8 +16,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_ports(host: str, count: int) -> list[int]:
-    """Return ports that nobody uses at an address, nor at any other one of the machine."""
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody uses, in ascending order."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for each in sockets:
@@ -32,7 +32,7 @@
     """One machine with one process.
 
     Args:
-        number: Its number, 1 to 200, from which its loopback address follows.
+        number: Its number, which is part of its name.
         zone: Its zone.
         zones: All zones.
         store: Address of the store, as this machine reaches it.
@@ -53,8 +53,10 @@
         contracts: list[str] | None = None,
     ) -> None:
         self.name = f"front-{zone}-{number}"
-        self.ip = f"127.0.0.{10 + number}"
-        front, ready, control, directory, first, _, last = free_ports(self.ip, 7)
+        # All machines have the same address: a process connects to others from it, and they accept
+        # links only from addresses of known machines.
+        self.ip = "127.0.0.1"
+        front, ready, control, directory, first, last = free_ports(6)
         self.front = f"{self.ip}:{front}"
         self.ready = f"{self.ip}:{ready}"
         self._path = folder / f"{self.name}.json"
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -34,6 +34,7 @@
         self.server = Server(self._handle)
         self.era = 0
         self.restarts = 0
+        self.is_away = False
         self._forgotten = 0
         self._texts: dict[int, tuple[dict[str, Any], str]] = {}
 
@@ -55,6 +56,17 @@
             }
             self._note(kind, {"meta": meta, "spec": spec, "status": None}, deleted=False)
 
+    async def put_text(self, kind: str, name: str, text: str) -> None:
+        """Write an object whose content is text that no JSON library would write."""
+        await self.put(kind, name, None)
+        async with self._changed:
+            stored = self._state.objects[kind, name]
+            meta = json.dumps(stored["meta"])
+            self._texts[id(stored)] = (
+                stored,
+                f'{{"meta": {meta}, "spec": {text}, "status": null}}',
+            )
+
     async def remove(self, kind: str, name: str) -> bool:
         """Remove an object; return whether it was there."""
         async with self._changed:
@@ -75,9 +87,16 @@
         """Return a copy of all that the store has."""
         return copy.deepcopy(self._state)
 
+    def go_away(self) -> None:
+        """Reset all connections, and each new one at its first call."""
+        self.is_away = True
+        for connection in tuple(self.server.connections):
+            connection.reset()
+
     async def restore(self, kept: _State) -> None:
         """Go on from a copy, in a new era; watches that wait are cut."""
         async with self._changed:
+            self.is_away = False
             self._state = copy.deepcopy(kept)
             self._state.history.clear()
             self._forgotten = self._state.revision
@@ -108,7 +127,10 @@
 
     # What machines call.
 
-    async def _handle(self, connection: Connection, request: Request) -> Answer:
+    async def _handle(self, connection: Connection, request: Request) -> Answer | None:
+        if self.is_away:
+            connection.reset()
+            return None
         path, _, query = request.target.partition("?")
         _, _, kind, *rest = path.split("/")
         name = unquote(rest[0]) if rest else ""
