--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Another writer's entry that can't be read stands among those of the searchers."""
+"""Another writer's large entries stand among those of the searchers."""
 
 import asyncio
 import itertools
@@ -6,35 +6,38 @@
 import sys
 import tempfile
 import time
+import traceback
+from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
 
 from standins2.http import Request, ask
 from standins2.machines import Machine
-from standins2.searchers import ID, Searcher
+from standins2.searchers import Searcher
 from standins2.store import Store
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ["zone-a", "zone-b", "zone-c"]
 HOST = "shop.example"
-TIMEOUT_SECONDS = 2.0
-AFTER_TIMEOUT = 0.5
-# The rule counts from this number of requests on, and from this share of those that last so long.
-LEAST, SHARE = 8, 0.25
+HISTORY_SECONDS = 20.0
 # Below `valueBytes`, which is 1,048,576.
-ENTRY_BYTES = 200_000
-CONSUMER_SECONDS = 6.0
-WATCHED_SECONDS = 15.0
+ENTRY_BYTES = 1_000_000
+ENTRIES = 16
+MEMORY_BYTES = 300 * 1024 * 1024
+RESTART_SECONDS = 0.5
+# The rule counts processes that end this often, on this many machines.
+ENDS, MACHINES = 3, 2
+WATCHED_SECONDS = 70.0
 
 CONFIGURATION = {
     "version": 3,
     "routes": [
         {
-            "name": "book",
+            "name": "get",
             "host": HOST,
-            "pathPrefix": "/book/",
-            "type": "unsafe",
-            "timeoutMs": 2000,
+            "pathPrefix": "/get/",
+            "type": "safe",
+            "timeoutMs": 3000,
             "sloMs": 600,
             "priority": 1,
             "service": "desk",
@@ -51,22 +54,21 @@
 }
 
 
-def log_text(size: int) -> str:
-    """Return lines of a log, which somebody stores in place of a searcher's entry."""
-    line = "2026-12-07 [info] request {{id: {}}} done [ok]\n"
-    return "".join(line.format(number) for number in range(size // 48))
+def dump(size: int) -> str:
+    """Return what a job dumps under a name of its own: JSON text with rows that have no values."""
+    return '{"rows":[' + ",".join(["{}"] * ((size - 12) // 3)) + "]}"
 
 
 class Case:
-    """What was sent, run and answered."""
+    """What was sent, run and answered, and which processes ended."""
 
     def __init__(self) -> None:
         self.record: list[str] = []
         self.begun = time.monotonic()
-        self.sent: dict[str, float] = {}
-        self.answered: dict[str, float] = {}
-        self.statuses: dict[str, int] = {}
-        self.runs: set[str] = set()
+        self.runs = 0
+        self.answers: list[tuple[float, int]] = []
+        self.ends: Counter[str] = Counter()
+        self.peaks: Counter[str] = Counter()
 
     def now(self) -> float:
         return time.monotonic() - self.begun
@@ -75,32 +77,54 @@
         self.record.append(f"{self.now():8.3f} {text}")
 
     def on_run(self, searcher: Searcher, request: Request) -> None:
-        self.runs.add(request.headers[ID])
+        self.runs += 1
 
     async def send(self, machines: list[Machine]) -> None:
-        """Send 15 requests a second to the machines in turn."""
+        """Send 10 requests a second to the machines in turn."""
         waiting = set()
         for number in itertools.count():
             task = asyncio.create_task(self._ask(machines[number % len(machines)], number))
             waiting.add(task)
             task.add_done_callback(waiting.discard)
-            await asyncio.sleep(1 / 15)
+            await asyncio.sleep(1 / 10)
 
     async def _ask(self, machine: Machine, number: int) -> None:
-        request_id = f"r{number:05d}"
         headers = {
             "Host": HOST,
-            "X-Limpethollow-Request-Id": request_id,
-            "X-Limpethollow-Deadline-Ms": str(int(CONSUMER_SECONDS * 1000)),
+            "X-Limpethollow-Request-Id": f"r{number:05d}",
+            "X-Limpethollow-Deadline-Ms": "3000",
         }
-        self.sent[request_id] = self.now()
+        sent, status = self.now(), 0
         try:
-            async with asyncio.timeout(CONSUMER_SECONDS):
-                answer = await ask(machine.front, "POST", f"/book/{number}", headers, b"seat")
+            async with asyncio.timeout(3.0):
+                status = (await ask(machine.front, "GET", f"/get/card-{number}", headers)).status
         except (OSError, TimeoutError):
-            return
-        self.answered[request_id] = self.now()
-        self.statuses[request_id] = answer.status
+            pass
+        self.answers.append((sent, status))
+
+    async def limit_memory(self, machine: Machine) -> None:
+        """Kill the process when it exceeds its memory, and start it again, as the platform does."""
+        while True:
+            await asyncio.sleep(0.02)
+            used = machine.resident_bytes()
+            self.peaks[machine.name] = max(self.peaks[machine.name], used)
+            if used > MEMORY_BYTES:
+                machine.end()
+                self.note(f"{machine.name} has {used >> 20} MB and is killed")
+            if not machine.runs:
+                self.ends[machine.name] += 1
+                await asyncio.sleep(RESTART_SECONDS)
+                machine.start()
+
+
+async def keep_history(store: Store) -> None:
+    """Discard the store's history after its time."""
+    kept = []
+    while True:
+        kept.append((time.monotonic(), store.revision))
+        while kept[0][0] < time.monotonic() - HISTORY_SECONDS:
+            store.forget(kept.pop(0)[1])
+        await asyncio.sleep(0.5)
 
 
 async def play(folder: Path, stack: ExitStack) -> int:
@@ -108,8 +132,10 @@
     await store.server.start()
     case = Case()
     await store.put("config", "main", CONFIGURATION)
-    for number, zone in enumerate(ZONES * 2, 1):
+    searchers = [
         await Searcher(store, "desk", f"i-{number}", zone, on_run=case.on_run).start()
+        for number, zone in enumerate(ZONES * 2, 1)
+    ]
     machines = [
         Machine(number, zone, ZONES, store.server.address, folder)
         for number, zone in enumerate(ZONES, 1)
@@ -117,43 +143,33 @@
     for machine in machines:
         stack.callback(machine.end)
         machine.start()
+    history = asyncio.create_task(keep_history(store))
     for machine in machines:
         await machine.wait_ready()
     await asyncio.sleep(8.0)
     sending = asyncio.create_task(case.send(machines))
-    await asyncio.sleep(3.0)
+    limits = [asyncio.create_task(case.limit_memory(machine)) for machine in machines]
+    await asyncio.sleep(5.0)
     written = case.now()
     if TROUBLE:
-        text = log_text(ENTRY_BYTES)
-        await store.put_text("servers", "request.log", text)
-        case.note(f"another writer has written one entry of {len(text)} bytes")
+        text = dump(ENTRY_BYTES)
+        for number in range(ENTRIES):
+            await store.put_text("servers", f"dump-{number:02d}", text)
+        case.note(f"another writer has written {ENTRIES} entries of {len(text)} bytes")
     await asyncio.sleep(WATCHED_SECONDS)
-    ended = case.now()
-    sending.cancel()
-    before = [found for found, at in case.sent.items() if at < written - TIMEOUT_SECONDS]
-    served = sum(case.statuses.get(found) == 200 for found in before)
-    case.note(f"before: {len(before)} requests sent, {served} served")
-    bound = TIMEOUT_SECONDS + AFTER_TIMEOUT
-    judged = [f for f, at in case.sent.items() if at > written and at < ended - bound]
-    took = {f: case.answered.get(f, float("inf")) - case.sent[f] for f in judged}
-    long = [found for found in judged if took[found] > TIMEOUT_SECONDS]
-    late = [found for found in long if took[found] > bound]
-    case.note(
-        f"after: {len(judged)} requests sent, {sum(case.statuses.get(f) == 200 for f in judged)} "
-        f"served, {sum(f in case.runs for f in judged)} reached a searcher"
-    )
-    is_broken = len(late) >= LEAST and len(late) > SHARE * len(long)
-    case.note(f"{len(long)} lasted longer than timeoutMs, {len(late)} of them over 0.5 s longer")
-    ready = 0
+    for task in (sending, history, *limits):
+        task.cancel()
+    before = [status for sent, status in case.answers if sent < written - 3.0]
+    last = [status for sent, status in case.answers if sent > written + WATCHED_SECONDS - 20.0]
+    case.note(f"before: {len(before)} requests, {before.count(200)} served")
+    case.note(f"in the last 20 s: {len(last)} requests, {last.count(200)} served")
     for machine in machines:
-        try:
-            await machine.wait_ready(2.0)
-            ready += 1
-        except TimeoutError:
-            case.note(f"{machine.name} does not answer /ready")
-    case.note(f"CONFIG {'is broken' if is_broken else 'holds'}; {ready} machines are ready")
+        peak = case.peaks[machine.name] >> 20
+        case.note(f"{machine.name}: {case.ends[machine.name]} ends, {peak} MB at its peak")
+    is_broken = sum(ends >= ENDS for ends in case.ends.values()) >= MACHINES
+    case.note(f"Fault {'is there' if is_broken else 'is not there'}")
     Path("record.txt").write_text("\n".join(case.record) + "\n")
-    if not all(machine.runs for machine in machines) or not served:
+    if not before.count(200):
         return 2
     return 1 if is_broken else 0
 
@@ -161,14 +177,10 @@
 def main() -> int:
     with tempfile.TemporaryDirectory() as folder, ExitStack() as stack:
         try:
-            result = asyncio.run(play(Path(folder), stack))
-        except (OSError, TimeoutError) as error:
-            print(f"The case could not run: {error!r}", file=sys.stderr)
-            result = 2
-        if "KEEP_LOGS" in os.environ:
-            for log in Path(folder).glob("*.log"):
-                Path(os.environ["KEEP_LOGS"], log.name).write_bytes(log.read_bytes())
-        return result
+            return asyncio.run(play(Path(folder), stack))
+        except Exception:
+            traceback.print_exc()
+            return 2
 
 
 if __name__ == "__main__":
--- a/review/standins2/machines.py
+++ b/review/standins2/machines.py
@@ -153,6 +153,16 @@
         """Return whether the process has not ended."""
         return self._child is not None and self._child.poll() is None
 
+    def resident_bytes(self) -> int:
+        """Return the memory of the process; 0 if it has ended."""
+        if not self.runs:
+            return 0
+        try:
+            pages = Path(f"/proc/{self._child.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     def end(self) -> None:
         """Kill the process, also a stopped one."""
         if self._child is not None:
