--- a/review/4/case.py
+++ b/review/4/case.py
@@ -67,7 +67,8 @@
         self.sent: dict[str, float] = {}
         self.answered: dict[str, float] = {}
         self.statuses: dict[str, int] = {}
-        self.runs: set[str] = set()
+        self.runs: dict[str, tuple[float, str]] = {}
+        self.machines: dict[str, str] = {}
 
     def now(self) -> float:
         return time.monotonic() - self.begun
@@ -76,7 +77,20 @@
         self.record.append(f"{self.now():8.3f} {text}")
 
     def on_run(self, searcher: Searcher, request: Request) -> None:
-        self.runs.add(request.headers[ID])
+        self.runs[request.headers[ID]] = self.now(), searcher.name
+
+    def note_requests(self) -> None:
+        """Note what was sent, run and answered, a line for each request."""
+        for found, sent in self.sent.items():
+            run = (
+                "ran at {1}, {0:.3f}".format(*self.runs[found]) if found in self.runs else "no run"
+            )
+            answer = "no answer"
+            if found in self.answered:
+                answer = f"answered {self.statuses[found]}, {self.answered[found]:.3f}"
+            self.record.append(
+                f"{sent:8.3f} {found} sent to {self.machines[found]}; {run}; {answer}"
+            )
 
     async def send(self, machines: list[Machine]) -> None:
         """Send 15 requests a second to the machines in turn."""
@@ -94,7 +108,7 @@
             "X-Limpethollow-Request-Id": request_id,
             "X-Limpethollow-Deadline-Ms": str(int(CONSUMER_SECONDS * 1000)),
         }
-        self.sent[request_id] = self.now()
+        self.sent[request_id], self.machines[request_id] = self.now(), machine.name
         try:
             async with asyncio.timeout(CONSUMER_SECONDS):
                 answer = await ask(machine.front, "POST", f"/book/{number}", headers, b"seat")
@@ -153,6 +167,7 @@
         except TimeoutError:
             case.note(f"{machine.name} does not answer /ready")
     case.note(f"CONFIG {'is broken' if is_broken else 'holds'}; {ready} machines are ready")
+    case.note_requests()
     Path("record.txt").write_text("\n".join(case.record) + "\n")
     if not all(machine.runs for machine in machines) or not served:
         return 2
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 
 from standins2.http import Request, ask
 from standins2.machines import Machine
-from standins2.searchers import Searcher
+from standins2.searchers import ID, Searcher
 from standins2.store import Store
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -65,8 +65,8 @@
     def __init__(self) -> None:
         self.record: list[str] = []
         self.begun = time.monotonic()
-        self.runs = 0
-        self.answers: list[tuple[float, int]] = []
+        self.runs: dict[str, tuple[float, str]] = {}
+        self.answers: dict[str, tuple[float, str, int]] = {}
         self.ends: Counter[str] = Counter()
         self.peaks: Counter[str] = Counter()
 
@@ -77,7 +77,16 @@
         self.record.append(f"{self.now():8.3f} {text}")
 
     def on_run(self, searcher: Searcher, request: Request) -> None:
-        self.runs += 1
+        self.runs[request.headers[ID]] = self.now(), searcher.name
+
+    def note_requests(self) -> None:
+        """Note what was sent, run and answered, a line for each request."""
+        for found, (sent, target, status) in self.answers.items():
+            run = (
+                "ran at {1}, {0:.3f}".format(*self.runs[found]) if found in self.runs else "no run"
+            )
+            answer = f"answered {status or 'with nothing'}"
+            self.record.append(f"{sent:8.3f} {found} sent to {target}; {run}; {answer}")
 
     async def send(self, machines: list[Machine]) -> None:
         """Send 10 requests a second to the machines in turn."""
@@ -89,9 +98,10 @@
             await asyncio.sleep(1 / 10)
 
     async def _ask(self, machine: Machine, number: int) -> None:
+        request_id = f"r{number:05d}"
         headers = {
             "Host": HOST,
-            "X-Limpethollow-Request-Id": f"r{number:05d}",
+            "X-Limpethollow-Request-Id": request_id,
             "X-Limpethollow-Deadline-Ms": "3000",
         }
         sent, status = self.now(), 0
@@ -100,7 +110,7 @@
                 status = (await ask(machine.front, "GET", f"/get/card-{number}", headers)).status
         except (OSError, TimeoutError):
             pass
-        self.answers.append((sent, status))
+        self.answers[request_id] = sent, machine.name, status
 
     async def limit_memory(self, machine: Machine) -> None:
         """Kill the process when it exceeds its memory, and start it again, as the platform does."""
@@ -159,8 +169,12 @@
     await asyncio.sleep(WATCHED_SECONDS)
     for task in (sending, history, *limits):
         task.cancel()
-    before = [status for sent, status in case.answers if sent < written - 3.0]
-    last = [status for sent, status in case.answers if sent > written + WATCHED_SECONDS - 20.0]
+    before = [status for sent, _, status in case.answers.values() if sent < written - 3.0]
+    last = [
+        status
+        for sent, _, status in case.answers.values()
+        if sent > written + WATCHED_SECONDS - 20.0
+    ]
     case.note(f"before: {len(before)} requests, {before.count(200)} served")
     case.note(f"in the last 20 s: {len(last)} requests, {last.count(200)} served")
     for machine in machines:
@@ -168,6 +182,7 @@
         case.note(f"{machine.name}: {case.ends[machine.name]} ends, {peak} MB at its peak")
     is_broken = sum(ends >= ENDS for ends in case.ends.values()) >= MACHINES
     case.note(f"Fault {'is there' if is_broken else 'is not there'}")
+    case.note_requests()
     Path("record.txt").write_text("\n".join(case.record) + "\n")
     if not before.count(200):
         return 2
