--- a/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/codec.py
@@ -1,5 +1,6 @@
 """Decodes objects of the platform's store into the product's types."""
 
+import codecs
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -55,10 +56,18 @@
 
 
 class StoredObject(msgspec.Struct, frozen=True):
-    """An object of the store; what `spec` holds depends on its kind."""
+    """An object of the store.
+
+    Attributes:
+        meta: What the store keeps about it.
+        spec: Its content as JSON text, `null` if it has none that can be read. It is decoded into
+            what its kind holds, and only if it is needed: another writer's may take 20 times the
+            memory of its text when it is decoded into plain values. The text is part of the
+            store's answer, which stays in memory as long as this object does.
+    """
 
     meta: ObjectMeta
-    spec: Any = None
+    spec: msgspec.Raw = msgspec.Raw(b"null")
 
     @property
     def name(self) -> str:
@@ -276,8 +285,10 @@
 
 def _convert(stored: StoredObject, kind: type[T], message: str) -> T:
     try:
-        return msgspec.convert(stored.spec, kind)
-    except msgspec.MsgspecError as error:
+        # The decoder doesn't check the fields that it skips.
+        codecs.utf_8_decode(stored.spec, "strict", True)
+        return msgspec.json.decode(stored.spec, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadRequest(f"{message}: {error}.") from None
 
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -167,11 +167,11 @@
 
     async def _list(self) -> None:
         self._call_is_list = True
-        listing = await self._await_call(self._store.list(self._kind))
+        listing = await self._await_call(self._store.list(self._kind, self._sink.read))
         if listing is None:
             return
         self._mark_connected()
-        self._sink.listed(listing.objects, self._with_known_era(listing.revision))
+        self._sink.listed(listing.items, self._with_known_era(listing.revision))
         self._must_list = False
         self._on_listed()
 
--- a/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/quarantines.py
@@ -6,6 +6,7 @@
 
 from limpethollow_node.engine.process.quarantines import Quarantines
 from limpethollow_node.platform.codec import (
+    StoredObject,
     StoredQuarantine,
     decode_quarantine,
     encode_quarantine,
@@ -170,16 +171,11 @@
             await self._store.replace(KIND, report.fingerprint, spec)
 
     async def _read_all(self) -> None:
-        listing = await self._store.list(KIND, allow_stale=True)
+        listing = await self._store.list(KIND, _read_quarantine, allow_stale=True)
         self._startup_until = _now()
         self._next_read_at = _now() + _READ_INTERVAL_SECONDS
-        for stored in listing.objects:
-            try:
-                self._apply(decode_quarantine(stored))
-            except BadRequest as error:
-                events.OBJECT_UNREADABLE.log(
-                    error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS]
-                )
+        for stored in listing.items.values():
+            self._apply(stored)
 
     def _apply(self, stored: StoredQuarantine) -> None:
         report = stored.report
@@ -196,5 +192,14 @@
             return
 
 
+def _read_quarantine(stored: StoredObject) -> StoredQuarantine | None:
+    """Return the decoded request; None if it is invalid, which is logged."""
+    try:
+        return decode_quarantine(stored)
+    except BadRequest as error:
+        events.OBJECT_UNREADABLE.log(error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS])
+        return None
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -1,7 +1,7 @@
 """Sinks that pass stored objects of each kind on to the product."""
 
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from limpethollow_node.engine.frames import (
     EvacuationUpdate,
@@ -45,8 +45,12 @@
         """Return whether any state of the kind is known, from the store or a peer."""
         return self.revision is not None
 
-    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
-        """Replace the known state by all objects of the kind."""
+    def read(self, stored: StoredObject) -> Any:
+        """Return what to keep of an object in a list; None if it is of no use, which is logged."""
+        raise NotImplementedError
+
+    def listed(self, items: dict[str, Any], revision: Revision) -> None:
+        """Replace the known state by what was kept of all objects of the kind."""
         raise NotImplementedError
 
     def changed(self, changes: list[Change], revision: Revision) -> None:
@@ -77,34 +81,33 @@
         """Return whether the store was read or a peer has sent a version."""
         return self._revision is not None or self._catalog.version is not None
 
-    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
-        """Apply the configuration among all objects of its kind."""
+    def read(self, stored: StoredObject) -> RoutingVersion | None:
+        """Return the version if the object is the operator's configuration and can be decoded."""
+        if stored.name != CONFIGURATION_NAME:
+            return None
+        try:
+            return decode_version(stored)
+        except BadRequest as error:
+            events.RECORD_UNREADABLE.log(object=stored.name, error=str(error))
+            return None
+
+    def listed(self, items: dict[str, RoutingVersion], revision: Revision) -> None:
+        """Apply the listed version."""
         # Not sent to peers: they have listed it too, or learn from heartbeats that they lack it.
-        for stored in objects:
-            self._apply(stored)
+        for version in items.values():
+            self._catalog.offer_version(version, STORE)
         self._revision = revision
         self._catalog.confirm_version()
 
     def changed(self, changes: list[Change], revision: Revision) -> None:
         """Apply a new configuration; a deletion leaves the current one in force."""
         for change in changes:
-            version = None if change.deleted else self._apply(change.object)
-            if version is not None:
+            version = None if change.deleted else self.read(change.object)
+            if version is not None and self._catalog.offer_version(version, STORE):
                 self._send_to_peers(VersionUpdate(version))
         self._revision = revision
         self._catalog.confirm_version()
 
-    def _apply(self, stored: StoredObject) -> RoutingVersion | None:
-        """Apply a version and return it; None if it was not accepted."""
-        if stored.name != CONFIGURATION_NAME:
-            return None
-        try:
-            version = decode_version(stored)
-        except BadRequest as error:
-            events.RECORD_UNREADABLE.log(object=stored.name, error=str(error))
-            return None
-        return version if self._catalog.offer_version(version, STORE) else None
-
 
 class CachedKindSink(Sink, Generic[T]):
     """Keeps the local copy of a kind in step with the store and sends changes to the peers.
@@ -136,9 +139,18 @@
         """Return the revision of the local copy, whether from the store or a peer."""
         return self._belief.revision if self._belief.is_known else None
 
-    def listed(self, objects: list[StoredObject], revision: Revision) -> None:
+    def read(self, stored: StoredObject) -> T | None:
+        """Return the decoded object; None if it is invalid."""
+        try:
+            return self._decode(stored)
+        except BadRequest as error:
+            events.OBJECT_UNREADABLE.log(
+                error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS]
+            )
+            return None
+
+    def listed(self, items: dict[str, T], revision: Revision) -> None:
         """Replace the local copy; peers that lack objects learn so from heartbeats and ask."""
-        items = {name: item for name, item in map(self._read, objects) if item is not None}
         if not self._belief.replace(items, revision):
             known = self._belief.revision
             events.OUTDATED_LIST_DISCARDED.log(kind=self._kind, revision=revision, known=known)
@@ -148,9 +160,8 @@
         changed_items: dict[str, T] = {}
         deleted_names: set[str] = set()
         for change in changes:
-            name, item = change.object.name, None
-            if not change.deleted:
-                name, item = self._read(change.object)
+            name = change.object.name
+            item = None if change.deleted else self.read(change.object)
             changed_items.pop(name, None)
             deleted_names.discard(name)
             if item is None:
@@ -168,15 +179,6 @@
             )
             self._send_to_peers(frame)
 
-    def _read(self, stored: StoredObject) -> tuple[str, T | None]:
-        try:
-            return stored.name, self._decode(stored)
-        except BadRequest as error:
-            events.OBJECT_UNREADABLE.log(
-                error=str(error), start=stored.name[:LOGGED_NAME_CHARACTERS]
-            )
-            return stored.name, None
-
 
 def create_sinks(catalog: Catalog, tell: SendToPeers, *, evacuations: bool) -> dict[str, Sink]:
     """Return the sinks of all followed kinds, with that of instances last.
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's metadata store."""
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -18,6 +18,7 @@
 from limpethollow_wire.jsonparts import decode_parts
 
 T = TypeVar("T", bound=msgspec.Struct)
+Item = TypeVar("Item")
 
 # The store answers in 4 ms; a slow one takes 60 times as long. A longer wait counts as no answer.
 _TIMEOUT = 1.0
@@ -25,12 +26,17 @@
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
 _CONNECTIONS = 7
-# Limits the memory of a list whose pages never end: some 30,000 searchers, and more where the
-# machine has more memory.
+# Limits the memory of what is kept of a list: some 30,000 searchers, and more where the machine has
+# more memory.
 _MIN_LIST_BYTES = 16 * 1024 * 1024
 _LIST_MEMORY_SHARE = 1 / 8
-# Memory that an object takes besides its content.
-_OBJECT_OVERHEAD_BYTES = 256
+# Memory that an item takes besides its content.
+_ITEM_OVERHEAD_BYTES = 256
+# An item decoded from a longer text is measured itself: most of the text may be unknown fields.
+_MEASURED_ABOVE_BYTES = 4096
+# Limits the calls for a list whose pages never end. Objects that aren't kept may have 1 MB each, so
+# that each of them takes a page.
+_MAX_PAGES = 4096
 # A longer name does not fit into the target of a call.
 _MAX_NAME_CHARACTERS = 512
 # An object may have a name of up to its full size.
@@ -49,10 +55,15 @@
     remedy = "List the kind again and watch from the revision of that answer."
 
 
-class Listing(msgspec.Struct, frozen=True):
-    """All objects of a kind at one revision, whose era is 0 if the store sent none."""
+class Listing(msgspec.Struct, Generic[Item], frozen=True):
+    """What is kept of all objects of a kind at one revision.
 
-    objects: list[StoredObject]
+    Attributes:
+        items: The decoded objects by name, without those that were of no use.
+        revision: The revision; its era is 0 if the store sent none.
+    """
+
+    items: dict[str, Item]
     revision: Revision
 
 
@@ -90,23 +101,28 @@
     revision: int = msgspec.field(name="currentRev")
 
 
-class _Pages:
-    """The objects of a list, of which the pages are added one after the other.
+class _Pages(Generic[Item]):
+    """The items of a list, of which the pages are added one after the other.
+
+    Each object is decoded while its page is in memory, and its text is released with the page. So
+    objects that are of no use cost no memory beyond their page, however many there are.
 
     Args:
-        max_bytes: Limit on the memory of all pages.
+        max_bytes: Limit on the memory of all items.
+        decode: Returns the item of an object, or None if it is of no use.
 
     Attributes:
-        objects: The objects that could be decoded.
+        items: The items by name.
     """
 
-    __slots__ = ("_bytes", "_max_bytes", "_names", "objects")
+    __slots__ = ("_bytes", "_decode", "_last_names", "_max_bytes", "items")
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, decode: Callable[[StoredObject], Item | None]) -> None:
         self._bytes = 0
         self._max_bytes = max_bytes
-        self._names: set[str] = set()
-        self.objects: list[StoredObject] = []
+        self._decode = decode
+        self._last_names: set[str] = set()
+        self.items: dict[str, Item] = {}
 
     def add(self, page: _Page) -> str | None:
         """Add a page; return the name after which the next one begins, None after the last one.
@@ -114,17 +130,29 @@
         Raises:
             Unavailable: The list exceeds its limit, or the pages lead to no end.
         """
-        self._bytes += sum(_OBJECT_OVERHEAD_BYTES + len(item) for item in page.items)
-        if self._bytes > self._max_bytes:
-            raise Unavailable(f"The store's list has over {self._max_bytes} bytes.")
-        objects = _decode_each(page.items)
-        self.objects += objects
+        last_name = ""
+        for raw in page.items:
+            stored = _decode_object(raw)
+            if stored is not None:
+                last_name = stored.name
+                self._keep(stored, len(raw))
         if not page.more:
             return None
-        if not objects or objects[-1].name in self._names:
+        if not last_name or last_name in self._last_names or len(self._last_names) >= _MAX_PAGES:
             raise Unavailable("The store's list can't be continued after one of its pages.")
-        self._names.add(objects[-1].name)
-        return objects[-1].name
+        self._last_names.add(last_name)
+        return last_name
+
+    def _keep(self, stored: StoredObject, length: int) -> None:
+        item = self._decode(stored)
+        if item is None:
+            return
+        if length > _MEASURED_ABOVE_BYTES:
+            length = len(msgspec.json.encode(item))
+        self._bytes += _ITEM_OVERHEAD_BYTES + length
+        if self._bytes > self._max_bytes:
+            raise Unavailable(f"The items of the store's list take over {self._max_bytes} bytes.")
+        self.items[stored.name] = item
 
 
 class _ReplyWithEra(msgspec.Struct, frozen=True):
@@ -167,11 +195,18 @@
         self._on_restored = on_restored
         self.era = UNKNOWN_ERA
 
-    async def list(self, kind: str, *, allow_stale: bool = False) -> Listing:
+    async def list(
+        self,
+        kind: str,
+        decode: Callable[[StoredObject], Item | None],
+        *,
+        allow_stale: bool = False,
+    ) -> Listing[Item]:
         """Read all objects of a kind.
 
         Args:
             kind: The kind.
+            decode: Returns what to keep of an object; None if it is of no use.
             allow_stale: Whether the result may be seconds old; the call then costs a tenth.
 
         The pages are read one after the other, so an object may change between two of them; a
@@ -180,13 +215,13 @@
         stale = "allowStale=1" if allow_stale else ""
         page, era = await self._get("list", _path(kind, query=stale), _Page)
         revision = Revision(era, page.revision)
-        pages = _Pages(self._max_list_bytes)
+        pages = _Pages(self._max_list_bytes, decode)
         while (after := pages.add(page)) is not None:
             query = "&".join(filter(None, (f"after={_quote(after)}", stale)))
             page, era = await self._get("list", _path(kind, query=query), _Page)
             if era != revision.era:
                 raise Unavailable("The store was restored from an older copy between two pages.")
-        return Listing(pages.objects, revision)
+        return Listing(pages.items, revision)
 
     async def watch(self, kind: str, revision: int, wait: float) -> Changes:
         """Wait for changes of a kind after a revision.
@@ -355,11 +390,6 @@
         raise Unavailable(f"Invalid answer from the store: {error}.") from None
 
 
-def _decode_each(raws: list[msgspec.Raw]) -> list[StoredObject]:
-    """Decode objects one by one, so that an invalid one doesn't hide the others."""
-    return [stored for stored in map(_decode_object, raws) if stored is not None]
-
-
 def _decode_object(raw: msgspec.Raw | bytes) -> StoredObject | None:
     """Decode an object.
 
--- a/tests/standins/objectstore.py
+++ b/tests/standins/objectstore.py
@@ -18,6 +18,7 @@
 from tests.standins.https import DropConnection, Reply, StandInServer
 
 PAGE = 50
+PAGE_BYTES = 1_000_000
 FIRST_REVISION = 100
 
 
@@ -164,11 +165,15 @@
                 for (of, name), stored in self.objects.items()
                 if of == kind and name > after
             )
-            return 200, {
-                "items": [stored for _, stored in found[:PAGE]],
-                "more": len(found) > PAGE,
-                "currentRev": self.revision,
-            }
+            items: list[dict[str, Any]] = []
+            size = 0
+            for _, stored in found[:PAGE]:
+                items.append(stored)
+                size += len(self.encode(stored))
+                if size > PAGE_BYTES:
+                    break
+            more = len(items) < len(found)
+            return 200, {"items": items, "more": more, "currentRev": self.revision}
 
     def watch(self, kind: str, after: int, wait: float) -> Reply:
         def news() -> list[dict[str, Any]]:
--- a/tests/system/platform/test_odd_entries.py
+++ b/tests/system/platform/test_odd_entries.py
@@ -3,12 +3,15 @@
 import time
 from typing import Any
 
+from tests.support.crowds import ResourceWatch
 from tests.support.platforms import PlatformInstance, PlatformSystem, forward_route
 from tests.support.processes import wait_for
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
 KINDS = ("servers", "instances", "evacuations", "quarantines", "config")
 SEARCHER = {"service": "desk", "addr": "127.0.0.1:1", "zone": "zone-a", "slots": 2}
+# Valid JSON that takes some 20 times its length in memory when it is decoded into plain values.
+ROWS = b'{"rows":[' + b",".join([b"{}"] * 330_000) + b"]}"
 INSTANCE = {"address": "127.0.0.1:1", "peer_address": "127.0.0.1:2", "failure_domain": "zone-a"}
 
 
@@ -72,3 +75,22 @@
         assert [instance.events(number) for number in (104, 301, 302)] == [[], [], []]
         assert instance.is_ready()
         assert len(instance.addresses()) == 2
+
+
+class TestLargeEntries:
+    """Entries of nearly the largest size that the store takes, none of which names a searcher."""
+
+    def test_lists_with_them_take_no_memory(self, system):
+        """Guards against instances that exceed their memory whenever they list the searchers."""
+        system.backend("desk", "i-1", zone="zone-a")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        with ResourceWatch(instance) as watch:
+            for number in range(48):
+                system.store.put_raw("servers", f"dump-{number:02d}", ROWS)
+            system.store.forget_history()
+            system.backend("hall", "i-3", zone="zone-a")
+            system.configure(2, forward_route("hall", pathPrefix="/h/"))
+            wait_for(lambda: answers(instance, "/h/x"), "the searchers behind them are known")
+            assert watch.peak_mb < instance.settings["limits"]["memoryMb"] / 2
+        assert instance.child.poll() is None
--- a/tests/unit/engine/test_odd_entries.py
+++ b/tests/unit/engine/test_odd_entries.py
@@ -1,7 +1,9 @@
 """Entries that only one instance could use, or that harm others than what they describe."""
 
+import json
 import math
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -71,7 +73,7 @@
 
 
 def stored(spec: object, name: str = "i-1") -> StoredObject:
-    return StoredObject(ObjectMeta(name), spec)
+    return StoredObject(ObjectMeta(name), msgspec.Raw(json.dumps(spec).encode()))
 
 
 def made() -> Catalog:
--- a/tests/unit/platform/test_codec.py
+++ b/tests/unit/platform/test_codec.py
@@ -1,8 +1,16 @@
 """The platform's objects become the product's types, or are refused."""
 
+import json
+
+import msgspec
 import pytest
 
-from limpethollow_node.platform.codec import StoredObject, decode_searcher, decode_version
+from limpethollow_node.platform.codec import (
+    ObjectMeta,
+    StoredObject,
+    decode_searcher,
+    decode_version,
+)
 from limpethollow_wire.exceptions import BadRequest
 
 ENTRY = {
@@ -19,9 +27,7 @@
 
 
 def stored(spec, name: str = "i-1") -> StoredObject:
-    import msgspec
-
-    return msgspec.convert({"meta": {"name": name, "revision": 5}, "spec": spec}, StoredObject)
+    return StoredObject(ObjectMeta(name, 5), msgspec.Raw(json.dumps(spec).encode()))
 
 
 class TestSearchers:
--- a/tests/unit/platform/test_endless_answers.py
+++ b/tests/unit/platform/test_endless_answers.py
@@ -27,7 +27,7 @@
     """Return the number of objects that a store lists."""
     store = Store(address, metrics)
     try:
-        return len((await store.list("servers")).objects)
+        return len((await store.list("servers", lambda stored: stored.name)).items)
     finally:
         store.close()
 
--- a/tests/unit/platform/test_eras.py
+++ b/tests/unit/platform/test_eras.py
@@ -36,7 +36,7 @@
         found = []
         for _ in replies:
             try:
-                found.append((await store.list("servers")).revision)
+                found.append((await store.list("servers", lambda stored: stored.name)).revision)
             except (Unavailable, NotFound) as error:
                 found.append(type(error))
         return found
@@ -83,7 +83,7 @@
         async def lists() -> None:
             store = Store("10.0.0.1:80", Metrics())
             store._client = ScriptedAsker((200, b"1", FIRST_PAGE), (200, b"2", LIST))
-            await store.list("servers")
+            await store.list("servers", lambda stored: stored.name)
 
         with pytest.raises(Unavailable, match="between two pages"):
             asyncio.run(lists())
--- a/tests/unit/platform/test_feeds.py
+++ b/tests/unit/platform/test_feeds.py
@@ -1,9 +1,11 @@
 """Lists and watches that the store has forgotten."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from limpethollow_node.platform import feeds, pauses
+from limpethollow_node.platform.codec import StoredObject
 from limpethollow_node.platform.feeds import Feed
 from limpethollow_node.platform.store import Changes, Listing
 from limpethollow_policy.process.revisions import Revision
@@ -20,11 +22,11 @@
     def __init__(self) -> None:
         self.lists = 0
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, decode: Callable) -> Listing:
         self.lists += 1
         if self.lists == 1:
             await asyncio.Event().wait()
-        return Listing([], READ)
+        return Listing({}, READ)
 
     async def watch(self, kind: str, revision: int, wait: float) -> None:
         await asyncio.Event().wait()
@@ -33,7 +35,10 @@
 class KeepingSink:
     revision: Revision | None = None
 
-    def listed(self, objects: list, revision: Revision) -> None:
+    def read(self, stored: StoredObject) -> None:
+        return None
+
+    def listed(self, items: dict, revision: Revision) -> None:
         self.revision = revision
 
     def changed(self, changes: list, revision: Revision) -> None:
@@ -75,11 +80,11 @@
 class RefusingStore(ForgetfulStore):
     """Refuses the first list."""
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, decode: Callable) -> Listing:
         self.lists += 1
         if self.lists == 1:
             raise Unavailable("away")
-        return Listing([], READ)
+        return Listing({}, READ)
 
 
 class TestPauses:
@@ -174,9 +179,9 @@
     def __init__(self) -> None:
         self.lists = self.watches = 0
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, decode: Callable) -> Listing:
         self.lists += 1
-        return Listing([], READ)
+        return Listing({}, READ)
 
     async def watch(self, kind: str, revision: int, wait: float) -> None:
         self.watches += 1
@@ -210,9 +215,9 @@
         super().__init__()
         self.watched = watched
 
-    async def list(self, kind: str) -> Listing:
+    async def list(self, kind: str, decode: Callable) -> Listing:
         self.lists += 1
-        return Listing([], Revision(self.era, 7 if self.lists == 1 else 5))
+        return Listing({}, Revision(self.era, 7 if self.lists == 1 else 5))
 
     async def watch(self, kind: str, revision: int, wait: float) -> Changes:
         if self.lists > 1:
--- a/tests/unit/platform/test_sinks.py
+++ b/tests/unit/platform/test_sinks.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from limpethollow_node.engine.frames import InstanceUpdate
-from limpethollow_node.platform.codec import StoredObject
+from limpethollow_node.platform.codec import ObjectMeta, StoredObject
 from limpethollow_node.platform.sinks import CachedKindSink
 from limpethollow_node.platform.store import Change
 from limpethollow_policy.process.objectcaches import ObjectCache
@@ -13,14 +13,14 @@
 
 
 def decode(stored: StoredObject) -> Instance:
-    if stored.spec is None:
+    if bytes(stored.spec) == b"null":
         raise BadRequest("It can't be read.")
     return Instance(stored.name, "1:1", "1:2", "a")
 
 
 def change(name: str, *, deleted: bool = False, readable: bool = True) -> Change:
-    fields = {"meta": {"name": name}, "spec": {} if readable else None}
-    return Change(msgspec.convert(fields, StoredObject), deleted)
+    spec = msgspec.Raw(b"{}" if readable else b"null")
+    return Change(StoredObject(ObjectMeta(name), spec), deleted)
 
 
 class Followed:
@@ -40,6 +40,10 @@
     def names(self) -> set[str]:
         return set(self.belief.items)
 
+    def list(self, *names: str, revision: Revision) -> None:
+        items = {name: self.sink.read(change(name).object) for name in names}
+        self.sink.listed(items, revision)
+
 
 class TestChanges:
     def test_news_are_taken_in_and_told(self):
@@ -64,11 +68,11 @@
     def test_a_list_of_an_older_era_changes_nothing(self):
         """Guards against a list that was held back until after the store's return."""
         followed = Followed(2, 10, "n1")
-        followed.sink.listed([change("n2").object], Revision(1, 500))
+        followed.list("n2", revision=Revision(1, 500))
         assert followed.names == {"n1"}
 
     def test_a_list_of_a_newer_era_replaces_one_of_a_higher_revision(self):
         """Guards against beliefs that outlast the store's return."""
         followed = Followed(1, 500, "n1")
-        followed.sink.listed([change("n2").object], Revision(2, 10))
+        followed.list("n2", revision=Revision(2, 10))
         assert followed.names == {"n2"}
--- a/tests/unit/platform/test_tasks.py
+++ b/tests/unit/platform/test_tasks.py
@@ -1,6 +1,7 @@
 """Background tasks for the store go on after an error that nothing expected."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -29,7 +30,7 @@
     async def check(self, kind: str, name: str, timeout: float) -> None:
         self._call()
 
-    async def list(self, kind: str, *, allow_stale: bool) -> None:
+    async def list(self, kind: str, decode: Callable, *, allow_stale: bool) -> None:
         self._call()
         raise self.error
 
