--- a/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/feeds.py
@@ -7,7 +7,7 @@
 
 from limpethollow_node.platform.pauses import FIRST_PAUSE, RetryPause
 from limpethollow_node.platform.sinks import Sink
-from limpethollow_node.platform.store import HistoryGone, Store
+from limpethollow_node.platform.store import ChangesTooLarge, HistoryGone, Store
 from limpethollow_node.process import events
 from limpethollow_policy.process.changepaces import ChangePace
 from limpethollow_policy.process.revisions import NOTHING_KNOWN, Revision
@@ -141,7 +141,7 @@
             await self._active.wait()
             try:
                 await self._step()
-            except HistoryGone:
+            except (HistoryGone, ChangesTooLarge):
                 self._must_list = True
                 await asyncio.sleep(self._rng.random() * FIRST_PAUSE)
             except LimpethollowError as error:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from limpethollow_node.engine.connection.clients import ReplyCutOff
-from limpethollow_node.engine.connection.replylimits import STORE_LIMITS, report_exceeded
+from limpethollow_node.engine.connection.replylimits import (
+    STORE_LIMITS,
+    ReplyLimit,
+    report_exceeded,
+)
 from limpethollow_node.engine.messages import Reply
 from limpethollow_node.engine.process.httpclients import HttpClient
 from limpethollow_node.platform.codec import ObjectMeta, StoredObject
@@ -55,6 +59,13 @@
     remedy = "List the kind again and watch from the revision of that answer."
 
 
+class ChangesTooLarge(LimpethollowError):
+    """The changes since a revision don't fit into one answer of the store."""
+
+    code = "changes_too_large"
+    remedy = "List the kind, which comes in pages, and watch from the revision of that answer."
+
+
 class Listing(msgspec.Struct, Generic[Item], frozen=True):
     """What is kept of all objects of a kind at one revision.
 
@@ -233,6 +244,7 @@
 
         Raises:
             HistoryGone: The store no longer has the changes since that revision.
+            ChangesTooLarge: They exceed the limit on one answer, as they would each time.
         """
         target = _path(kind, query=f"watch={revision}&waitMs={int(wait * 1000)}")
         found, era = await self._get("watch", target, _Events, _TIMEOUT + _WATCH_SLACK + wait)
@@ -332,6 +344,9 @@
             self._metrics.count("platform_failures", call)
             if isinstance(error, ReplyCutOff):
                 report_exceeded(self._metrics, "store", error.limit)
+                if call == "watch" and error.limit is ReplyLimit.BODY:
+                    limit = STORE_LIMITS.body_bytes
+                    raise ChangesTooLarge(f"The changes exceed {limit} bytes.") from None
             raise Unavailable(f"The store did not answer a {call} call ({error!r}).") from None
         era = self._note_era(call, reply)
         _check_status(call, reply)
--- a/tests/system/platform/test_odd_entries.py
+++ b/tests/system/platform/test_odd_entries.py
@@ -94,3 +94,15 @@
             wait_for(lambda: answers(instance, "/h/x"), "the searchers behind them are known")
             assert watch.peak_mb < instance.settings["limits"]["memoryMb"] / 2
         assert instance.child.poll() is None
+
+    def test_more_of_them_than_fit_into_one_answer_hide_no_change(self, system):
+        """Guards against a watch that is cut off at its limit, and sent again, without end."""
+        system.backend("desk", "i-1", zone="zone-a")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        with system.store.changed:
+            for number in range(16):
+                system.store.put_raw("servers", f"dump-{number:02d}", ROWS)
+        system.backend("hall", "i-3", zone="zone-a")
+        system.configure(2, forward_route("hall", pathPrefix="/h/"))
+        wait_for(lambda: answers(instance, "/h/x"), "the searchers behind them are known")
--- a/tests/unit/platform/test_endless_answers.py
+++ b/tests/unit/platform/test_endless_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from limpethollow_node.engine.connection.replylimits import STORE_LIMITS
-from limpethollow_node.platform.store import Store
+from limpethollow_node.platform.store import ChangesTooLarge, Store
 from limpethollow_node.process.metrics import Metrics
 from limpethollow_wire.exceptions import Unavailable
 from tests.standins.endless import ENDLESS, EndlessServer
@@ -49,6 +49,19 @@
                 asyncio.run(list_from(server.address, Metrics()))
         assert time.monotonic() - began < 3.0
 
+    def test_a_watch_over_its_limit_is_not_sent_again(self):
+        """Guards against changes that never arrive, since the same answer is cut off each time."""
+
+        async def watch(address: str) -> None:
+            store = Store(address, Metrics())
+            try:
+                await store.watch("servers", 5, 1.0)
+            finally:
+                store.close()
+
+        with EndlessServer(*ENDLESS["large chunks"]) as server, pytest.raises(ChangesTooLarge):
+            asyncio.run(watch(server.address))
+
 
 class TestLarge:
     def test_a_page_with_the_largest_object_is_read(self):
--- a/tests/unit/platform/test_feeds.py
+++ b/tests/unit/platform/test_feeds.py
@@ -7,7 +7,7 @@
 from limpethollow_node.platform import feeds, pauses
 from limpethollow_node.platform.codec import StoredObject
 from limpethollow_node.platform.feeds import Feed
-from limpethollow_node.platform.store import Changes, Listing
+from limpethollow_node.platform.store import Changes, ChangesTooLarge, Listing
 from limpethollow_policy.process.revisions import Revision
 from limpethollow_wire.exceptions import Unavailable
 
@@ -226,6 +226,32 @@
         return Changes([], self.watched)
 
 
+class OverflowingStore(CountingStore):
+    """Has more changes than one answer may hold."""
+
+    async def watch(self, kind: str, revision: int, wait: float) -> None:
+        self.watches += 1
+        if self.watches == 1:
+            raise ChangesTooLarge("8 MB")
+        await asyncio.Event().wait()
+
+
+class TestLargeChanges:
+    def test_changes_that_fit_into_no_answer_are_listed(self, monkeypatch):
+        """Guards against the same watch again and again until the store forgets its history."""
+        monkeypatch.setattr(feeds, "FIRST_PAUSE", 0.0)
+        assert asyncio.run(self.play()) == (2, 2)
+
+    async def play(self) -> tuple[int, int]:
+        store = OverflowingStore()
+        feed = Feed(store, "kind", KeepingSink(), Random(1))
+        feed.set_active(True)
+        task = asyncio.create_task(feed.run())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        return store.lists, store.watches
+
+
 class TestReturn:
     """Guards against changes of a new era taken for those after a revision of an older one."""
 
