--- a/packages/limpethollow-wire/src/limpethollow_wire/jsonparts.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/jsonparts.py
@@ -1,24 +1,27 @@
 """Splits JSON text into its parts, whatever these contain and however deep they are nested."""
 
 import re
+from collections.abc import Iterator
+from itertools import accumulate
+from operator import indexOf
 from typing import Any, TypeVar
 
 import msgspec
 
 T = TypeVar("T", bound=msgspec.Struct)
 
-_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
-_PLAIN = rb'(?:[^\[\]{}"]++|' + _STRING + rb")"
-# Text without brackets, and arrays and objects that contain no others.
-_FILLING = rb"(?:" + _PLAIN + rb"|[\[{]" + _PLAIN + rb"*+[\]}])*+"
-_STRINGS = re.compile(_STRING, re.DOTALL)
+# Every quantifier is possessive, so that no text is matched more than twice.
+_STRING_START = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+'
+_STRING = _STRING_START + rb'"'
+# Strings; one that is not closed extends to the end of the text.
+_STRINGS = re.compile(_STRING_START + rb'"?', re.DOTALL)
 _KEY = re.compile(rb"(" + _STRING + rb")\s*+:\s*+", re.DOTALL)
-# What may stand in an array or object besides the text between: a string, a bracket, a comma.
-_TOKENS = re.compile(_STRING + rb'|[\[\]{},"]', re.DOTALL)
-# Brackets are skipped in runs, since an object of the store may consist of a million of them.
-_OPENING = re.compile(rb"(?:[\[{]" + _FILLING + rb")++", re.DOTALL)
-_CLOSING = re.compile(rb"(?:[\]}]" + _FILLING + rb")++", re.DOTALL)
-_CLOSING_BLOCK = re.compile(rb"([\]}]++)" + _FILLING, re.DOTALL)
+# Arrays and objects that contain no others.
+_FLAT = rb'[\[{](?:[^\[\]{}"]++|' + _STRING + rb")*+[\]}]"
+# What precedes the next comma, the end of the surrounding array or object, or a deeper part.
+_ELEMENT = re.compile(rb'(?:[^\[\]{}",]++|' + _STRING + rb"|" + _FLAT + rb")*+", re.DOTALL)
+# Translates each byte into the signed change of the nesting depth at it.
+_DEPTH_CHANGES = bytes(1 if c in b"[{" else 0xFF if c in b"]}" else 0 for c in range(256))
 
 
 def decode_parts(text: bytes | msgspec.Raw, kind: type[T]) -> T:
@@ -27,7 +30,8 @@
     Args:
         text: The JSON text.
         kind: The message class. Its fields of the types `Raw` and `list[Raw]` take any text, also
-            text that no decoder accepts.
+            text that no decoder accepts. If the text as a whole can't be decoded, the first member
+            of a name counts, and what follows the last one that is needed is not read.
 
     Raises:
         ValueError: Another field is missing or invalid.
@@ -35,15 +39,17 @@
     try:
         return msgspec.json.decode(text, type=kind)
     except (msgspec.MsgspecError, RecursionError):
-        members = split_object(bytes(text))
+        pass
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    found: dict[str, Any] = {}
     try:
-        return kind(
-            **{
-                field.name: _decode_field(members[field.encode_name], field.type)
-                for field in msgspec.structs.fields(kind)
-                if field.encode_name in members
-            }
-        )
+        for name, member in _iterate_members(bytes(text)):
+            field = fields.pop(name, None)
+            if field is not None:
+                found[field.name] = _decode_field(member, field.type)
+            if not fields:
+                break
+        return kind(**found)
     except RecursionError:
         raise ValueError("A field of the JSON object is nested too deeply.") from None
     except TypeError as error:
@@ -56,7 +62,7 @@
     Raises:
         ValueError: The text is not an array, or a string or bracket in it is not closed.
     """
-    return _split(text, b"[")
+    return list(_iterate_parts(text, b"["))
 
 
 def split_object(text: bytes) -> dict[str, bytes]:
@@ -65,13 +71,7 @@
     Raises:
         ValueError: The text is not an object, or a string or bracket in it is not closed.
     """
-    found = {}
-    for member in _split(text, b"{"):
-        key = _KEY.match(member)
-        if key is None:
-            raise ValueError("A member of the JSON object has no key.")
-        found[msgspec.json.decode(key[1], type=str)] = member[key.end() :]
-    return found
+    return dict(_iterate_members(text))
 
 
 def _decode_field(text: bytes, kind: Any) -> Any:
@@ -82,64 +82,70 @@
     return msgspec.json.decode(text, type=kind)
 
 
-def _split(text: bytes, opening: bytes) -> list[bytes]:
+def _iterate_members(text: bytes) -> Iterator[tuple[str, bytes]]:
+    """Yield the name and the value of each member of a JSON object."""
+    for member in _iterate_parts(text, b"{"):
+        key = _KEY.match(member)
+        if key is None:
+            raise ValueError("A member of the JSON object has no key.")
+        yield msgspec.json.decode(key[1], type=str), member[key.end() :]
+
+
+def _iterate_parts(text: bytes, opening: bytes) -> Iterator[bytes]:
+    """Yield the elements of a JSON array, or the members of a JSON object.
+
+    The work is proportional to the length of the text, whatever it contains, since it may be
+    another writer's.
+    """
     text = text.strip()
     if text[:1] != opening:
         raise ValueError(f"The JSON text does not begin with {opening.decode()}.")
-    parts, start, position = [], 1, 1
-    while (token := _TOKENS.search(text, position)) is not None:
-        position = token.end()
-        symbol = token[0]
+    start = position = 1
+    has_parts = False
+    nesting: _Nesting | None = None
+    while True:
+        position = _ELEMENT.match(text, position).end()
+        symbol = text[position : position + 1]
         if symbol in (b"[", b"{"):
-            position = _skip(text, token.start())
+            nesting = nesting or _Nesting(text)
+            position = nesting.end_of(position)
         elif symbol == b",":
-            parts.append(text[start : token.start()].strip())
-            start = position
-        elif symbol in (b"]", b"}"):
-            break
+            has_parts = True
+            yield text[start:position].strip()
+            start = position = position + 1
         elif symbol == b'"':
             raise ValueError("A string in the JSON text is not closed.")
-    if token is None or position != len(text):
-        raise ValueError("The brackets of the JSON text don't match.")
+        elif position != len(text) - 1:
+            raise ValueError("The brackets of the JSON text don't match.")
+        else:
+            break
     last = text[start:-1].strip()
-    return [*parts, last] if parts or last else []
+    if has_parts or last:
+        yield last
 
 
-def _skip(text: bytes, position: int) -> int:
-    """Return the position behind an array or object that begins at a position.
+class _Nesting:
+    """Finds the ends of nested arrays and objects in a JSON text.
 
-    Raises:
-        ValueError: It is not closed.
+    A loop over the brackets would take over ten times as long: a text may consist of them.
+
+    Args:
+        text: The JSON text.
     """
-    depth = 0
-    while True:
-        opening = _OPENING.match(text, position)
-        if opening is not None:
-            depth += _opened(opening[0])
-            position = opening.end()
-        closing = _CLOSING.match(text, position)
-        if closing is None:
-            raise ValueError("A string or bracket in the JSON text is not closed.")
-        closed = -_opened(closing[0])
-        if closed >= depth:
-            return _end_of(text, position, depth)
-        depth -= closed
-        position = closing.end()
-
-
-def _opened(run: bytes) -> int:
-    """Return how many more brackets a text opens than it closes."""
-    if b'"' in run:
-        run = _STRINGS.sub(b"", run)
-    return run.count(b"[") + run.count(b"{") - run.count(b"]") - run.count(b"}")
-
-
-def _end_of(text: bytes, position: int, depth: int) -> int:
-    """Return the position behind the bracket that closes the outermost of some open ones."""
-    while (block := _CLOSING_BLOCK.match(text, position)) is not None:
-        closed = len(block[1])
-        if closed >= depth:
-            return position + depth
-        depth -= closed
-        position = block.end()
-    raise ValueError("A bracket in the JSON text is not closed.")
+
+    __slots__ = ("_changes",)
+
+    def __init__(self, text: bytes) -> None:
+        outside = _STRINGS.sub(lambda string: bytes(len(string[0])), text)
+        self._changes = memoryview(outside.translate(_DEPTH_CHANGES)).cast("b")
+
+    def end_of(self, start: int) -> int:
+        """Return the position behind the array or object that begins at a position.
+
+        Raises:
+            ValueError: It is not closed.
+        """
+        try:
+            return start + indexOf(accumulate(self._changes[start:]), 0) + 1
+        except ValueError:
+            raise ValueError("A string or bracket in the JSON text is not closed.") from None
--- a/tests/system/platform/test_odd_entries.py
+++ b/tests/system/platform/test_odd_entries.py
@@ -12,6 +12,8 @@
 SEARCHER = {"service": "desk", "addr": "127.0.0.1:1", "zone": "zone-a", "slots": 2}
 # Valid JSON that takes some 20 times its length in memory when it is decoded into plain values.
 ROWS = b'{"rows":[' + b",".join([b"{}"] * 330_000) + b"]}"
+# Text with balanced brackets that is no JSON.
+LOG = b"2026-12-07 [info] request {id: 17} done [ok]\n" * 20_000
 INSTANCE = {"address": "127.0.0.1:1", "peer_address": "127.0.0.1:2", "failure_domain": "zone-a"}
 
 
@@ -95,6 +97,18 @@
             assert watch.peak_mb < instance.settings["limits"]["memoryMb"] / 2
         assert instance.child.poll() is None
 
+    def test_unreadable_ones_cost_little_time(self, system):
+        """Guards against instances that answer nothing while they look for the end of an entry."""
+        system.backend("desk", "i-1", zone="zone-a")
+        system.configure(1, forward_route("desk"))
+        instance = system.instance()
+        system.store.put_raw("servers", "request.log", LOG)
+        system.backend("hall", "i-3", zone="zone-a")
+        system.configure(2, forward_route("hall", pathPrefix="/h/"))
+        wait_for(lambda: answers(instance, "/h/x"), "the searchers behind it are known")
+        later = system.instance("front-2")
+        assert answers(later, "/h/x")
+
     def test_more_of_them_than_fit_into_one_answer_hide_no_change(self, system):
         """Guards against a watch that is cut off at its limit, and sent again, without end."""
         system.backend("desk", "i-1", zone="zone-a")
