--- a/packages/limpethollow-node/src/limpethollow_node/connection/pools.py
+++ b/packages/limpethollow-node/src/limpethollow_node/connection/pools.py
@@ -24,6 +24,7 @@
     connections_per_searcher,
 )
 from limpethollow_wire.limits import MAX_REPLY_BYTES
+from limpethollow_wire.responses import StrictResponse
 from limpethollow_wire.services import SearcherSpec
 
 _COUNTER = "searcher_connections"
@@ -35,6 +36,10 @@
     """No connection was free in time; nothing was sent."""
 
 
+class _Connection(HTTPConnection):
+    response_class = StrictResponse
+
+
 class Lease:
     """One call's use of one connection.
 
@@ -230,7 +235,7 @@
             number = choice.number
             is_new = not isinstance(choice, ReuseConnection)
             if is_new:
-                self._open[number] = HTTPConnection(self._host, self._port)
+                self._open[number] = _Connection(self._host, self._port)
             elif not self._open[number].is_connected:
                 # The searcher closed it while it was idle, or a reply came that nobody waits for.
                 self._metrics.count(_COUNTER, "closed_by_searcher")
--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -19,6 +19,7 @@
 from limpethollow_wire.exceptions import Conflict, NotFound, Unavailable
 from limpethollow_wire.instances import InstanceInfo, InstanceList, SearcherListing
 from limpethollow_wire.jsonparts import decode_parts
+from limpethollow_wire.responses import StrictResponse
 from limpethollow_wire.settings import PlatformSettings
 from limpethollow_wire.versions import MAX_ERA, MAX_NUMBER, era_of, number_of, version_of
 
@@ -50,6 +51,7 @@
         guard: Guards the call that was made last.
     """
 
+    response_class = StrictResponse
     guard: DeadlineGuard
 
     def __init__(self, *args: Any, call_at: CallAt, **kwargs: Any) -> None:
--- a/packages/limpethollow/src/limpethollow/adapters.py
+++ b/packages/limpethollow/src/limpethollow/adapters.py
@@ -9,6 +9,7 @@
 from limpethollow_wire.codecs import from_json, to_json
 from limpethollow_wire.exceptions import BadRequest, error_from_body
 from limpethollow_wire.limits import MAX_REPLY_BYTES
+from limpethollow_wire.responses import StrictResponse
 
 T = TypeVar("T")
 
@@ -43,11 +44,20 @@
         """Close all connections."""
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    response_class = StrictResponse
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class HttpAdapter(Adapter):
     """Sends requests over kept HTTP connections."""
 
     def __init__(self) -> None:
         self._pools = urllib3.PoolManager(num_pools=_POOLS, maxsize=4, retries=False)
+        self._pools.pool_classes_by_scheme = {"http": _Pool}
 
     def send(
         self,
