Own interface: lists of objects keep their content as text

A list of the platform's object API was decoded into plain values as a whole, up to 32 MB of text, although only two members of each object are used: 10 MB of another writer's objects took 250 MB.

Change: an object keeps its content as text, and its reader decodes it into the message that it needs, which skips all other members.

Result: test_a_list_takes_little_more_than_its_text failed before (250 MB for 9.9 MB) and passes now (less than twice the text).

--- a/packages/limpethollow-node/src/limpethollow_node/process/configs.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/configs.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+import msgspec
+
 from limpethollow_node.process import events
 from limpethollow_node.process.members import MembershipTracker
 from limpethollow_node.process.metrics import Metrics
@@ -12,7 +14,6 @@
 from limpethollow_policy.process.backoffs import Backoff
 from limpethollow_policy.process.freshness import Freshness, RefuseWork
 from limpethollow_policy.version.configurations import Configuration
-from limpethollow_wire.codecs import convert
 from limpethollow_wire.exceptions import (
     BadRequest,
     LimpethollowError,
@@ -33,15 +34,19 @@
 Listener = Callable[[tuple[ServiceRecord, ...]], None]
 
 
+class _StoredRecord(msgspec.Struct, frozen=True):
+    spec: ServiceSpec | None = None
+    write_id: str = ""
+
+
 def decode_record(stored: PlatformObject) -> ServiceRecord:
-    """Decode the service record stored in a platform object."""
-    spec = stored.value.get("spec")
-    return ServiceRecord(
-        name=stored.name,
-        version=stored.version,
-        spec=None if spec is None else convert(spec, ServiceSpec),
-        write_id=str(stored.value.get("write_id", "")),
-    )
+    """Decode the service record stored in a platform object.
+
+    Raises:
+        BadRequest: It is invalid.
+    """
+    content = stored.decode(_StoredRecord)
+    return ServiceRecord(stored.name, stored.version, content.spec, content.write_id)
 
 
 class ConfigManager:
--- a/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
+++ b/packages/limpethollow-node/src/limpethollow_node/process/platforms.py
@@ -15,7 +15,7 @@
 from limpethollow_policy.process.callbudgets import DEFAULT_RATES, CallBudget, RetryBudget
 from limpethollow_policy.process.entries import is_address
 from limpethollow_policy.process.revisions import UNKNOWN_ERA
-from limpethollow_wire.codecs import to_json
+from limpethollow_wire.codecs import from_json, to_json
 from limpethollow_wire.exceptions import Conflict, NotFound, Unavailable
 from limpethollow_wire.instances import InstanceInfo, InstanceList, SearcherListing
 from limpethollow_wire.jsonparts import decode_parts
@@ -24,6 +24,7 @@
 from limpethollow_wire.versions import MAX_ERA, MAX_NUMBER, era_of, number_of, version_of
 
 T = TypeVar("T", bound=msgspec.Struct)
+D = TypeVar("D")
 
 _RETRY_AFTER_SECONDS = 1.0
 _RETRY_RATIO = 0.1
@@ -81,13 +82,31 @@
         kind: Kind of the object.
         name: Name of the object.
         version: Version that orders the writes of all store eras.
-        value: Content of the object.
+        content: Content of the object as JSON text, which may be another writer's. Decoded into
+            plain values it may take 20 times the memory.
     """
 
     kind: str
     name: str
     version: int
-    value: dict[str, Any]
+    content: msgspec.Raw
+
+    @property
+    def value(self) -> dict[str, Any]:
+        """Return the whole content as plain values.
+
+        Raises:
+            BadRequest: It is not a JSON object.
+        """
+        return self.decode(dict[str, Any])
+
+    def decode(self, kind: type[D]) -> D:
+        """Return the content as a message; fields that the message lacks are skipped.
+
+        Raises:
+            BadRequest: It is invalid.
+        """
+        return from_json(memoryview(self.content), kind, _MAX_RESPONSE_BYTES)
 
 
 class ObjectList(msgspec.Struct, frozen=True):
@@ -108,9 +127,14 @@
     kind: str
     name: str
     version: _Number
-    value: dict[str, Any]
+    value: msgspec.Raw
     era: _Era = 0
 
+    def __post_init__(self) -> None:
+        """Reject a value that is no JSON object."""
+        if bytes(memoryview(self.value)[:1]) != b"{":
+            raise ValueError("The value is not an object.")
+
     def to_result(self) -> PlatformObject:
         version = version_of(self.era, self.version)
         return PlatformObject(self.kind, self.name, version, self.value)
--- a/packages/limpethollow-node/src/limpethollow_node/version/planners.py
+++ b/packages/limpethollow-node/src/limpethollow_node/version/planners.py
@@ -20,7 +20,7 @@
     make_plan,
     value_to_write,
 )
-from limpethollow_wire.codecs import convert, to_plain
+from limpethollow_wire.codecs import to_plain
 from limpethollow_wire.exceptions import BadRequest, Conflict, NotFound, Unavailable
 from limpethollow_wire.plans import Confirmation, Intent, Plan
 from limpethollow_wire.services import ServiceRecord
@@ -122,7 +122,7 @@
             except NotFound:
                 return name, 0
             version = kept.version
-            if not is_open(convert(kept.value, Plan), current_version):
+            if not is_open(kept.decode(Plan), current_version):
                 break
         return name, version
 
@@ -181,7 +181,7 @@
         return decode_record(written_now), written_now.version
 
     def _plan(self, name: PlanName) -> Plan:
-        plan = convert(self._platform.read(PLAN_KIND, name.slot_name).value, Plan)
+        plan = self._platform.read(PLAN_KIND, name.slot_name).decode(Plan)
         if plan.id != str(name):
             raise NotFound(
                 f"The plan '{name}' is not kept any more.",
--- a/packages/limpethollow-wire/src/limpethollow_wire/codecs.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/codecs.py
@@ -17,7 +17,9 @@
     return msgspec.json.encode(value)
 
 
-def from_json(data: bytes | bytearray, message_type: type[T], limit: int = MAX_BODY_BYTES) -> T:
+def from_json(
+    data: bytes | bytearray | memoryview, message_type: type[T], limit: int = MAX_BODY_BYTES
+) -> T:
     """Decode JSON into a typed message.
 
     Args:
--- a/tests/unit/configuration/test_odd_objects.py
+++ b/tests/unit/configuration/test_odd_objects.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import tracemalloc
 from random import Random
 from typing import Any
 
@@ -76,6 +77,25 @@
             client(answer).read("service", "good")
 
 
+class TestMemory:
+    """Guards against the memory of objects that nobody needs, which another writer wrote."""
+
+    def test_a_list_takes_little_more_than_its_text(self):
+        rows = b"[" + b",".join([b"{}"] * 330_000) + b"]"
+        odd = b'{"kind": "service", "name": "odd", "version": 5, "value": {"rows": %b}}' % rows
+        objects = b", ".join([*[odd] * 10, json.dumps(GOOD).encode()])
+        answer = b'{"revision": 9, "objects": [%b]}' % objects
+        tracemalloc.start()
+        try:
+            listed = client(answer).list("service")
+            records = [configs.decode_record(stored) for stored in listed.objects]
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert {record.name for record in records} == {"odd", "good"}
+        assert peak < 2 * len(answer)
+
+
 FIELDS = ("failure_domain", "address", "peer_address")
 
 
