--- a/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/sinks.py
@@ -46,11 +46,11 @@
         return self.revision is not None
 
     def read(self, stored: StoredObject) -> Any:
-        """Return what to keep of an object in a list; None if it is of no use, which is logged."""
+        """Decode an object; return None if it is not needed, or invalid, which is logged."""
         raise NotImplementedError
 
     def listed(self, items: dict[str, Any], revision: Revision) -> None:
-        """Replace the known state by what was kept of all objects of the kind."""
+        """Replace the known state by all items of the kind."""
         raise NotImplementedError
 
     def changed(self, changes: list[Change], revision: Revision) -> None:
@@ -82,7 +82,7 @@
         return self._revision is not None or self._catalog.version is not None
 
     def read(self, stored: StoredObject) -> RoutingVersion | None:
-        """Return the version if the object is the operator's configuration and can be decoded."""
+        """Return the version in the operator's configuration; None for other or invalid objects."""
         if stored.name != CONFIGURATION_NAME:
             return None
         try:
--- a/packages/limpethollow-node/src/limpethollow_node/platform/store.py
+++ b/packages/limpethollow-node/src/limpethollow_node/platform/store.py
@@ -30,7 +30,7 @@
 _WATCH_SLACK = 1.5
 # Maximum number of concurrent calls, including watches.
 _CONNECTIONS = 7
-# Limits the memory of what is kept of a list: some 30,000 searchers, and more where the machine has
+# Limits the memory of the items of a list: some 30,000 searchers, and more where the machine has
 # more memory.
 _MIN_LIST_BYTES = 16 * 1024 * 1024
 _LIST_MEMORY_SHARE = 1 / 8
@@ -67,10 +67,10 @@
 
 
 class Listing(msgspec.Struct, Generic[Item], frozen=True):
-    """What is kept of all objects of a kind at one revision.
+    """All items of a kind at one revision.
 
     Attributes:
-        items: The decoded objects by name, without those that were of no use.
+        items: The decoded objects by name, without those that are not needed.
         revision: The revision; its era is 0 if the store sent none.
     """
 
@@ -116,11 +116,11 @@
     """The items of a list, of which the pages are added one after the other.
 
     Each object is decoded while its page is in memory, and its text is released with the page. So
-    objects that are of no use cost no memory beyond their page, however many there are.
+    objects that are not needed cost no memory beyond their page, however many there are.
 
     Args:
         max_bytes: Limit on the memory of all items.
-        decode: Returns the item of an object, or None if it is of no use.
+        decode: Returns the item of an object; None if the object is not needed.
 
     Attributes:
         items: The items by name.
@@ -217,7 +217,7 @@
 
         Args:
             kind: The kind.
-            decode: Returns what to keep of an object; None if it is of no use.
+            decode: Returns the item of an object; None if the object is not needed.
             allow_stale: Whether the result may be seconds old; the call then costs a tenth.
 
         The pages are read one after the other, so an object may change between two of them; a
--- a/packages/limpethollow-wire/src/limpethollow_wire/responses.py
+++ b/packages/limpethollow-wire/src/limpethollow_wire/responses.py
@@ -28,7 +28,7 @@
 
         Raises:
             IncompleteHead: The connection ended before the empty line.
-            BadStatusLine: The status is none of a final response.
+            BadStatusLine: The status is invalid, or not one of a final response.
         """
         if self.headers is not None:
             return
--- a/tests/system/lifecycle/test_reply_heads.py
+++ b/tests/system/lifecycle/test_reply_heads.py
@@ -24,7 +24,7 @@
 # Inside the status line, at its end, inside a header, between two, and before the empty line.
 CUTS = [9, 11, 12, 16, 25, 26, 27, 31, 40, len(HEAD) - 6, len(HEAD) - 5, len(HEAD) - 3]
 STATUSES = [200, 404, 409, 503]
-NO_STATUSES = [0, 1, 99, 101, 600, 999]
+INVALID_STATUSES = [0, 1, 99, 101, 600, 999]
 
 
 @pytest.fixture(params=[(status, cut) for status in STATUSES for cut in CUTS], ids=str)
@@ -35,7 +35,7 @@
         yield server.address
 
 
-@pytest.fixture(params=[(s, closes) for s in NO_STATUSES for closes in (False, True)], ids=str)
+@pytest.fixture(params=[(s, closes) for s in INVALID_STATUSES for closes in (False, True)], ids=str)
 def invalid(request):
     """Stands for a server that sends no valid status, and a whole reply behind it."""
     status, closes = request.param
